--- /dev/null
+++ b/client/src/main/kotlin/gypsumcart/client/Placeholder.kt
@@ -0,0 +1,1 @@
+package gypsumcart.client
