--- a/node/src/main/kotlin/gypsumcart/node/Placeholder.kt
+++ /dev/null
@@ -1,1 +0,0 @@
-package gypsumcart.node
