--- a/core/src/main/kotlin/gypsumcart/core/Outcomes.kt
+++ b/core/src/main/kotlin/gypsumcart/core/Outcomes.kt
@@ -78,6 +78,9 @@
 
     /** The platform's table, which knows, doesn't answer. */
     public data object TableUnavailable : UncertaintyReason()
+
+    /** This submission was refused, but an earlier one of the same identity may be running elsewhere. */
+    public data class SubmissionRefused(public val reason: RefusalReason) : UncertaintyReason()
 }
 
 /** Says how one call to a back end went wrong. */
--- a/pipeline/src/main/kotlin/gypsumcart/pipeline/Duties.kt
+++ b/pipeline/src/main/kotlin/gypsumcart/pipeline/Duties.kt
@@ -1,5 +1,6 @@
 package gypsumcart.pipeline
 
+import gypsumcart.core.Decider
 import org.slf4j.LoggerFactory
 import kotlin.concurrent.thread
 import kotlin.time.Duration
@@ -16,6 +17,14 @@
     public fun stop(limit: Duration)
 }
 
+/** Returns a duty that lets [decider] decide on the events of [ring] and carries out the effects in their order. */
+public fun <E : Any, F> deciderDuty(
+    ring: Ring<E>,
+    decider: Decider<E, F>,
+    clock: MonotonicClock,
+    carryOut: (F) -> Unit,
+): Duty = RingDuty(ring) { event -> decider.decide(event, clock.now()).forEach(carryOut) }
+
 /**
  * Hands the events of one ring to [handle], one after the other, on one thread.
  *
--- a/pipeline/src/main/kotlin/gypsumcart/pipeline/Rings.kt
+++ b/pipeline/src/main/kotlin/gypsumcart/pipeline/Rings.kt
@@ -1,6 +1,7 @@
 package gypsumcart.pipeline
 
 import java.util.concurrent.ArrayBlockingQueue
+import java.util.concurrent.Semaphore
 import java.util.concurrent.TimeUnit
 import kotlin.time.Duration
 
@@ -12,7 +13,11 @@
     /** Adds [event], waiting for room; only for rings further down the flow than the calling duty's own. */
     public fun put(event: E)
 
-    /** Adds the answer to something that the calling duty's upstream has outstanding; uses the reserved room too. */
+    /**
+     * Adds the answer to something that the answer's receiver has outstanding; uses the reserved room, never waits.
+     *
+     * @throws IllegalStateException if the receiver had more outstanding than the reserved room
+     */
     public fun reply(event: E)
 }
 
@@ -32,25 +37,39 @@
         require(reserved in 0 until capacity) { "reserved room $reserved isn't within 0 until $capacity" }
     }
 
-    private val queue = ArrayBlockingQueue<E>(capacity)
+    private class Slot<E>(val event: E, val isReply: Boolean)
+
+    private val queue = ArrayBlockingQueue<Slot<E>>(capacity)
+    private val newWork = Semaphore(capacity - reserved)
 
     /** How many events wait. */
     public val size: Int get() = queue.size
 
-    override fun offer(event: E): Boolean = queue.size < capacity - reserved && queue.offer(event)
+    override fun offer(event: E): Boolean {
+        if (!newWork.tryAcquire()) return false
+        if (queue.offer(Slot(event, isReply = false))) return true
+        newWork.release()
+        return false
+    }
 
-    override fun put(event: E): Unit = queue.put(event)
+    override fun put(event: E) {
+        newWork.acquire()
+        queue.put(Slot(event, isReply = false))
+    }
 
     override fun reply(event: E) {
-        check(queue.offer(event)) { "ring $name has more answers than its reserved room $reserved" }
+        check(queue.offer(Slot(event, isReply = true))) { "ring $name has more answers than its room of $reserved" }
     }
 
     /** Removes and returns the next event, waiting for one. */
-    public fun take(): E = queue.take()
+    public fun take(): E = queue.take().release()
 
     /** Removes and returns the next event, or null when none came within [limit]. */
-    public fun takeOrNull(limit: Duration): E? = queue.poll(limit.inWholeNanoseconds, TimeUnit.NANOSECONDS)
+    public fun takeOrNull(limit: Duration): E? =
+        queue.poll(limit.inWholeNanoseconds, TimeUnit.NANOSECONDS)?.release()
 
-    /** Moves the events that wait, at most [limit] of them, to [target] and returns how many those were. */
-    public fun drainTo(target: MutableCollection<in E>, limit: Int): Int = queue.drainTo(target, limit)
+    private fun Slot<E>.release(): E {
+        if (!isReply) newWork.release()
+        return event
+    }
 }
--- a/pipeline/src/test/kotlin/gypsumcart/pipeline/RingsTest.kt
+++ b/pipeline/src/test/kotlin/gypsumcart/pipeline/RingsTest.kt
@@ -7,6 +7,7 @@
 import strikt.assertions.isFailure
 import strikt.assertions.isFalse
 import strikt.assertions.isTrue
+import kotlin.concurrent.thread
 
 class RingsTest {
     @Test
@@ -26,6 +27,17 @@
         expectThat(List(3) { ring.take() }).isEqualTo(listOf(1, 2, 3))
     }
 
+    @Test
+    fun `new work that waits for room leaves the reserved room to answers`() {
+        val ring = Ring<Int>("test", capacity = 2, reserved = 1)
+        ring.put(1)
+        val putter = thread { ring.put(2) }
+        putter.join(100)
+        ring.reply(3)
+        expectThat(List(3) { ring.take() }).isEqualTo(listOf(1, 3, 2))
+        putter.join()
+    }
+
     @Test
     fun `an answer that nobody has room for is a fault of the wiring`() {
         val ring = Ring<Int>("test", capacity = 1)
