--- /dev/null
+++ b/cli/src/main/kotlin/gypsumcart/cli/Main.kt
@@ -0,0 +1,18 @@
+package gypsumcart.cli
+
+import com.github.ajalt.clikt.core.CliktCommand
+import com.github.ajalt.clikt.core.Context
+import com.github.ajalt.clikt.core.main
+import com.github.ajalt.clikt.core.subcommands
+
+/** Groups the commands of the program. */
+private class Gypsumcart : CliktCommand("gypsumcart") {
+    override fun help(context: Context): String = "Serves requests on reclaimable hosts before replicas of models."
+
+    override fun run(): Unit = Unit
+}
+
+/** Runs the program. */
+public fun main(
+    arguments: Array<String>,
+): Unit = Gypsumcart().subcommands(NodeCommand(), CheckCommand()).main(arguments)
--- a/core/src/main/kotlin/gypsumcart/core/Ids.kt
+++ b/core/src/main/kotlin/gypsumcart/core/Ids.kt
@@ -1,6 +1,6 @@
 package gypsumcart.core
 
-/** Names one entry host. A process that starts again on the same host has a higher [Incarnation]. */
+/** Names one entry host, which keeps its name over restarts. */
 @JvmInline
 public value class NodeId(public val text: String) : Comparable<NodeId> {
     override fun compareTo(other: NodeId): Int = text.compareTo(other.text)
@@ -8,7 +8,7 @@
     override fun toString(): String = text
 }
 
-/** Counts the lives of one node or back end; a higher number replaces all that was said of a lower one. */
+/** Counts the starts of one node or back end; a higher number replaces all that was said of a lower one. */
 @JvmInline
 public value class Incarnation(public val number: Long) : Comparable<Incarnation> {
     override fun compareTo(other: Incarnation): Int = number.compareTo(other.number)
@@ -18,19 +18,9 @@
 
 /** Names an availability zone. */
 @JvmInline
-public value class ZoneName(public val text: String) {
-    override fun toString(): String = text
-}
-
-/** Names a region, which holds several zones. */
-@JvmInline
-public value class RegionName(public val text: String) {
-    override fun toString(): String = text
-}
+public value class ZoneName(public val text: String) : Comparable<ZoneName> {
+    override fun compareTo(other: ZoneName): Int = text.compareTo(other.text)
 
-/** Names a class of machine offered by the cloud API. */
-@JvmInline
-public value class MachineClassName(public val text: String) {
     override fun toString(): String = text
 }
 
@@ -48,33 +38,27 @@
     override fun toString(): String = text
 }
 
-/** Names a team, the unit of shares and budgets. */
+/** Names a team, the unit of quotas and usage reports. */
 @JvmInline
 public value class TeamName(public val text: String) {
     override fun toString(): String = text
 }
 
-/** Names one caller within a team: a person or a program that may use several devices. */
+/** Names one attempt of a client; a retry by the client has another one. */
 @JvmInline
-public value class CallerName(public val text: String) {
+public value class RequestId(public val text: String) {
     override fun toString(): String = text
 }
 
-/** Holds the key under which one caller's repeated submissions count as one request. */
+/** Names a request within one process, from its arrival to its end. */
 @JvmInline
-public value class IdempotencyKey(public val text: String) {
-    override fun toString(): String = text
-}
-
-/** Names an accepted request, unique over the fleet. */
-@JvmInline
-public value class RequestId(public val text: String) : Comparable<RequestId> {
-    override fun compareTo(other: RequestId): Int = text.compareTo(other.text)
+public value class Ticket(public val number: Long) : Comparable<Ticket> {
+    override fun compareTo(other: Ticket): Int = number.compareTo(other.number)
 
-    override fun toString(): String = text
+    override fun toString(): String = number.toString()
 }
 
-/** Numbers the attempts of one request from 1; answers of a lower number are late. */
+/** Numbers the calls made to back ends for one request from 1; what comes of a lower number is late. */
 @JvmInline
 public value class AttemptNumber(public val number: Int) : Comparable<AttemptNumber> {
     override fun compareTo(other: AttemptNumber): Int = number.compareTo(other.number)
@@ -90,15 +74,9 @@
     }
 }
 
-/** Names one caller connection that waits for an answer, unique within one node's life. */
+/** Names a part of a prompt; equal parts behind equal parts are cached by the engines. */
 @JvmInline
-public value class SubscriberId(public val number: Long) {
-    override fun toString(): String = number.toString()
-}
-
-/** Names the stream that an engine keeps of one generation, so that it can be resumed. */
-@JvmInline
-public value class StreamId(public val text: String) {
+public value class PromptPartId(public val text: String) {
     override fun toString(): String = text
 }
 
@@ -110,44 +88,26 @@
     override fun toString(): String = number.toString()
 }
 
-/** Orders applied configurations; nodes only ever move to a higher one. */
+/** Orders configurations; a node only ever moves to a higher one. */
 @JvmInline
-public value class Generation(public val number: Long) : Comparable<Generation> {
-    override fun compareTo(other: Generation): Int = number.compareTo(other.number)
-
-    /** Returns the generation that an apply on this base would make. */
-    public fun next(): Generation = Generation(number + 1)
+public value class ConfigurationVersion(public val number: Long) : Comparable<ConfigurationVersion> {
+    override fun compareTo(other: ConfigurationVersion): Int = number.compareTo(other.number)
 
     override fun toString(): String = number.toString()
-
-    public companion object {
-        /** The generation before the first apply. */
-        public val NONE: Generation = Generation(0)
-    }
-}
-
-/** Holds the SHA-256 of a configuration snapshot in lower-case hexadecimal. */
-@JvmInline
-public value class SnapshotHash(public val hex: String) {
-    override fun toString(): String = hex
 }
 
-/** Names one apply, so that a lost answer to it can be settled by reading. */
+/** Numbers the windows over which usage is reported, from 0 at the start of 1970. */
 @JvmInline
-public value class ApplyId(public val text: String) {
-    override fun toString(): String = text
-}
+public value class WindowNumber(public val number: Long) : Comparable<WindowNumber> {
+    override fun compareTo(other: WindowNumber): Int = number.compareTo(other.number)
 
-/** Names an operator in the audit trail. */
-@JvmInline
-public value class OperatorName(public val text: String) {
-    override fun toString(): String = text
+    override fun toString(): String = number.toString()
 }
 
-/** Holds the SHA-256 of an API key in lower-case hexadecimal; the key itself is never kept. */
+/** Holds an API key as a client presents it; its text is kept out of logs. */
 @JvmInline
-public value class KeyHash(public val hex: String) {
-    override fun toString(): String = hex
+public value class ApiKey(public val secret: String) {
+    override fun toString(): String = "***"
 }
 
 /** Holds an IP address and a port, in the form `10.0.0.1:8080`. */
--- a/core/src/main/kotlin/gypsumcart/core/Outcomes.kt
+++ b/core/src/main/kotlin/gypsumcart/core/Outcomes.kt
@@ -2,90 +2,45 @@
 
 import kotlin.time.Duration
 
-/** Says how a request ended, as its caller is told. */
+/** Says why a request got no answer of a back end. */
 public sealed class Outcome {
-    /** The request ran and the caller has, or can have, the whole answer. */
-    public data class Completed(public val usage: Usage) : Outcome()
+    /** The request did not run and never will; the client may come back after [retryAfter]. */
+    public data class NotRun(public val reason: RefusalReason, public val retryAfter: Duration?) : Outcome()
 
-    /** The request did not run and never will under this submission. */
-    public data class NotRun(public val reason: RefusalReason) : Outcome()
-
-    /** The request ran, or may have, and won't give an answer; running it again is safe. */
-    public data class Failed(public val reason: FailureReason) : Outcome()
-
-    /** Whether the request ran can't be found out now; running it again may be unsafe. */
-    public data class Unknown(public val reason: UncertaintyReason) : Outcome()
+    /** The request ran, or may have, and its answer is not to be had. */
+    public data class Failed(public val failure: CallFailure) : Outcome()
 }
 
-/** Says why a request was refused before any byte of it left for a back end. */
+/** Says why a request was not sent to a back end, or not run by it. */
 public sealed class RefusalReason {
-    /** The filter named [filter] had no room for more. */
-    public data class Overloaded(public val filter: String) : RefusalReason()
-
-    /** The team has as many requests in progress as its limit, [limit], allows. */
-    public data class TeamLimit(public val limit: Int) : RefusalReason()
-
-    /** The team has used up its tokens; more are there after [retryAfter]. */
-    public data class TokenBudget(public val retryAfter: Duration) : RefusalReason()
-
-    /** The answer could not be given within the caller's patience. */
-    public data class DeadlineUnreachable(public val expected: Duration) : RefusalReason()
-
-    /** No service of that name is configured. */
-    public data class NoSuchService(public val service: ServiceName) : RefusalReason()
-
-    /** The team may not use the service. */
-    public data class NotAllowed(public val service: ServiceName) : RefusalReason()
-
-    /** This node is leaving; another of [elsewhere] takes the request. */
-    public data class Leaving(public val elsewhere: List<Address>) : RefusalReason()
-
-    /** The platform's table, which must record the call first, doesn't answer. */
-    public data object TableUnavailable : RefusalReason()
-
-    /** No back end of the service could be reached, and nothing was sent to any. */
-    public data object NoBackEnd : RefusalReason()
-
-    /** The node has no configuration that it may serve by. */
+    /** No configuration is in force yet. */
     public data object NoConfiguration : RefusalReason()
-}
 
-/** Says why an accepted request gave no answer. */
-public sealed class FailureReason {
-    /** The attempts allowed were used up; the last one ended with [last]. */
-    public data class AttemptsExhausted(public val last: CallFailure) : FailureReason()
+    /** No route leads on from the host and path. */
+    public data object NoRoute : RefusalReason()
 
-    /** The back end refused the work itself, with an HTTP status. */
-    public data class Rejected(public val status: Int) : FailureReason()
+    /** The route needs a key that a team holds. */
+    public data object UnknownKey : RefusalReason()
 
-    /** The caller's patience ended first. */
-    public data object DeadlineExceeded : FailureReason()
+    /** The request carries no id. */
+    public data object NoRequestId : RefusalReason()
 
-    /** The caller withdrew the request. */
-    public data object Cancelled : FailureReason()
+    /** The team has used up its quota. */
+    public data object QuotaExceeded : RefusalReason()
 
-    /** No node has a record of the request any more. */
-    public data object NoRecord : FailureReason()
-}
-
-/** Says why it can't be told whether a request ran. */
-public sealed class UncertaintyReason {
-    /** The call was sent and no answer to it came. */
-    public data class AnswerLost(public val failure: CallFailure) : UncertaintyReason()
-
-    /** Another attempt sent the call, and its result was never written down. */
-    public data object ResultMissing : UncertaintyReason()
+    /** The filter named [filter] has no room for more. */
+    public data class Overloaded(public val filter: String) : RefusalReason()
 
-    /** The platform's table, which knows, doesn't answer. */
-    public data object TableUnavailable : UncertaintyReason()
+    /** No back end of the service could take the request in time. */
+    public data object NoBackEnd : RefusalReason()
 
-    /** This submission was refused, but an earlier one of the same identity may be running elsewhere. */
-    public data class SubmissionRefused(public val reason: RefusalReason) : UncertaintyReason()
+    /** The back ends that were asked declined. */
+    public data object Declined : RefusalReason()
 }
 
 /** Says how one call to a back end went wrong. */
 public sealed class CallFailure {
-    /** Whether some byte of the call may have reached the back end. */
+    /** Whether the back end may have run the request. */
     public abstract val mayHaveRun: Boolean
 
     /** The connection was refused or never made. */
@@ -93,33 +48,33 @@
         override val mayHaveRun: Boolean get() = false
     }
 
-    /** The connection closed before the end mark of the answer. */
-    public data object Cut : CallFailure() {
-        override val mayHaveRun: Boolean get() = true
+    /** The back end declined the request with [status] and says that it did not run. */
+    public data class Declined(public val status: Int) : CallFailure() {
+        override val mayHaveRun: Boolean get() = false
     }
 
-    /** Nothing came for longer than the limit of progress. */
-    public data class Stalled(public val limit: Duration) : CallFailure() {
-        override val mayHaveRun: Boolean get() = true
+    /** Another back end answers at the address. */
+    public data object WrongInstance : CallFailure() {
+        override val mayHaveRun: Boolean get() = false
     }
 
-    /** The back end answered with an HTTP status that asks to come back later. */
-    public data class Busy(public val status: Int, public val retryAfter: Duration?) : CallFailure() {
-        override val mayHaveRun: Boolean get() = false
+    /** The connection closed before the end of the answer. */
+    public data object Cut : CallFailure() {
+        override val mayHaveRun: Boolean get() = true
     }
 
-    /** The back end answered with another HTTP status of failure. */
-    public data class Status(public val status: Int) : CallFailure() {
+    /** The answer did not come, or did not go on, in time. */
+    public data object TimedOut : CallFailure() {
         override val mayHaveRun: Boolean get() = true
     }
 
-    /** The back end answered something that could not be read. */
+    /** The back end answered something that is not an answer to the request. */
     public data object Unreadable : CallFailure() {
         override val mayHaveRun: Boolean get() = true
     }
 
-    /** The back end is being taken back. */
-    public data object Leaving : CallFailure() {
+    /** The back end ran the request and failed with [status]. */
+    public data class ServerError(public val status: Int) : CallFailure() {
         override val mayHaveRun: Boolean get() = true
     }
 }
--- a/core/src/main/kotlin/gypsumcart/core/Requests.kt
+++ b/core/src/main/kotlin/gypsumcart/core/Requests.kt
@@ -2,115 +2,55 @@
 
 import kotlin.time.Duration
 
-/** Identifies what a caller asked for: submissions with equal identities are one request. */
-public data class RequestIdentity(
-    public val team: TeamName,
-    public val caller: CallerName,
-    public val key: IdempotencyKey,
+/**
+ * Describes a request as a client sent it.
+ *
+ * @property patience how long the client will wait for the whole answer, or null when it does not say
+ */
+public data class Submission(
+    public val ticket: Ticket,
+    public val request: RequestId?,
+    public val host: String,
+    public val path: String,
+    public val key: ApiKey?,
+    public val patience: Duration?,
+    public val prompt: Prompt?,
+    public val arrivedAt: MonotonicTime,
 )
 
-/** Says how urgent a request is against others; the order of the entries is the order of urgency. */
-public enum class Priority { INTERACTIVE, STANDARD, BATCH }
-
-/** Holds one message of a conversation with a model. */
-public data class Message(public val role: String, public val content: String)
-
-/** Holds the body of a call to a plain service, which the system passes on unread. */
-public class Body(private val bytes: ByteArray) {
-    /** The length in bytes. */
-    public val size: Int get() = bytes.size
-
-    /** Returns a copy of the bytes. */
-    public fun toByteArray(): ByteArray = bytes.copyOf()
-
-    override fun equals(other: Any?): Boolean = other is Body && bytes.contentEquals(other.bytes)
-
-    override fun hashCode(): Int = bytes.contentHashCode()
-
-    override fun toString(): String = "Body($size bytes)"
-
-    public companion object {
-        /** A body without bytes. */
-        public val EMPTY: Body = Body(ByteArray(0))
-    }
-}
-
-/** Says what a service promises about calls that arrive twice. */
-public sealed class CallKind {
-    /** A call that may be run again freely. */
-    public data object Idempotent : CallKind()
-
-    /** A call that the back end runs once for each key it is given. */
-    public data object Deduplicating : CallKind()
-
-    /** A call that must not run twice and that the back end can't recognise. */
-    public data object AtMostOnce : CallKind()
-}
-
-/** Describes what a request asks of a back end. */
-public sealed class Work {
-    /** The service whose back ends can do the work. */
-    public abstract val service: ServiceName
-
-    /** What may be done when a call gets lost. */
-    public abstract val kind: CallKind
-
-    /**
-     * A text to generate.
-     *
-     * @property promptTokens the length of [messages] in tokens
-     * @property maxTokens the most tokens to generate
-     */
-    public data class Completion(
-        override val service: ServiceName,
-        public val messages: List<Message>,
-        public val promptTokens: Int,
-        public val maxTokens: Int,
-    ) : Work() {
-        override val kind: CallKind get() = CallKind.Idempotent
-    }
-
-    /** A call to a plain service, passed on as it came. */
-    public data class ServiceCall(
-        override val service: ServiceName,
-        override val kind: CallKind,
-        public val method: String,
-        public val path: String,
-        public val contentType: String?,
-        public val body: Body,
-    ) : Work()
-}
-
 /**
- * Describes a request as its caller submitted it.
+ * Describes the generation that a request asks of a model.
  *
- * @property firstAttempt whether the caller says that it never submitted this identity before
- * @property patience how long the caller wants to wait for the whole answer
+ * @property tokens the length of the prompt
+ * @property maxNewTokens the most tokens to generate
+ * @property likelyNewTokens the client's estimate of the number of tokens that will be generated
+ * @property parts the parts of the prompt in their order; the last one belongs to the request or its session
  */
-public data class Submission(
-    public val id: RequestId,
-    public val identity: RequestIdentity,
-    public val work: Work,
-    public val priority: Priority,
-    public val firstAttempt: Boolean,
-    public val patience: Duration,
+public data class Prompt(
+    public val tokens: Int,
+    public val maxNewTokens: Int,
+    public val likelyNewTokens: Int?,
+    public val parts: List<PromptPart>,
 )
 
-/** Counts the tokens of one answer. */
-public data class Usage(public val promptTokens: Int, public val generatedTokens: Int) {
-    public companion object {
-        /** The usage of an answer without tokens. */
-        public val NONE: Usage = Usage(0, 0)
-    }
-}
+/** Holds one part of a prompt and its length in tokens. */
+public data class PromptPart(public val id: PromptPartId, public val tokens: Int)
 
 /**
- * Holds a piece of an answer.
+ * Holds a request that was admitted.
  *
- * @property index the piece's place in the answer, from 0, without gaps
- * @property tokens how many tokens the piece holds
+ * @property service the service chosen for it among the route's
+ * @property rank how urgent it is, 0 is the most urgent
+ * @property due when a final answer must have been given
  */
-public data class Chunk(public val index: Int, public val text: String, public val tokens: Int)
-
-/** Holds the answer of a plain service. */
-public data class ServiceAnswer(public val status: Int, public val contentType: String?, public val body: Body)
+public data class Admitted(
+    public val submission: Submission,
+    public val route: Route,
+    public val service: ServiceName,
+    public val team: TeamName?,
+    public val rank: Int,
+    public val due: MonotonicTime,
+) {
+    /** The request's name within the process. */
+    public val ticket: Ticket get() = submission.ticket
+}
--- a/core/src/main/kotlin/gypsumcart/core/Time.kt
+++ b/core/src/main/kotlin/gypsumcart/core/Time.kt
@@ -19,3 +19,11 @@
 
     override fun compareTo(other: MonotonicTime): Int = nanos.compareTo(other.nanos)
 }
+
+/** Holds a point in true time, in milliseconds since the start of 1970. */
+@JvmInline
+public value class UnixMillis(public val millis: Long) : Comparable<UnixMillis> {
+    override fun compareTo(other: UnixMillis): Int = millis.compareTo(other.millis)
+
+    override fun toString(): String = millis.toString()
+}
--- a/core/src/main/kotlin/gypsumcart/core/admission/Admission.kt
+++ b/core/src/main/kotlin/gypsumcart/core/admission/Admission.kt
@@ -1,164 +1,129 @@
 package gypsumcart.core.admission
 
-import gypsumcart.core.Address
+import gypsumcart.core.Admitted
+import gypsumcart.core.Configuration
 import gypsumcart.core.Decider
-import gypsumcart.core.Fleet
 import gypsumcart.core.MonotonicTime
 import gypsumcart.core.Outcome
 import gypsumcart.core.RefusalReason
-import gypsumcart.core.RequestId
-import gypsumcart.core.RequestIdentity
+import gypsumcart.core.Route
+import gypsumcart.core.ServiceName
 import gypsumcart.core.Submission
-import gypsumcart.core.SubscriberId
 import gypsumcart.core.Team
 import gypsumcart.core.TeamName
-import gypsumcart.core.UncertaintyReason
+import gypsumcart.core.Ticket
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.seconds
 
 /** Tells the admission filter what happened. */
 public sealed class AdmissionEvent {
     /** A configuration is in force from now on. */
-    public data class Configured(public val fleet: Fleet) : AdmissionEvent()
+    public data class Configured(public val configuration: Configuration) : AdmissionEvent()
 
-    /** A caller submitted a request and waits for its answer as [subscriber]. */
-    public data class Submitted(
-        public val submission: Submission,
-        public val subscriber: SubscriberId,
-    ) : AdmissionEvent()
+    /** A client sent a request. */
+    public data class Submitted(public val submission: Submission) : AdmissionEvent()
 
-    /** An accepted request ended; its record stays for callers that come back. */
-    public data class Ended(public val request: RequestId) : AdmissionEvent()
+    /** Other nodes admitted requests that count as [costs] against the quotas. */
+    public data class PeersSpent(public val costs: Map<TeamName, Double>) : AdmissionEvent()
 
-    /** The records of ended requests were dropped. */
-    public data class Expired(public val requests: List<RequestId>) : AdmissionEvent()
-
-    /** The node takes no new requests from now on; the nodes at [elsewhere] do. */
-    public data class DrainStarted(public val elsewhere: List<Address>) : AdmissionEvent()
+    /** The time came to say what this node has admitted. */
+    public data object ReportDue : AdmissionEvent()
 }
 
 /** Says what the admission filter wants done. */
 public sealed class AdmissionEffect {
-    /** Opens a record of the request and makes [subscriber] its first. */
-    public data class Open(public val submission: Submission, public val subscriber: SubscriberId) : AdmissionEffect()
-
-    /** Finds a back end for an accepted request. */
-    public data class Route(public val submission: Submission) : AdmissionEffect()
+    /** Finds a back end for an admitted request. */
+    public data class Route(public val admitted: Admitted) : AdmissionEffect()
 
-    /** Lets [subscriber] have the answer of a request that another submission opened. */
-    public data class Join(
-        public val request: RequestId,
-        public val team: TeamName,
-        public val subscriber: SubscriberId,
-    ) : AdmissionEffect()
+    /** Tells the client that its request won't run. */
+    public data class Refuse(public val submission: Submission, public val outcome: Outcome.NotRun) : AdmissionEffect()
 
-    /** Tells [subscriber] that its submission isn't taken. */
-    public data class Refuse(public val subscriber: SubscriberId, public val outcome: Outcome) : AdmissionEffect()
-
-    /** Reports that the last request in progress has ended since the drain started. */
-    public data object Drained : AdmissionEffect()
+    /** Says what this node has admitted of each team's quota since its start. */
+    public data class Report(public val totals: Map<TeamName, Double>) : AdmissionEffect()
 }
 
-/**
- * Decides which submissions become requests in progress.
- *
- * @property maxInProgress the most requests in progress at once, over all teams
- */
-public class Admission(private val maxInProgress: Int) : Decider<AdmissionEvent, AdmissionEffect> {
-    private class Entry(val identity: RequestIdentity, var inProgress: Boolean)
-
-    private var fleet: Fleet? = null
-    private var drain: AdmissionEvent.DrainStarted? = null
-    private val entries = HashMap<RequestId, Entry>()
-    private val byIdentity = HashMap<RequestIdentity, RequestId>()
-    private val inProgressByTeam = HashMap<TeamName, Int>()
-    private var inProgress = 0
+/** Decides which requests go on to a back end, and to which service. */
+public class Admission : Decider<AdmissionEvent, AdmissionEffect> {
+    private val quotas = Quotas()
+    private var configuration: Configuration? = null
 
     override fun decide(event: AdmissionEvent, now: MonotonicTime): List<AdmissionEffect> =
         when (event) {
-            is AdmissionEvent.Configured -> configure(event.fleet)
-            is AdmissionEvent.Submitted -> submit(event.submission, event.subscriber)
-            is AdmissionEvent.Ended -> end(event.request)
-            is AdmissionEvent.Expired -> expire(event.requests)
-            is AdmissionEvent.DrainStarted -> startDrain(event)
-        }
+            is AdmissionEvent.Configured -> configure(event.configuration, now)
 
-    private fun configure(fleet: Fleet): List<AdmissionEffect> {
-        this.fleet = fleet
-        return emptyList()
-    }
+            is AdmissionEvent.Submitted -> listOf(submit(event.submission, now))
 
-    private fun submit(submission: Submission, subscriber: SubscriberId): List<AdmissionEffect> {
-        val known = byIdentity[submission.identity]
-        if (known != null) return listOf(AdmissionEffect.Join(known, submission.identity.team, subscriber))
-        val refusal = refusalOrNull(submission)
-        if (refusal != null) return listOf(AdmissionEffect.Refuse(subscriber, refused(submission, refusal)))
-        accept(submission)
-        return listOf(AdmissionEffect.Open(submission, subscriber), AdmissionEffect.Route(submission))
-    }
+            is AdmissionEvent.PeersSpent -> {
+                quotas.chargePeers(event.costs, now)
+                emptyList()
+            }
 
-    private fun refusalOrNull(submission: Submission): RefusalReason? {
-        val fleet = this.fleet ?: return RefusalReason.NoConfiguration
-        drain?.let { return RefusalReason.Leaving(it.elsewhere) }
-        val team = fleet.teams[submission.identity.team] ?: return RefusalReason.NotAllowed(submission.work.service)
-        return serviceRefusalOrNull(fleet, team, submission) ?: loadRefusalOrNull(team)
-    }
+            AdmissionEvent.ReportDue -> listOf(AdmissionEffect.Report(quotas.totals))
+        }
 
-    private fun serviceRefusalOrNull(fleet: Fleet, team: Team, submission: Submission): RefusalReason? {
-        val service = submission.work.service
-        if (service !in fleet.services) return RefusalReason.NoSuchService(service)
-        if (service !in team.services) return RefusalReason.NotAllowed(service)
-        return null
+    private fun configure(configuration: Configuration, now: MonotonicTime): List<AdmissionEffect> {
+        this.configuration = configuration
+        quotas.configure(configuration.teams, now)
+        return emptyList()
     }
 
-    private fun loadRefusalOrNull(team: Team): RefusalReason? {
-        if (inProgress >= maxInProgress) return RefusalReason.Overloaded("admission")
-        if (inProgressOf(team.name) >= team.maxInProgress) return RefusalReason.TeamLimit(team.maxInProgress)
-        return null
+    private fun submit(submission: Submission, now: MonotonicTime): AdmissionEffect {
+        val configuration =
+            this.configuration ?: return refuse(submission, RefusalReason.NoConfiguration, CONFIGURATION_WAIT)
+        val route =
+            configuration.routeOrNull(submission.host, submission.path)
+                ?: return refuse(submission, RefusalReason.NoRoute)
+        val team = submission.key?.let(configuration::teamOrNull)
+        if (team == null && configuration.teams.isNotEmpty() && !route.isPublic) {
+            return refuse(submission, RefusalReason.UnknownKey)
+        }
+        if (submission.request == null) return refuse(submission, RefusalReason.NoRequestId)
+        return spend(submission, route, team, now)
     }
 
-    private fun accept(submission: Submission) {
-        val identity = submission.identity
-        entries[submission.id] = Entry(identity, inProgress = true)
-        byIdentity[identity] = submission.id
-        inProgress++
-        inProgressByTeam[identity.team] = inProgressOf(identity.team) + 1
+    private fun spend(submission: Submission, route: Route, team: Team?, now: MonotonicTime): AdmissionEffect {
+        val quota = team?.quota
+        if (quota != null) {
+            val wait = quotas.spendOrWait(team.name, quota.unit.costOf(submission.prompt), now)
+            if (wait != null) return refuse(submission, RefusalReason.QuotaExceeded, wait)
+        }
+        return AdmissionEffect.Route(admit(submission, route, team))
     }
 
-    private fun end(request: RequestId): List<AdmissionEffect> {
-        val entry = entries[request] ?: return emptyList()
-        if (!entry.inProgress) return emptyList()
-        entry.inProgress = false
-        inProgress--
-        inProgressByTeam[entry.identity.team] = inProgressOf(entry.identity.team) - 1
-        return drainedIfIdle()
+    private fun admit(submission: Submission, route: Route, team: Team?): Admitted {
+        val patience = submission.patience ?: route.timeout
+        return Admitted(
+            submission = submission,
+            route = route,
+            service = serviceOf(submission, route),
+            team = team?.name,
+            rank = team?.rank ?: route.rank,
+            due = submission.arrivedAt + minOf(patience, route.timeout),
+        )
     }
 
-    private fun expire(requests: List<RequestId>): List<AdmissionEffect> {
-        for (request in requests) {
-            val entry = entries.remove(request) ?: continue
-            byIdentity.remove(entry.identity, request)
+    /** Returns the service that the request's id falls to, so that equal shares of ids go by the weights. */
+    private fun serviceOf(submission: Submission, route: Route): ServiceName {
+        val total = route.services.sumOf { it.weight }.coerceAtLeast(1)
+        var point = Math.floorMod(submission.request.hashCode() * HASH_SPREAD, total)
+        for (candidate in route.services) {
+            point -= candidate.weight
+            if (point < 0) return candidate.service
         }
-        return emptyList()
+        return route.services.last().service
     }
 
-    private fun startDrain(event: AdmissionEvent.DrainStarted): List<AdmissionEffect> {
-        drain = event
-        return drainedIfIdle()
-    }
+    private fun refuse(submission: Submission, reason: RefusalReason, retryAfter: Duration? = null): AdmissionEffect =
+        AdmissionEffect.Refuse(submission, Outcome.NotRun(reason, retryAfter))
 
-    private fun drainedIfIdle(): List<AdmissionEffect> =
-        if (drain != null && inProgress == 0) listOf(AdmissionEffect.Drained) else emptyList()
+    private companion object {
+        /** A node reads its first configuration within a second of its start, if the store answers. */
+        val CONFIGURATION_WAIT: Duration = 1.seconds
 
-    private fun inProgressOf(team: TeamName): Int = inProgressByTeam[team] ?: 0
+        /** An odd multiplier that spreads hash codes of similar ids (2 to the 32nd over the golden ratio). */
+        const val HASH_SPREAD = -0x61c88647
+    }
 }
 
-/**
- * Returns the outcome to tell of a submission that was refused for [reason].
- *
- * Only a first submission is known not to have run: an earlier one of its identity may be running on another node.
- */
-public fun refused(submission: Submission, reason: RefusalReason): Outcome =
-    if (submission.firstAttempt) {
-        Outcome.NotRun(reason)
-    } else {
-        Outcome.Unknown(UncertaintyReason.SubmissionRefused(reason))
-    }
+/** Returns the request's name, for the log. */
+public val AdmissionEffect.Refuse.ticket: Ticket get() = submission.ticket
--- /dev/null
+++ b/core/src/main/kotlin/gypsumcart/core/directory/BackEndDirectory.kt
@@ -0,0 +1,96 @@
+package gypsumcart.core.directory
+
+import gypsumcart.core.BackEnd
+import gypsumcart.core.BackEndId
+import gypsumcart.core.Decider
+import gypsumcart.core.MonotonicTime
+import kotlin.time.Duration
+
+/** Tells the directory of back ends what happened. */
+public sealed class DirectoryEvent {
+    /** The registry was read whole: it lists [backEnds] and no others. */
+    public data class Read(public val backEnds: List<BackEnd>) : DirectoryEvent()
+
+    /** The registry changed: [listed] are new or different, [removed] are not listed any more. */
+    public data class Changed(
+        public val listed: List<BackEnd>,
+        public val removed: List<BackEndId>,
+    ) : DirectoryEvent()
+
+    /** The registry does not answer. */
+    public data object Lost : DirectoryEvent()
+
+    /** The registry answers again. */
+    public data object Regained : DirectoryEvent()
+
+    /** The time came to drop entries that have not come back. */
+    public data object Sweep : DirectoryEvent()
+}
+
+/** Says what the directory of back ends wants done. */
+public sealed class DirectoryEffect {
+    /** Tells all that route or order of the back ends that there are now. */
+    public data class List(public val backEnds: kotlin.collections.List<BackEnd>) : DirectoryEffect()
+}
+
+/**
+ * Keeps the list of back ends through outages of the registry.
+ *
+ * Entries may lapse with the registry and come back soon after it. An entry that disappears around an outage is
+ * therefore kept until [lapseGrace] after the registry's return; one that disappears at another time is gone.
+ */
+public class BackEndDirectory(private val lapseGrace: Duration) : Decider<DirectoryEvent, DirectoryEffect> {
+    private val listed = LinkedHashMap<BackEndId, BackEnd>()
+    private val lapsed = LinkedHashMap<BackEndId, BackEnd>()
+    private var lost = false
+    private var graceUntil: MonotonicTime? = null
+
+    override fun decide(event: DirectoryEvent, now: MonotonicTime): List<DirectoryEffect> =
+        when (event) {
+            is DirectoryEvent.Read -> read(event.backEnds, now)
+
+            is DirectoryEvent.Changed -> change(event, now)
+
+            DirectoryEvent.Lost -> {
+                lost = true
+                emptyList()
+            }
+
+            DirectoryEvent.Regained -> regain(now)
+
+            DirectoryEvent.Sweep -> sweep(now)
+        }
+
+    private fun read(backEnds: List<BackEnd>, now: MonotonicTime): List<DirectoryEffect> {
+        val ids = backEnds.mapTo(HashSet()) { it.id }
+        return change(DirectoryEvent.Changed(backEnds, listed.keys.filter { it !in ids }), now)
+    }
+
+    private fun change(event: DirectoryEvent.Changed, now: MonotonicTime): List<DirectoryEffect> {
+        for (id in event.removed) {
+            val backEnd = listed.remove(id) ?: continue
+            if (inGrace(now) && !backEnd.leaving) lapsed[id] = backEnd
+        }
+        for (backEnd in event.listed) {
+            lapsed -= backEnd.id
+            listed[backEnd.id] = backEnd
+        }
+        return list()
+    }
+
+    private fun regain(now: MonotonicTime): List<DirectoryEffect> {
+        if (lost) graceUntil = now + lapseGrace
+        lost = false
+        return emptyList()
+    }
+
+    private fun sweep(now: MonotonicTime): List<DirectoryEffect> {
+        if (lapsed.isEmpty() || inGrace(now)) return emptyList()
+        lapsed.clear()
+        return list()
+    }
+
+    private fun inGrace(now: MonotonicTime): Boolean = lost || graceUntil?.let { now < it } ?: false
+
+    private fun list(): List<DirectoryEffect> = listOf(DirectoryEffect.List(listed.values + lapsed.values))
+}
--- a/core/src/main/kotlin/gypsumcart/core/dispatch/Dispatch.kt
+++ b/core/src/main/kotlin/gypsumcart/core/dispatch/Dispatch.kt
@@ -1,66 +1,60 @@
 package gypsumcart.core.dispatch
 
+import gypsumcart.core.Admitted
 import gypsumcart.core.AttemptNumber
 import gypsumcart.core.BackEnd
-import gypsumcart.core.BackEndId
 import gypsumcart.core.CallFailure
 import gypsumcart.core.CallKind
-import gypsumcart.core.Chunk
 import gypsumcart.core.Decider
-import gypsumcart.core.FailureReason
 import gypsumcart.core.MonotonicTime
 import gypsumcart.core.Outcome
 import gypsumcart.core.RefusalReason
-import gypsumcart.core.RequestId
-import gypsumcart.core.ServiceAnswer
-import gypsumcart.core.Submission
-import gypsumcart.core.UncertaintyReason
-import gypsumcart.core.Usage
-import gypsumcart.core.Work
+import gypsumcart.core.Ticket
+import gypsumcart.core.routing.InstanceKey
+import gypsumcart.core.routing.Verdict
+import gypsumcart.core.routing.key
 import kotlin.time.Duration
+import kotlin.time.Duration.Companion.seconds
 
 /** Tells the dispatch filter what happened. */
 public sealed class DispatchEvent {
-    /** A back end was chosen for an attempt. */
+    /** A back end was chosen for a call. */
     public data class Assigned(
-        public val submission: Submission,
+        public val admitted: Admitted,
         public val attempt: AttemptNumber,
         public val backEnd: BackEnd,
     ) : DispatchEvent()
 
-    /** A model replica sent a piece of its answer. */
-    public data class ChunkReceived(
-        public val request: RequestId,
+    /** A call ended with [result]. */
+    public data class CallEnded(
+        public val ticket: Ticket,
         public val attempt: AttemptNumber,
-        public val chunk: Chunk,
+        public val result: CallResult,
     ) : DispatchEvent()
 
-    /** A model replica sent the end mark of its answer. */
-    public data class StreamEnded(
-        public val request: RequestId,
-        public val attempt: AttemptNumber,
-        public val usage: Usage,
-    ) : DispatchEvent()
+    /** The request was concluded without a call. */
+    public data class Concluded(public val ticket: Ticket) : DispatchEvent()
+}
 
-    /** A plain service answered. */
-    public data class ServiceAnswered(
-        public val request: RequestId,
-        public val attempt: AttemptNumber,
-        public val answer: ServiceAnswer,
-    ) : DispatchEvent()
+/** Says how a call ended. */
+public sealed class CallResult {
+    /** The client has the back end's whole answer. */
+    public data class Answered(public val status: Int) : CallResult()
 
-    /** The call went wrong. */
-    public data class CallFailed(
-        public val request: RequestId,
-        public val attempt: AttemptNumber,
-        public val failure: CallFailure,
-    ) : DispatchEvent()
+    /** The call went wrong; of its answer the client has the events up to [progress], or nothing. */
+    public data class Failed(public val failure: CallFailure, public val progress: Progress) : CallResult()
+
+    /** The client is gone. */
+    public data object ClientGone : CallResult()
+}
 
-    /** A back end finishes no more work that it has. */
-    public data class Evacuated(public val backEnd: BackEndId) : DispatchEvent()
+/** Says how much of an answer the client has. */
+public sealed class Progress {
+    /** Nothing. */
+    public data object None : Progress()
 
-    /** The time came to look for calls that make no progress. */
-    public data object Sweep : DispatchEvent()
+    /** The head and the events up to the one with the id [lastEvent], if any came and carried an id. */
+    public data class Started(public val lastEvent: String?) : Progress()
 }
 
 /** Says what the dispatch filter wants done. */
@@ -68,158 +62,131 @@
     /**
      * Calls [backEnd].
      *
-     * @property delivered the pieces of the answer that earlier attempts brought; the call goes on after them
+     * @property resumeAfter the event after which the stream goes on, if the client has some of it already
      */
     public data class Call(
-        public val submission: Submission,
+        public val admitted: Admitted,
         public val attempt: AttemptNumber,
         public val backEnd: BackEnd,
-        public val delivered: List<Chunk>,
+        public val resumeAfter: String?,
     ) : DispatchEffect()
 
-    /** Ends the call of an attempt whose answer isn't wanted any more. */
-    public data class CancelCall(public val request: RequestId, public val attempt: AttemptNumber) : DispatchEffect()
-
-    /** Passes on a piece of the answer. */
-    public data class Deliver(public val request: RequestId, public val chunk: Chunk) : DispatchEffect()
+    /** Tells the client how its request ended. */
+    public data class Conclude(public val admitted: Admitted, public val outcome: Outcome) : DispatchEffect()
 
-    /** Passes on the end of the request, with the answer of a plain service if there is one. */
-    public data class Finish(
-        public val request: RequestId,
-        public val outcome: Outcome,
-        public val answer: ServiceAnswer?,
+    /** Tells the routing filter that a call is over. */
+    public data class Release(
+        public val ticket: Ticket,
+        public val instance: InstanceKey,
+        public val verdict: Verdict,
     ) : DispatchEffect()
 
-    /** Tells the routing filter that the call is over. */
-    public data class Release(public val request: RequestId, public val backEnd: BackEndId) : DispatchEffect()
-
-    /** Asks the routing filter for a back end for the next attempt. */
+    /** Asks the routing filter for another back end. */
     public data class Reroute(
-        public val submission: Submission,
+        public val admitted: Admitted,
         public val attempt: AttemptNumber,
-        public val avoid: Set<BackEndId>,
+        public val avoid: Set<InstanceKey>,
+        public val otherwise: Outcome,
     ) : DispatchEffect()
 }
 
-/**
- * Limits what the dispatch filter spends on one request.
- *
- * @property maxAttempts the most calls made for one request
- * @property stallLimit how long a call may go without progress
- */
-public data class DispatchLimits(public val maxAttempts: Int, public val stallLimit: Duration)
-
-/** Decides what follows from the progress and the failures of calls to back ends. */
-public class Dispatch(private val limits: DispatchLimits) : Decider<DispatchEvent, DispatchEffect> {
-    private class Run(val submission: Submission) {
-        val chunks = ArrayList<Chunk>()
-        val failedAt = HashSet<BackEndId>()
+/** Decides what follows from the ends of calls to back ends. */
+public class Dispatch : Decider<DispatchEvent, DispatchEffect> {
+    private class Run(val admitted: Admitted) {
+        val called = HashSet<InstanceKey>()
         var attempt = AttemptNumber.FIRST
         var backEnd: BackEnd? = null
-        var progressAt = MonotonicTime(0)
+        var runs = 0
+        var lastEvent: String? = null
     }
 
-    private val runs = LinkedHashMap<RequestId, Run>()
+    private val runs = HashMap<Ticket, Run>()
 
     override fun decide(event: DispatchEvent, now: MonotonicTime): List<DispatchEffect> =
         when (event) {
-            is DispatchEvent.Assigned -> start(event, now)
-            is DispatchEvent.ChunkReceived -> onRun(event.request, event.attempt) { takeChunk(it, event.chunk, now) }
-            is DispatchEvent.StreamEnded -> onRun(event.request, event.attempt) { complete(it, event.usage, null) }
-            is DispatchEvent.ServiceAnswered -> onRun(event.request, event.attempt) { answer(it, event.answer) }
-            is DispatchEvent.CallFailed -> onRun(event.request, event.attempt) { fail(it, event.failure) }
-            is DispatchEvent.Evacuated -> evacuate(event.backEnd)
-            DispatchEvent.Sweep -> sweep(now)
+            is DispatchEvent.Assigned -> start(event)
+
+            is DispatchEvent.CallEnded -> end(event, now)
+
+            is DispatchEvent.Concluded -> {
+                runs -= event.ticket
+                emptyList()
+            }
         }
 
-    private fun start(event: DispatchEvent.Assigned, now: MonotonicTime): List<DispatchEffect> {
-        val run = runs.getOrPut(event.submission.id) { Run(event.submission) }
+    private fun start(event: DispatchEvent.Assigned): List<DispatchEffect> {
+        val run = runs.getOrPut(event.admitted.ticket) { Run(event.admitted) }
         run.attempt = event.attempt
         run.backEnd = event.backEnd
-        run.progressAt = now
-        return listOf(DispatchEffect.Call(run.submission, run.attempt, event.backEnd, run.chunks.toList()))
+        run.called += event.backEnd.key
+        return listOf(DispatchEffect.Call(run.admitted, run.attempt, event.backEnd, run.lastEvent))
     }
 
-    /** Calls [action] if [attempt] is the current one of [request]; what comes of an older attempt is dropped. */
-    private inline fun onRun(
-        request: RequestId,
-        attempt: AttemptNumber,
-        action: (Run) -> List<DispatchEffect>,
-    ): List<DispatchEffect> {
-        val run = runs[request] ?: return emptyList()
-        if (run.attempt != attempt || run.backEnd == null) return emptyList()
-        return action(run)
+    private fun end(event: DispatchEvent.CallEnded, now: MonotonicTime): List<DispatchEffect> {
+        val run = runs[event.ticket] ?: return emptyList()
+        if (run.attempt != event.attempt) return emptyList()
+        val backEnd = run.backEnd ?: return emptyList()
+        run.backEnd = null
+        val release = DispatchEffect.Release(event.ticket, backEnd.key, verdictOf(event.result))
+        return listOf(release) + next(run, event.result, now)
     }
 
-    private fun takeChunk(run: Run, chunk: Chunk, now: MonotonicTime): List<DispatchEffect> {
-        run.progressAt = now
-        val next = run.chunks.size
-        return when {
-            chunk.index < next -> emptyList()
-
-            chunk.index > next -> cancelAndFail(run, CallFailure.Unreadable)
-
-            else -> {
-                run.chunks += chunk
-                listOf(DispatchEffect.Deliver(run.submission.id, chunk))
+    private fun next(run: Run, result: CallResult, now: MonotonicTime): List<DispatchEffect> =
+        when (result) {
+            is CallResult.Answered, CallResult.ClientGone -> {
+                runs -= run.admitted.ticket
+                emptyList()
             }
-        }
-    }
 
-    private fun complete(run: Run, usage: Usage, answer: ServiceAnswer?): List<DispatchEffect> =
-        finish(run, Outcome.Completed(usage), answer)
-
-    private fun answer(run: Run, answer: ServiceAnswer): List<DispatchEffect> = complete(run, Usage.NONE, answer)
-
-    private fun finish(run: Run, outcome: Outcome, answer: ServiceAnswer?): List<DispatchEffect> {
-        runs -= run.submission.id
-        return listOf(DispatchEffect.Finish(run.submission.id, outcome, answer)) + release(run)
-    }
+            is CallResult.Failed -> listOf(fail(run, result, now))
+        }
 
-    private fun fail(run: Run, failure: CallFailure): List<DispatchEffect> {
-        val final = finalOutcomeOrNull(run, failure)
-        if (final != null) return finish(run, final, null)
-        run.backEnd?.let { run.failedAt += it.id }
-        val effects = release(run)
+    private fun fail(run: Run, result: CallResult.Failed, now: MonotonicTime): DispatchEffect {
+        val outcome = outcomeOf(run, result)
+        if (result.failure.mayHaveRun) run.runs++
+        if (!mayRepeat(run, result) || now >= run.admitted.due) {
+            runs -= run.admitted.ticket
+            return DispatchEffect.Conclude(run.admitted, outcome)
+        }
+        (result.progress as? Progress.Started)?.let { run.lastEvent = it.lastEvent }
         run.attempt = run.attempt.next()
-        return effects + DispatchEffect.Reroute(run.submission, run.attempt, run.failedAt.toSet())
+        return DispatchEffect.Reroute(run.admitted, run.attempt, run.called.toSet(), outcome)
     }
 
-    /** Returns the outcome when no further attempt may follow [failure], or null when one follows. */
-    private fun finalOutcomeOrNull(run: Run, failure: CallFailure): Outcome? {
-        val exhausted = run.attempt.number >= limits.maxAttempts
-        return when (run.submission.work.kind) {
-            CallKind.AtMostOnce -> onceOutcomeOrNull(failure, exhausted)
-            CallKind.Idempotent, CallKind.Deduplicating ->
-                if (exhausted) Outcome.Failed(FailureReason.AttemptsExhausted(failure)) else null
+    private fun outcomeOf(run: Run, result: CallResult.Failed): Outcome =
+        if (result.failure.mayHaveRun || run.runs > 0) {
+            Outcome.Failed(result.failure)
+        } else {
+            Outcome.NotRun(RefusalReason.Declined, DECLINED_WAIT)
         }
-    }
 
-    private fun onceOutcomeOrNull(failure: CallFailure, exhausted: Boolean): Outcome? =
-        when {
-            failure.mayHaveRun -> Outcome.Unknown(UncertaintyReason.AnswerLost(failure))
-            exhausted -> Outcome.NotRun(RefusalReason.NoBackEnd)
-            else -> null
+    private fun mayRepeat(run: Run, result: CallResult.Failed): Boolean {
+        if (run.attempt.number >= run.admitted.route.maxAttempts + DECLINED_CALLS) return false
+        if (!result.failure.mayHaveRun && result.progress == Progress.None) return true
+        if (run.runs >= run.admitted.route.maxAttempts) return false
+        return when (result.progress) {
+            Progress.None -> run.admitted.route.kind.mayRepeat
+            is Progress.Started -> mayResume(run, result.progress)
         }
+    }
 
-    private fun evacuate(backEnd: BackEndId): List<DispatchEffect> =
-        runs.values
-            .filter { it.backEnd?.id == backEnd && it.submission.work is Work.Completion }
-            .flatMap { cancelAndFail(it, CallFailure.Leaving) }
+    private fun mayResume(run: Run, progress: Progress.Started): Boolean {
+        val kind = run.admitted.route.kind
+        return kind is CallKind.Streamed && kind.resumable && progress.lastEvent != null
+    }
 
-    private fun sweep(now: MonotonicTime): List<DispatchEffect> =
-        runs.values
-            .filter { it.backEnd != null && now - it.progressAt > limits.stallLimit }
-            .flatMap { cancelAndFail(it, CallFailure.Stalled(limits.stallLimit)) }
+    private fun verdictOf(result: CallResult): Verdict =
+        when (result) {
+            is CallResult.Answered -> Verdict.HEALTHY
+            CallResult.ClientGone -> Verdict.UNKNOWN
+            is CallResult.Failed -> if (result.failure is CallFailure.ServerError) Verdict.UNKNOWN else Verdict.FAILING
+        }
 
-    private fun cancelAndFail(run: Run, failure: CallFailure): List<DispatchEffect> {
-        val cancel = DispatchEffect.CancelCall(run.submission.id, run.attempt)
-        return listOf(cancel) + fail(run, failure)
-    }
+    private companion object {
+        /** Calls that may be declined before a request is given up, beyond those on which it may run. */
+        const val DECLINED_CALLS = 1
 
-    private fun release(run: Run): List<DispatchEffect> {
-        val backEnd = run.backEnd ?: return emptyList()
-        run.backEnd = null
-        return listOf(DispatchEffect.Release(run.submission.id, backEnd.id))
+        /** A declining back end's queue moves on by some requests in this time. */
+        val DECLINED_WAIT: Duration = 0.3.seconds
     }
 }
--- /dev/null
+++ b/core/src/main/kotlin/gypsumcart/core/membership/Membership.kt
@@ -0,0 +1,220 @@
+package gypsumcart.core.membership
+
+import gypsumcart.core.Address
+import gypsumcart.core.Decider
+import gypsumcart.core.Incarnation
+import gypsumcart.core.MonotonicTime
+import gypsumcart.core.NodeId
+import gypsumcart.core.ServiceName
+import gypsumcart.core.TeamName
+import gypsumcart.core.UnixMillis
+import gypsumcart.core.WindowNumber
+import gypsumcart.core.ZoneName
+import kotlin.time.Duration
+
+/**
+ * Holds what one node tells the others, about once a second.
+ *
+ * @property clientAddress where clients connect to it
+ * @property accepting whether clients should choose it for new connections
+ * @property beat rises with each report
+ * @property usage the requests that began to run through it, by window and team
+ * @property usageUntil the true time up to which [usage] is complete
+ * @property spent what it has admitted of each team's quota since its start
+ * @property load what it has in progress, by service
+ */
+public data class NodeReport(
+    public val node: NodeId,
+    public val incarnation: Incarnation,
+    public val clientAddress: Address,
+    public val zone: ZoneName,
+    public val accepting: Boolean,
+    public val beat: Long,
+    public val usage: Map<WindowNumber, Map<TeamName, Int>>,
+    public val usageUntil: UnixMillis,
+    public val spent: Map<TeamName, Double>,
+    public val load: Map<ServiceName, Double>,
+)
+
+/** Names one start of a node. */
+public data class NodeKey(public val node: NodeId, public val incarnation: Incarnation)
+
+/** Names the start of the node that made the report. */
+public val NodeReport.key: NodeKey get() = NodeKey(node, incarnation)
+
+/** Tells the membership duty what happened. */
+public sealed class MembershipEvent {
+    /** The store showed reports of nodes, this one's perhaps among them, and reports that were removed. */
+    public data class Reported(
+        public val reports: List<NodeReport>,
+        public val removed: List<NodeKey>,
+    ) : MembershipEvent()
+
+    /** The store answered and had nothing new. */
+    public data object StoreAnswered : MembershipEvent()
+
+    /** This node accepts new connections, or does not any more. */
+    public data class AcceptingChanged(public val accepting: Boolean) : MembershipEvent()
+
+    /** This node has admitted so much of each team's quota. */
+    public data class Spent(public val totals: Map<TeamName, Double>) : MembershipEvent()
+
+    /** This node has so much in progress, by service. */
+    public data class Loaded(public val load: Map<ServiceName, Double>) : MembershipEvent()
+
+    /** So many requests began to run through this node; the counts are complete up to [until]. */
+    public data class UsageCounted(
+        public val usage: Map<WindowNumber, Map<TeamName, Int>>,
+        public val until: UnixMillis,
+    ) : MembershipEvent()
+
+    /** The time came to report. */
+    public data object ReportDue : MembershipEvent()
+}
+
+/** Says what the membership duty wants done. */
+public sealed class MembershipEffect {
+    /** Writes this node's report to the store. */
+    public data class Publish(public val report: NodeReport) : MembershipEffect()
+
+    /** Removes from the store what nodes left there that are long gone. */
+    public data class Forget(public val nodes: List<NodeKey>) : MembershipEffect()
+
+    /** Tells clients that ask from now on to choose among [members]. */
+    public data class Direct(public val members: List<Member>) : MembershipEffect()
+
+    /** Tells the filters how many nodes there are. */
+    public data class CountNodes(public val nodes: Int) : MembershipEffect()
+
+    /** Tells the admission filter what other nodes admitted. */
+    public data class ChargePeers(public val costs: Map<TeamName, Double>) : MembershipEffect()
+
+    /** Tells the duties what all nodes, this one too, report. */
+    public data class ShareReports(public val reports: List<NodeReport>) : MembershipEffect()
+}
+
+/** Describes a node that clients can connect to. */
+public data class Member(public val node: NodeId, public val clientAddress: Address, public val zone: ZoneName)
+
+/**
+ * Describes this node to others.
+ *
+ * @property silence how long a node may be silent, while the store answers, before it counts as gone
+ */
+public data class MembershipSettings(
+    public val node: NodeId,
+    public val incarnation: Incarnation,
+    public val clientAddress: Address,
+    public val zone: ZoneName,
+    public val silence: Duration,
+)
+
+/** Decides which nodes are live and tells each what it needs of the others. */
+public class Membership(private val settings: MembershipSettings) : Decider<MembershipEvent, MembershipEffect> {
+    private class Peer(var report: NodeReport, var seenAt: MonotonicTime)
+
+    private val peers = HashMap<NodeKey, Peer>()
+    private val self = NodeKey(settings.node, settings.incarnation)
+    private var storeAnsweredAt = MonotonicTime(0)
+    private var own =
+        NodeReport(
+            node = settings.node,
+            incarnation = settings.incarnation,
+            clientAddress = settings.clientAddress,
+            zone = settings.zone,
+            accepting = false,
+            beat = 0,
+            usage = emptyMap(),
+            usageUntil = UnixMillis(0),
+            spent = emptyMap(),
+            load = emptyMap(),
+        )
+
+    override fun decide(event: MembershipEvent, now: MonotonicTime): List<MembershipEffect> =
+        when (event) {
+            is MembershipEvent.Reported -> takeReports(event, now)
+            MembershipEvent.StoreAnswered -> update { storeAnsweredAt = now }
+            is MembershipEvent.AcceptingChanged -> changeAccepting(event.accepting, now)
+            is MembershipEvent.Spent -> update { own = own.copy(spent = event.totals) }
+            is MembershipEvent.Loaded -> update { own = own.copy(load = event.load) }
+            is MembershipEvent.UsageCounted -> update { own = own.copy(usage = event.usage, usageUntil = event.until) }
+            MembershipEvent.ReportDue -> listOf(publish()) + share(now) + forget(now)
+        }
+
+    private inline fun update(change: () -> Unit): List<MembershipEffect> {
+        change()
+        return emptyList()
+    }
+
+    private fun changeAccepting(accepting: Boolean, now: MonotonicTime): List<MembershipEffect> {
+        own = own.copy(accepting = accepting)
+        return listOf(publish()) + share(now)
+    }
+
+    private fun publish(): MembershipEffect {
+        own = own.copy(beat = own.beat + 1)
+        return MembershipEffect.Publish(own)
+    }
+
+    private fun takeReports(event: MembershipEvent.Reported, now: MonotonicTime): List<MembershipEffect> {
+        storeAnsweredAt = now
+        peers.keys.removeAll(event.removed.toSet())
+        val costs = HashMap<TeamName, Double>()
+        for (report in event.reports) {
+            if (report.key == self) continue
+            val peer = peers[report.key]
+            if (peer != null && report.beat <= peer.report.beat) continue
+            addSpending(costs, report, peer?.report)
+            peers[report.key] = Peer(report, now)
+        }
+        val charge = if (costs.isEmpty()) emptyList() else listOf(MembershipEffect.ChargePeers(costs))
+        return charge + share(now)
+    }
+
+    /** Adds what [report] shows as spent since [before]; a first report only sets the mark. */
+    private fun addSpending(costs: MutableMap<TeamName, Double>, report: NodeReport, before: NodeReport?) {
+        if (before == null) return
+        for ((team, total) in report.spent) {
+            val cost = total - (before.spent[team] ?: 0.0)
+            if (cost > 0) costs.merge(team, cost, Double::plus)
+        }
+    }
+
+    private fun share(now: MonotonicTime): List<MembershipEffect> {
+        val live = peers.values.filter { isLive(it, now) }.map { it.report }
+        val members = (live + own).filter { it.accepting }.distinctBy { it.node }.map(NodeReport::toMember)
+        val reports = peers.values.map { it.report } + own
+        return listOf(
+            MembershipEffect.Direct(members.sortedBy { it.node }),
+            MembershipEffect.CountNodes(
+                live
+                    .map { it.node }
+                    .toSet()
+                    .minus(settings.node)
+                    .size + 1,
+            ),
+            MembershipEffect.ShareReports(reports),
+        )
+    }
+
+    /** A report ages only while the store answers, so that an outage of the store removes nobody. */
+    private fun isLive(peer: Peer, now: MonotonicTime): Boolean =
+        peer.report.node != settings.node && minOf(storeAnsweredAt, now) - peer.seenAt <= settings.silence
+
+    private fun forget(now: MonotonicTime): List<MembershipEffect> {
+        val old = peers.filterValues { now - it.seenAt > settings.silence * FORGET_AFTER }.keys
+        if (old.isEmpty()) return emptyList()
+        peers.keys.removeAll(old)
+        return listOf(MembershipEffect.Forget(old.toList()))
+    }
+
+    private companion object {
+        /** Silences after which a report serves no usage window any more that is still to be reported. */
+        const val FORGET_AFTER = 15
+    }
+}
+
+private fun NodeReport.toMember(): Member = Member(node, clientAddress, zone)
+
+/** Returns the members in the order in which a client of [zone] should see them, its own zone first. */
+public fun List<Member>.nearestFirst(zone: ZoneName?): List<Member> = sortedBy { if (it.zone == zone) 0 else 1 }
--- /dev/null
+++ b/core/src/main/kotlin/gypsumcart/core/replicas/BackEndOrders.kt
@@ -0,0 +1,169 @@
+package gypsumcart.core.replicas
+
+import gypsumcart.core.BackEnd
+import gypsumcart.core.Configuration
+import gypsumcart.core.Decider
+import gypsumcart.core.MonotonicTime
+import gypsumcart.core.Scaling
+import gypsumcart.core.Service
+import gypsumcart.core.ServiceName
+import gypsumcart.core.ZoneName
+import gypsumcart.core.leases.ActResult
+import gypsumcart.core.leases.DutyAct
+import kotlin.math.ceil
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.seconds
+
+/** Tells the duty that orders back ends what happened. */
+public sealed class OrdersEvent {
+    /** A configuration is in force from now on. */
+    public data class Configured(public val configuration: Configuration) : OrdersEvent()
+
+    /** The directory lists these back ends, of all services. */
+    public data class BackEndsListed(public val backEnds: List<BackEnd>) : OrdersEvent()
+
+    /** This node acts for the fleet, or does not any more. */
+    public data class HoldingChanged(public val holding: Boolean) : OrdersEvent()
+
+    /** An order ended. */
+    public data class Ended(public val order: DutyAct.OrderBackEnds, public val result: ActResult) : OrdersEvent()
+
+    /** The time came to compare what there is with what is needed. */
+    public data object Tick : OrdersEvent()
+}
+
+/** Says what the duty that orders back ends wants done. */
+public sealed class OrdersEffect {
+    /** Places [act]. */
+    public data class Order(public val act: DutyAct.OrderBackEnds) : OrdersEffect()
+}
+
+/**
+ * Orders back ends by price.
+ *
+ * Reclaimable ones cost a fraction of the others and are taken back by zone. They are therefore spread over the zones
+ * so that those of all zones but one carry the load, and on-demand ones stand in while reclaimable ones are missing.
+ */
+public class BackEndOrders : Decider<OrdersEvent, OrdersEffect> {
+    private data class Slot(val service: ServiceName, val zone: ZoneName, val spot: Boolean)
+
+    private class Ordered(var count: Int?, var sentAt: MonotonicTime, var pending: Boolean)
+
+    private val ordered = HashMap<Slot, Ordered>()
+    private val needs = HashMap<ServiceName, Int>()
+    private var services: List<Service> = emptyList()
+    private var backEnds: List<BackEnd> = emptyList()
+    private var holding = false
+
+    override fun decide(event: OrdersEvent, now: MonotonicTime): List<OrdersEffect> =
+        when (event) {
+            is OrdersEvent.Configured ->
+                nothing {
+                    services =
+                        event.configuration.services.values
+                            .toList()
+                }
+            is OrdersEvent.BackEndsListed -> nothing { backEnds = event.backEnds }
+            is OrdersEvent.HoldingChanged -> nothing { changeHolding(event.holding) }
+            is OrdersEvent.Ended -> nothing { end(event) }
+            OrdersEvent.Tick -> if (holding) services.flatMap { orderFor(it, now) } else emptyList()
+        }
+
+    private inline fun nothing(change: () -> Unit): List<OrdersEffect> {
+        change()
+        return emptyList()
+    }
+
+    /** A new holder does not know what the last one ordered, so it orders anew. */
+    private fun changeHolding(holding: Boolean) {
+        this.holding = holding
+        ordered.clear()
+    }
+
+    private fun end(event: OrdersEvent.Ended) {
+        val slot = ordered[Slot(event.order.service, event.order.zone, event.order.spot)] ?: return
+        slot.pending = false
+        if (event.result != ActResult.DONE) slot.count = null
+    }
+
+    private fun orderFor(service: Service, now: MonotonicTime): List<OrdersEffect> {
+        val scaling = service.scaling ?: return emptyList()
+        val staying = backEnds.filter { it.service == service.name && !it.leaving }
+        if (staying.isEmpty() && service.name !in needs) return emptyList()
+        val need = needs.getOrPut(service.name) { staying.size }
+        val zones = scaling.zonePrices.keys.sorted()
+        if (zones.isEmpty()) return emptyList()
+        val spot = zones.associateWith { spotCount(need, zones.size, scaling) }
+        val onDemand = onDemandCounts(need, zones, staying, scaling, spot)
+        return zones.flatMap { zone ->
+            listOfNotNull(
+                orderOrNull(Slot(service.name, zone, spot = true), spot.getValue(zone), staying, scaling, now),
+                orderOrNull(Slot(service.name, zone, spot = false), onDemand.getValue(zone), staying, scaling, now),
+            )
+        }
+    }
+
+    /** Returns how many reclaimable back ends each zone has, so that all zones but one carry [need]. */
+    private fun spotCount(need: Int, zones: Int, scaling: Scaling): Int {
+        val carrying = (zones - 1).coerceAtLeast(1)
+        return ceil(need.toDouble() / carrying).toInt().coerceIn(1, scaling.max)
+    }
+
+    /** Fills up to [need] with on-demand back ends in the cheapest zones that have room. */
+    private fun onDemandCounts(
+        need: Int,
+        zones: List<ZoneName>,
+        staying: List<BackEnd>,
+        scaling: Scaling,
+        spot: Map<ZoneName, Int>,
+    ): Map<ZoneName, Int> {
+        var missing = (need - staying.count { it.spot }).coerceAtLeast(0)
+        val counts = HashMap<ZoneName, Int>()
+        for (zone in zones.sortedBy { scaling.zonePrices.getValue(it) }) {
+            val spotThere = staying.count { it.spot && it.zone == zone }
+            val room = scaling.max - maxOf(spotThere, spot.getValue(zone).coerceAtMost(scaling.max - 1))
+            counts[zone] = missing.coerceIn(0, room.coerceAtLeast(0))
+            missing -= counts.getValue(zone)
+        }
+        return counts
+    }
+
+    private fun orderOrNull(
+        slot: Slot,
+        count: Int,
+        staying: List<BackEnd>,
+        scaling: Scaling,
+        now: MonotonicTime,
+    ): OrdersEffect? {
+        val last = ordered[slot]
+        if (last != null && last.pending && now - last.sentAt < UNANSWERED) return null
+        val present = staying.count { it.service == slot.service && it.zone == slot.zone && it.spot == slot.spot }
+        if (last == null && present == 0 && count == 0) return null
+        if (last != null && !isDue(last, count, present, scaling, now)) return null
+        ordered[slot] = Ordered(count, now, pending = true)
+        return OrdersEffect.Order(DutyAct.OrderBackEnds(slot.service, slot.zone, count, slot.spot))
+    }
+
+    private fun isDue(last: Ordered, count: Int, present: Int, scaling: Scaling, now: MonotonicTime): Boolean {
+        val age = now - last.sentAt
+        return when {
+            last.count == null -> age >= REFUSED_WAIT
+            last.count != count -> age >= MIN_PERIOD
+            else -> present < count && age >= scaling.boot + ARRIVAL_MARGIN
+        }
+    }
+
+    private companion object {
+        /** An order that is unanswered for so long is placed again. */
+        val UNANSWERED: Duration = 3.seconds
+
+        /** Between two tries to get what was refused; back ends that are out may be had again after seconds. */
+        val REFUSED_WAIT: Duration = 2.seconds
+
+        /** Between two orders for one zone, so that the directory shows the effect of the first. */
+        val MIN_PERIOD: Duration = 1.seconds
+
+        /** How long after its boot a back end takes to show in the directory. */
+        val ARRIVAL_MARGIN: Duration = 3.seconds
+    }
+}
--- a/core/src/main/kotlin/gypsumcart/core/routing/Routing.kt
+++ b/core/src/main/kotlin/gypsumcart/core/routing/Routing.kt
@@ -1,147 +1,186 @@
 package gypsumcart.core.routing
 
+import gypsumcart.core.Admitted
 import gypsumcart.core.AttemptNumber
 import gypsumcart.core.BackEnd
-import gypsumcart.core.BackEndId
 import gypsumcart.core.Decider
-import gypsumcart.core.Fleet
 import gypsumcart.core.MonotonicTime
-import gypsumcart.core.RequestId
-import gypsumcart.core.Service
+import gypsumcart.core.Outcome
+import gypsumcart.core.RefusalReason
 import gypsumcart.core.ServiceName
-import gypsumcart.core.Submission
+import gypsumcart.core.Ticket
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.seconds
 
 /** Tells the routing filter what happened. */
 public sealed class RoutingEvent {
-    /** A configuration is in force from now on. */
-    public data class Configured(public val fleet: Fleet) : RoutingEvent()
-
-    /** An attempt of a request wants a back end, if possible none of [avoid]. */
-    public data class Wanted(
-        public val submission: Submission,
+    /** The directory lists these back ends, of all services. */
+    public data class BackEndsListed(public val backEnds: List<BackEnd>) : RoutingEvent()
+
+    /** An admitted request wants its first call. */
+    public data class Wanted(public val admitted: Admitted) : RoutingEvent()
+
+    /**
+     * A request wants another call, if possible to none of [avoid].
+     *
+     * @property otherwise what the client is told if there is none to be had
+     */
+    public data class WantedAgain(
+        public val admitted: Admitted,
         public val attempt: AttemptNumber,
-        public val avoid: Set<BackEndId>,
+        public val avoid: Set<InstanceKey>,
+        public val otherwise: Outcome,
     ) : RoutingEvent()
 
-    /** The call that [request] made to [backEnd] is over. */
-    public data class Released(public val request: RequestId, public val backEnd: BackEndId) : RoutingEvent()
+    /** The call that [ticket] made to [instance] is over. */
+    public data class Released(
+        public val ticket: Ticket,
+        public val instance: InstanceKey,
+        public val verdict: Verdict,
+    ) : RoutingEvent()
 
-    /** The request ended without a back end's doing; it wants none any more. */
-    public data class Withdrawn(public val request: RequestId) : RoutingEvent()
+    /** The client of [ticket] is gone; a call that waits is not wanted any more. */
+    public data class Withdrawn(public val ticket: Ticket) : RoutingEvent()
 
-    /** A back end is known to be in [state]. */
-    public data class BackEndChanged(public val backEnd: BackEndId, public val state: BackEndState) : RoutingEvent()
-}
+    /** So many nodes, this one among them, share the retry budget. */
+    public data class NodesCounted(public val nodes: Int) : RoutingEvent()
 
-/** Says whether a back end takes work. */
-public enum class BackEndState { LIVE, SUSPECTED, LEAVING, GONE }
+    /** The time came to look for requests that have waited long enough. */
+    public data object Sweep : RoutingEvent()
+
+    /** The time came to say how much this node has in progress. */
+    public data object ReportDue : RoutingEvent()
+}
 
 /** Says what the routing filter wants done. */
 public sealed class RoutingEffect {
-    /** Sends the attempt to [backEnd]. */
+    /** Calls [backEnd]. */
     public data class Assign(
-        public val submission: Submission,
+        public val admitted: Admitted,
         public val attempt: AttemptNumber,
         public val backEnd: BackEnd,
+        public val candidates: Int,
     ) : RoutingEffect()
 
-    /** Tells the dispatch filter that [backEnd] finishes no more work that it has. */
-    public data class Evacuate(public val backEnd: BackEndId) : RoutingEffect()
-}
+    /** Tells the client how its request ended. */
+    public data class Conclude(public val admitted: Admitted, public val outcome: Outcome) : RoutingEffect()
 
-/** Decides which back end works on each attempt; an attempt waits while no back end has room. */
-public class Routing : Decider<RoutingEvent, RoutingEffect> {
-    private class Candidate(var backEnd: BackEnd, var room: Int) {
-        var state: BackEndState = BackEndState.LIVE
-        val running = HashSet<RequestId>()
+    /** Says what this node has in progress or waiting, by service. */
+    public data class Report(public val load: Map<ServiceName, Double>) : RoutingEffect()
+}
 
-        val takesWork: Boolean get() = state == BackEndState.LIVE && running.size < room
-    }
+/** Decides which back end is called for each request; a request waits a little while there is none. */
+public class Routing(private val retries: RetryLimits) : Decider<RoutingEvent, RoutingEffect> {
+    private class Waiting(val admitted: Admitted, val until: MonotonicTime)
 
-    private val candidates = HashMap<BackEndId, Candidate>()
-    private val byService = HashMap<ServiceName, List<Candidate>>()
-    private val waiting = HashMap<ServiceName, ArrayDeque<RoutingEvent.Wanted>>()
+    private val candidates = HashMap<InstanceKey, Candidate>()
+    private val listed = HashMap<ServiceName, List<Candidate>>()
+    private val waiting = LinkedHashMap<Ticket, Waiting>()
+    private val budgets = HashMap<ServiceName, RetryBudget>()
+    private var nodes = 1
 
     override fun decide(event: RoutingEvent, now: MonotonicTime): List<RoutingEffect> =
         when (event) {
-            is RoutingEvent.Configured -> configure(event.fleet)
-            is RoutingEvent.Wanted -> assignOrWait(event)
-            is RoutingEvent.Released -> release(event)
-            is RoutingEvent.Withdrawn -> withdraw(event.request)
-            is RoutingEvent.BackEndChanged -> change(event)
+            is RoutingEvent.BackEndsListed -> list(event.backEnds, now)
+            is RoutingEvent.Wanted -> assignOrWait(event.admitted, now)
+            is RoutingEvent.WantedAgain -> listOf(assignAgain(event, now))
+            is RoutingEvent.Released -> release(event, now)
+            is RoutingEvent.Withdrawn -> nothing { waiting -= event.ticket }
+            is RoutingEvent.NodesCounted -> nothing { nodes = event.nodes }
+            RoutingEvent.Sweep -> sweep(now)
+            RoutingEvent.ReportDue -> listOf(RoutingEffect.Report(loads()))
         }
 
-    private fun configure(fleet: Fleet): List<RoutingEffect> {
-        val ids = fleet.backEnds.mapTo(HashSet()) { it.id }
-        val removed = candidates.keys.filter { it !in ids }
-        for (backEnd in fleet.backEnds) place(backEnd, fleet.services.getValue(backEnd.service).concurrency)
-        removed.forEach(candidates::remove)
-        byService.clear()
-        candidates.values
-            .sortedBy { it.backEnd.id }
-            .groupByTo(HashMap()) { it.backEnd.service }
-            .let(byService::putAll)
-        return removed.map(RoutingEffect::Evacuate) + assignWaiting()
+    private inline fun nothing(change: () -> Unit): List<RoutingEffect> {
+        change()
+        return emptyList()
     }
 
-    private fun place(backEnd: BackEnd, room: Int) {
-        val candidate = candidates.getOrPut(backEnd.id) { Candidate(backEnd, room) }
-        candidate.backEnd = backEnd
-        candidate.room = room
+    private fun list(backEnds: List<BackEnd>, now: MonotonicTime): List<RoutingEffect> {
+        val keys = backEnds.mapTo(HashSet()) { it.key }
+        candidates.entries.removeIf { (key, candidate) -> key !in keys && candidate.calls == 0 }
+        listed.clear()
+        backEnds
+            .map { backEnd -> candidates.getOrPut(backEnd.key) { Candidate(backEnd) }.also { it.backEnd = backEnd } }
+            .sortedBy { it.backEnd.id }
+            .groupByTo(HashMap()) { it.backEnd.service }
+            .let(listed::putAll)
+        return assignWaiting(now)
     }
 
-    private fun assignOrWait(event: RoutingEvent.Wanted): List<RoutingEffect> {
-        val assigned = assignOrNull(event)
+    private fun assignOrWait(admitted: Admitted, now: MonotonicTime): List<RoutingEffect> {
+        budgetOf(admitted.service).countRequest(now)
+        val assigned = assignOrNull(admitted, AttemptNumber.FIRST, emptySet(), now)
         if (assigned != null) return listOf(assigned)
-        waiting.getOrPut(event.submission.work.service, ::ArrayDeque).addLast(event)
+        val limit = admitted.submission.arrivedAt + admitted.route.target / WAITING_PART
+        waiting[admitted.ticket] = Waiting(admitted, minOf(limit, admitted.due))
         return emptyList()
     }
 
-    private fun assignOrNull(event: RoutingEvent.Wanted): RoutingEffect? {
-        val able = byService[event.submission.work.service].orEmpty().filter { it.takesWork }
-        val preferred = able.filter { it.backEnd.id !in event.avoid }.ifEmpty { able }
-        val chosen = preferred.minByOrNull { it.running.size } ?: return null
-        chosen.running += event.submission.id
-        return RoutingEffect.Assign(event.submission, event.attempt, chosen.backEnd)
+    private fun assignAgain(event: RoutingEvent.WantedAgain, now: MonotonicTime): RoutingEffect {
+        val conclusion = RoutingEffect.Conclude(event.admitted, event.otherwise)
+        if (now >= event.admitted.due) return conclusion
+        if (listed[event.admitted.service].orEmpty().none { takesWork(it, event.avoid) }) return conclusion
+        if (!budgetOf(event.admitted.service).takeRepeat(nodes, now)) return conclusion
+        return assignOrNull(event.admitted, event.attempt, event.avoid, now) ?: conclusion
     }
 
-    private fun release(event: RoutingEvent.Released): List<RoutingEffect> {
-        val candidate = candidates[event.backEnd] ?: return emptyList()
-        candidate.running -= event.request
-        return assignWaiting(candidate.backEnd.service)
+    private fun assignOrNull(
+        admitted: Admitted,
+        attempt: AttemptNumber,
+        avoid: Set<InstanceKey>,
+        now: MonotonicTime,
+    ): RoutingEffect? {
+        val able = listed[admitted.service].orEmpty().filter { takesWork(it, avoid) }
+        if (able.isEmpty()) return null
+        val trusted = able.filterNot { it.isEjected(now) }.ifEmpty { able }
+        val cost = costOf(admitted)
+        val chosen = trusted.choose(admitted, cost)
+        chosen.start(admitted.ticket, cost)
+        return RoutingEffect.Assign(admitted, attempt, chosen.backEnd, trusted.size)
     }
 
-    private fun withdraw(request: RequestId): List<RoutingEffect> {
-        waiting.values.forEach { queue -> queue.removeAll { it.submission.id == request } }
+    private fun takesWork(candidate: Candidate, avoid: Set<InstanceKey>): Boolean =
+        !candidate.backEnd.leaving && candidate.backEnd.key !in avoid
+
+    private fun release(event: RoutingEvent.Released, now: MonotonicTime): List<RoutingEffect> {
+        candidates[event.instance]?.end(event.ticket, event.verdict, now)
         return emptyList()
     }
 
-    private fun change(event: RoutingEvent.BackEndChanged): List<RoutingEffect> {
-        val candidate = candidates[event.backEnd] ?: return emptyList()
-        candidate.state = event.state
-        return when (event.state) {
-            BackEndState.LIVE -> assignWaiting(candidate.backEnd.service)
-            BackEndState.SUSPECTED -> emptyList()
-            BackEndState.LEAVING, BackEndState.GONE -> listOf(RoutingEffect.Evacuate(event.backEnd))
+    private fun sweep(now: MonotonicTime): List<RoutingEffect> {
+        val expired = waiting.values.filter { now >= it.until }
+        expired.forEach { waiting -= it.admitted.ticket }
+        return expired.map {
+            RoutingEffect.Conclude(it.admitted, Outcome.NotRun(RefusalReason.NoBackEnd, NO_BACK_END_WAIT))
         }
     }
 
-    private fun assignWaiting(): List<RoutingEffect> = waiting.keys.toList().flatMap(::assignWaiting)
+    private fun assignWaiting(now: MonotonicTime): List<RoutingEffect> {
+        val assigned =
+            waiting.values.mapNotNull { assignOrNull(it.admitted, AttemptNumber.FIRST, emptySet(), now) }
+        assigned.filterIsInstance<RoutingEffect.Assign>().forEach { waiting -= it.admitted.ticket }
+        return assigned
+    }
 
-    private fun assignWaiting(service: ServiceName): List<RoutingEffect> {
-        val queue = waiting[service] ?: return emptyList()
-        return buildList {
-            while (queue.isNotEmpty()) {
-                add(assignOrNull(queue.first()) ?: break)
-                queue.removeFirst()
-            }
+    private fun loads(): Map<ServiceName, Double> =
+        listed.mapValues { (service, ofService) ->
+            ofService.sumOf { it.load } + waiting.values.count { it.admitted.service == service }
         }
+
+    private fun budgetOf(service: ServiceName): RetryBudget = budgets.getOrPut(service) { RetryBudget(retries) }
+
+    private fun costOf(admitted: Admitted): Double =
+        1 + (admitted.submission.prompt?.tokens ?: 0).toDouble() / TOKENS_PER_COST
+
+    private companion object {
+        /** The part of a request's latency target that it may wait for a back end to appear. */
+        const val WAITING_PART = 8
+
+        /** About the time in which the directory shows a new back end. */
+        val NO_BACK_END_WAIT: Duration = 1.seconds
+
+        /** A prompt of so many tokens burdens an engine as much as another running request. */
+        const val TOKENS_PER_COST = 4_096
     }
 }
-
-private val Service.concurrency: Int
-    get() =
-        when (this) {
-            is Service.Model -> concurrency
-            is Service.Application -> concurrency
-        }
--- /dev/null
+++ b/node/src/main/kotlin/gypsumcart/node/AnswerWriter.kt
@@ -0,0 +1,43 @@
+package gypsumcart.node
+
+import gypsumcart.core.dispatch.Progress
+import gypsumcart.http.Reply
+import gypsumcart.http.ResponseHead
+
+/** Writes one answer to a client, which several back ends may contribute to. */
+internal class AnswerWriter(private val reply: Reply) {
+    private class Whole(val head: ResponseHead, val body: ByteArray)
+
+    private var lastEvent: String? = null
+    private var spare: Whole? = null
+
+    /** How much of the answer the client has. */
+    val progress: Progress get() = if (reply.isStarted) Progress.Started(lastEvent) else Progress.None
+
+    /** Keeps a back end's own failure, to be passed on unless something better comes. */
+    fun keep(head: ResponseHead, body: ByteArray) {
+        spare = Whole(head, body)
+    }
+
+    suspend fun whole(head: ResponseHead, body: ByteArray): Unit = reply.whole(head, body)
+
+    /** Writes the head of a stream; of a resumed one the client has it already. */
+    suspend fun start(head: ResponseHead) {
+        if (!reply.isStarted) reply.start(head)
+    }
+
+    /** Writes whole events, the last of which is called [last]. */
+    suspend fun events(bytes: ByteArray, last: String?) {
+        reply.piece(bytes)
+        lastEvent = last ?: lastEvent
+    }
+
+    suspend fun end(): Unit = reply.end()
+
+    /** Gives the answer that the system itself has for the request, unless the client has part of another one. */
+    suspend fun conclude(head: ResponseHead) {
+        if (reply.isStarted) return
+        val kept = spare
+        if (kept != null) reply.whole(kept.head, kept.body) else reply.whole(head, ByteArray(0))
+    }
+}
--- /dev/null
+++ b/node/src/main/kotlin/gypsumcart/node/ClientEdge.kt
@@ -0,0 +1,158 @@
+package gypsumcart.node
+
+import gypsumcart.core.AttemptNumber
+import gypsumcart.core.MonotonicTime
+import gypsumcart.core.Outcome
+import gypsumcart.core.RefusalReason
+import gypsumcart.core.Submission
+import gypsumcart.core.Ticket
+import gypsumcart.core.admission.AdmissionEvent
+import gypsumcart.core.dispatch.CallResult
+import gypsumcart.core.dispatch.DispatchEffect
+import gypsumcart.core.dispatch.DispatchEvent
+import gypsumcart.core.routing.RoutingEvent
+import gypsumcart.http.HttpRequest
+import gypsumcart.http.Reply
+import gypsumcart.http.RequestHandler
+import gypsumcart.pipeline.Inlet
+import gypsumcart.pipeline.MonotonicClock
+import kotlinx.coroutines.channels.Channel
+import org.slf4j.LoggerFactory
+import java.util.concurrent.ConcurrentHashMap
+import java.util.concurrent.atomic.AtomicLong
+
+/** Tells the edge what to do for a request. */
+internal sealed class EdgeCommand {
+    /** Calls a back end. */
+    data class Call(val call: DispatchEffect.Call) : EdgeCommand()
+
+    /** Tells the client how its request ended. */
+    data class Conclude(val outcome: Outcome) : EdgeCommand()
+}
+
+/** Holds the rings that the edge sends into. */
+internal class EdgeOutlets(
+    val admission: Inlet<AdmissionEvent>,
+    val routing: Inlet<RoutingEvent>,
+    val dispatch: Inlet<DispatchEvent>,
+)
+
+/** Turns requests of clients into events, and carries out what is decided on them. */
+internal class ClientEdge(
+    private val codec: CallCodec,
+    private val exchanges: BackEndCalls,
+    private val outlets: EdgeOutlets,
+    private val clock: MonotonicClock,
+) : RequestHandler {
+    private class Pending(val submission: Submission, val request: HttpRequest, val reply: Reply) {
+        val commands = Channel<EdgeCommand>(COMMANDS)
+        val answer = AnswerWriter(reply)
+    }
+
+    private val tickets = AtomicLong()
+    private val pending = ConcurrentHashMap<Ticket, Pending>()
+
+    /** How many requests are in progress. */
+    val inProgress: Int get() = pending.size
+
+    override suspend fun handle(request: HttpRequest, reply: Reply) {
+        val ticket = Ticket(tickets.incrementAndGet())
+        val submission = codec.decode(request, ticket, clock.now())
+        val entry = Pending(submission, request, reply)
+        if (pending.size >= MAX_IN_PROGRESS || !submit(entry)) {
+            conclude(entry, Outcome.NotRun(RefusalReason.Overloaded("edge"), null))
+            return
+        }
+        var concluded = false
+        try {
+            do {
+                concluded = carryOut(entry, entry.commands.receive())
+            } while (!concluded)
+        } finally {
+            pending -= ticket
+            if (!concluded) outlets.routing.reply(RoutingEvent.Withdrawn(ticket))
+        }
+    }
+
+    /** Hands a command to the request it is for; a call for a request whose client is gone ends at once. */
+    fun deliver(ticket: Ticket, command: EdgeCommand) {
+        val delivered = pending[ticket]?.commands?.trySend(command)?.isSuccess ?: false
+        if (!delivered && command is EdgeCommand.Call) {
+            end(ticket, command.call.attempt, CallResult.ClientGone)
+        }
+    }
+
+    private fun submit(entry: Pending): Boolean {
+        pending[entry.submission.ticket] = entry
+        val taken = outlets.admission.offer(AdmissionEvent.Submitted(entry.submission))
+        if (!taken) pending -= entry.submission.ticket
+        return taken
+    }
+
+    /** Carries out [command] and returns whether the request is concluded. */
+    private suspend fun carryOut(entry: Pending, command: EdgeCommand): Boolean =
+        when (command) {
+            is EdgeCommand.Call -> call(entry, command.call)
+
+            is EdgeCommand.Conclude -> {
+                conclude(entry, command.outcome)
+                true
+            }
+        }
+
+    private suspend fun call(entry: Pending, call: DispatchEffect.Call): Boolean {
+        var result: CallResult = CallResult.ClientGone
+        try {
+            result = exchanges.call(entry.request, call, entry.answer)
+        } finally {
+            end(entry.submission.ticket, call.attempt, result)
+            logCall(entry.submission, call, result)
+        }
+        return result is CallResult.Answered
+    }
+
+    private fun end(ticket: Ticket, attempt: AttemptNumber, result: CallResult) {
+        outlets.dispatch.reply(DispatchEvent.CallEnded(ticket, attempt, result))
+    }
+
+    private suspend fun conclude(entry: Pending, outcome: Outcome) {
+        log.info(
+            "event=concluded request={} outcome={} after_ms={}",
+            entry.submission.request,
+            outcome.toLogWord(),
+            since(entry.submission.arrivedAt),
+        )
+        entry.answer.conclude(codec.outcomeHead(outcome, entry.submission.request))
+    }
+
+    private fun logCall(submission: Submission, call: DispatchEffect.Call, result: CallResult) {
+        log.info(
+            "event=call request={} attempt={} back_end={} service={} result={} after_ms={}",
+            submission.request,
+            call.attempt,
+            call.backEnd.id,
+            call.backEnd.service,
+            result.toLogWord(),
+            since(submission.arrivedAt),
+        )
+    }
+
+    private fun since(time: MonotonicTime): Long = (clock.now() - time).inWholeMilliseconds
+
+    private companion object {
+        private val log = LoggerFactory.getLogger(ClientEdge::class.java)
+
+        /** A request has one command under way at a time, and a conclusion may overtake nothing. */
+        const val COMMANDS = 2
+    }
+}
+
+/** The most requests in progress in one process: three times what a host of the smallest class serves at its peak. */
+internal const val MAX_IN_PROGRESS: Int = 4_096
+
+private fun CallResult.toLogWord(): String =
+    when (this) {
+        is CallResult.Answered -> "answered_$status"
+        is CallResult.Failed -> failure.toLogWord()
+        CallResult.ClientGone -> "client_gone"
+    }
--- /dev/null
+++ b/node/src/main/kotlin/gypsumcart/node/Duties.kt
@@ -0,0 +1,124 @@
+package gypsumcart.node
+
+import gypsumcart.core.admission.Admission
+import gypsumcart.core.admission.AdmissionEffect
+import gypsumcart.core.admission.AdmissionEvent
+import gypsumcart.core.admission.ticket
+import gypsumcart.core.directory.AdoptionEffect
+import gypsumcart.core.directory.BackEndDirectory
+import gypsumcart.core.directory.ConfigurationAdoption
+import gypsumcart.core.directory.DirectoryEffect
+import gypsumcart.core.dispatch.Dispatch
+import gypsumcart.core.dispatch.DispatchEffect
+import gypsumcart.core.dispatch.DispatchEvent
+import gypsumcart.core.membership.MembershipEvent
+import gypsumcart.core.replicas.OrdersEvent
+import gypsumcart.core.routing.RetryLimits
+import gypsumcart.core.routing.Routing
+import gypsumcart.core.routing.RoutingEffect
+import gypsumcart.core.routing.RoutingEvent
+import gypsumcart.pipeline.Duty
+import gypsumcart.pipeline.MonotonicClock
+import gypsumcart.pipeline.deciderDuty
+import org.slf4j.LoggerFactory
+import kotlin.time.Duration.Companion.seconds
+
+/** Joins the deciders that a request passes through. */
+internal class RequestDuties(
+    private val rings: Rings,
+    private val edge: ClientEdge,
+    private val state: NodeState,
+    private val platform: Platform,
+    clock: MonotonicClock,
+    bounds: Bounds,
+) {
+    private val retries = RetryLimits(bounds.retryRatio, bounds.retryExtra, bounds.retryWindowSeconds.seconds)
+
+    val all: List<Duty> =
+        listOf(
+            deciderDuty(rings.admission, Admission(), clock, ::carryOut),
+            deciderDuty(rings.routing, Routing(retries), clock, ::carryOut),
+            deciderDuty(rings.dispatch, Dispatch(), clock, ::carryOut),
+            deciderDuty(rings.configuration, ConfigurationAdoption(), clock, ::carryOut),
+            deciderDuty(rings.backEnds, BackEndDirectory(LAPSE_GRACE), clock, ::carryOut),
+        )
+
+    private fun carryOut(effect: AdmissionEffect) {
+        when (effect) {
+            is AdmissionEffect.Route -> rings.routing.put(RoutingEvent.Wanted(effect.admitted))
+            is AdmissionEffect.Refuse -> edge.deliver(effect.ticket, EdgeCommand.Conclude(effect.outcome))
+            is AdmissionEffect.Report -> rings.membership.offer(MembershipEvent.Spent(effect.totals))
+        }
+    }
+
+    private fun carryOut(effect: RoutingEffect) {
+        when (effect) {
+            is RoutingEffect.Assign ->
+                rings.dispatch.put(DispatchEvent.Assigned(effect.admitted, effect.attempt, effect.backEnd))
+
+            is RoutingEffect.Conclude -> {
+                rings.dispatch.put(DispatchEvent.Concluded(effect.admitted.ticket))
+                edge.deliver(effect.admitted.ticket, EdgeCommand.Conclude(effect.outcome))
+            }
+
+            is RoutingEffect.Report -> rings.membership.offer(MembershipEvent.Loaded(effect.load))
+        }
+    }
+
+    private fun carryOut(effect: DispatchEffect) {
+        when (effect) {
+            is DispatchEffect.Call -> edge.deliver(effect.admitted.ticket, EdgeCommand.Call(effect))
+
+            is DispatchEffect.Conclude ->
+                edge.deliver(effect.admitted.ticket, EdgeCommand.Conclude(effect.outcome))
+
+            is DispatchEffect.Release ->
+                rings.routing.reply(RoutingEvent.Released(effect.ticket, effect.instance, effect.verdict))
+
+            is DispatchEffect.Reroute ->
+                rings.routing.reply(
+                    RoutingEvent.WantedAgain(effect.admitted, effect.attempt, effect.avoid, effect.otherwise),
+                )
+        }
+    }
+
+    private fun carryOut(effect: AdoptionEffect) {
+        when (effect) {
+            is AdoptionEffect.Adopt -> {
+                val configuration = effect.configuration
+                log.info(
+                    "event=configuration_adopted version={} routes={} teams={}",
+                    configuration.version,
+                    configuration.routes.size,
+                    configuration.teams.size,
+                )
+                state.configuration = configuration
+                rings.admission.put(AdmissionEvent.Configured(configuration))
+                rings.orders.put(OrdersEvent.Configured(configuration))
+            }
+        }
+    }
+
+    private fun carryOut(effect: DirectoryEffect) {
+        when (effect) {
+            is DirectoryEffect.List -> {
+                log.info(
+                    "event=back_ends_listed count={} leaving={}",
+                    effect.backEnds.size,
+                    effect.backEnds.count { it.leaving },
+                )
+                state.backEndsListed = true
+                rings.routing.put(RoutingEvent.BackEndsListed(effect.backEnds))
+                rings.orders.put(OrdersEvent.BackEndsListed(effect.backEnds))
+                platform.retainBackEnds(effect.backEnds.mapTo(HashSet()) { it.peerName })
+            }
+        }
+    }
+
+    private companion object {
+        private val log = LoggerFactory.getLogger(RequestDuties::class.java)
+
+        /** Back ends that live are back in the registry within two seconds of its return. */
+        val LAPSE_GRACE = 2.2.seconds
+    }
+}
--- /dev/null
+++ b/node/src/main/kotlin/gypsumcart/node/FleetDuties.kt
@@ -0,0 +1,172 @@
+package gypsumcart.node
+
+import com.github.michaelbull.result.fold
+import com.github.michaelbull.result.mapError
+import gypsumcart.core.FencingNumber
+import gypsumcart.core.Incarnation
+import gypsumcart.core.NodeId
+import gypsumcart.core.UnixMillis
+import gypsumcart.core.admission.AdmissionEvent
+import gypsumcart.core.leases.ActResult
+import gypsumcart.core.leases.DutyAct
+import gypsumcart.core.leases.Lease
+import gypsumcart.core.leases.LeaseEffect
+import gypsumcart.core.leases.LeaseEvent
+import gypsumcart.core.leases.LeaseWriteResult
+import gypsumcart.core.membership.Membership
+import gypsumcart.core.membership.MembershipEffect
+import gypsumcart.core.membership.MembershipEvent
+import gypsumcart.core.membership.MembershipSettings
+import gypsumcart.core.replicas.BackEndOrders
+import gypsumcart.core.replicas.OrdersEffect
+import gypsumcart.core.replicas.OrdersEvent
+import gypsumcart.core.routing.RoutingEvent
+import gypsumcart.core.usage.Usage
+import gypsumcart.core.usage.UsageEffect
+import gypsumcart.core.usage.UsageEvent
+import gypsumcart.core.usage.UsageSettings
+import gypsumcart.pipeline.Duty
+import gypsumcart.pipeline.MonotonicClock
+import gypsumcart.pipeline.deciderDuty
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.launch
+import org.slf4j.LoggerFactory
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+/** Joins the deciders by which the nodes act as one fleet; their calls to the store run on the edge. */
+internal class FleetDuties(
+    private val rings: Rings,
+    private val state: NodeState,
+    private val platform: Platform,
+    private val scope: CoroutineScope,
+    clock: MonotonicClock,
+    private val identity: MembershipSettings,
+    bounds: Bounds,
+) {
+    private val node: NodeId get() = identity.node
+    private val incarnation: Incarnation get() = identity.incarnation
+    private val rows: RowStore get() = platform.rows
+
+    private val lease = Lease(node, incarnation, bounds.lease, bounds.clockJumpMillis.milliseconds)
+    private val usage = Usage(UsageSettings(bounds.usageWindowSeconds.seconds, bounds.usageLateSeconds.seconds))
+
+    val all: List<Duty> =
+        listOf(
+            deciderDuty(rings.membership, Membership(identity), clock, ::carryOut),
+            deciderDuty(rings.lease, lease, clock, ::carryOut),
+            deciderDuty(rings.usage, usage, clock, ::carryOut),
+            deciderDuty(rings.orders, BackEndOrders(), clock, ::carryOut),
+        )
+
+    private fun carryOut(effect: MembershipEffect) {
+        when (effect) {
+            is MembershipEffect.Publish -> scope.launch { publish(effect) }
+            is MembershipEffect.Forget -> scope.launch { forget(effect) }
+            is MembershipEffect.Direct -> direct(effect)
+            is MembershipEffect.CountNodes -> rings.routing.put(RoutingEvent.NodesCounted(effect.nodes))
+            is MembershipEffect.ChargePeers -> rings.admission.put(AdmissionEvent.PeersSpent(effect.costs))
+            is MembershipEffect.ShareReports -> rings.usage.put(UsageEvent.Reported(effect.reports))
+        }
+    }
+
+    private suspend fun publish(effect: MembershipEffect.Publish) {
+        val written = rows.put(Tables.NODES, effect.report.toRowKey(), effect.report.encode(), expected = null)
+        written.mapError { log.info("event=report_unwritten beat={} cause={}", effect.report.beat, it.toLogWord()) }
+    }
+
+    private suspend fun forget(effect: MembershipEffect.Forget) {
+        val removed = rows.remove(Tables.NODES, effect.nodes.map { it.toRowKey() })
+        removed.mapError { log.info("event=reports_kept count={} cause={}", effect.nodes.size, it.toLogWord()) }
+    }
+
+    private fun direct(effect: MembershipEffect.Direct) {
+        if (effect.members == state.members) return
+        state.members = effect.members
+        log.info("event=members_changed members={}", effect.members.joinToString(",") { it.node.text })
+    }
+
+    private fun carryOut(effect: LeaseEffect) {
+        when (effect) {
+            is LeaseEffect.Write -> scope.launch { rings.lease.put(LeaseEvent.WriteEnded(write(effect), wall())) }
+            LeaseEffect.Read -> scope.launch { rings.lease.put(readLease()) }
+            is LeaseEffect.Perform -> scope.launch { perform(effect.act, effect.fence) }
+            is LeaseEffect.HoldingChanged -> changeHolding(effect.fence)
+        }
+    }
+
+    private suspend fun write(effect: LeaseEffect.Write): LeaseWriteResult {
+        val value = encodeLease(node, incarnation, effect.fence)
+        return rows.put(Tables.LEASE, LEASE_KEY, value, RowVersion(effect.expected)).fold(
+            { LeaseWriteResult.Written(it.number) },
+            { failure ->
+                when (failure) {
+                    is StoreFailure.Conflict -> LeaseWriteResult.Outdated(failure.current?.toLeaseOrNull())
+                    is StoreFailure.Declined, StoreFailure.NoAnswer -> LeaseWriteResult.Unknown
+                }
+            },
+        )
+    }
+
+    private suspend fun readLease(): LeaseEvent =
+        rows.get(Tables.LEASE, LEASE_KEY).fold(
+            { LeaseEvent.Seen(it?.toLeaseOrNull(), wall()) },
+            { LeaseEvent.ReadFailed(wall()) },
+        )
+
+    private suspend fun perform(act: DutyAct, fence: FencingNumber) {
+        val result = platform.duties.perform(act, fence)
+        log.info("event=duty_act act={} fence={} result={}", act, fence, result)
+        when (act) {
+            is DutyAct.ReportUsage -> {
+                if (result == ActResult.CONFLICT) rings.lease.put(LeaseEvent.Superseded(fence, wall()))
+                rings.usage.put(UsageEvent.Sent(act.window, result))
+            }
+
+            is DutyAct.OrderBackEnds -> rings.orders.put(OrdersEvent.Ended(act, result))
+        }
+    }
+
+    private fun changeHolding(fence: FencingNumber?) {
+        log.info("event=lease_{} fence={}", if (fence != null) "held" else "not_held", fence)
+        rings.usage.put(UsageEvent.HoldingChanged(fence != null))
+        rings.orders.put(OrdersEvent.HoldingChanged(fence != null))
+    }
+
+    private fun carryOut(effect: UsageEffect) {
+        when (effect) {
+            is UsageEffect.Share -> rings.membership.put(MembershipEvent.UsageCounted(effect.usage, effect.until))
+            is UsageEffect.Fix -> scope.launch { rings.usage.put(fix(effect)) }
+            is UsageEffect.Send -> rings.lease.put(LeaseEvent.Wanted(effect.act, wall()))
+        }
+    }
+
+    private suspend fun fix(effect: UsageEffect.Fix): UsageEvent =
+        rows.put(Tables.USAGE, effect.window.toRowKey(), encodeCounts(effect.counts), RowVersion.ABSENT).fold(
+            { UsageEvent.Fixed(effect.window, effect.counts) },
+            { failure ->
+                val fixed = (failure as? StoreFailure.Conflict)?.current?.toCountsOrNull()
+                if (fixed != null) UsageEvent.Fixed(effect.window, fixed) else UsageEvent.FixFailed(effect.window)
+            },
+        )
+
+    private fun carryOut(effect: OrdersEffect) {
+        when (effect) {
+            is OrdersEffect.Order -> rings.lease.put(LeaseEvent.Wanted(effect.act, wall()))
+        }
+    }
+
+    private companion object {
+        private val log = LoggerFactory.getLogger(FleetDuties::class.java)
+    }
+}
+
+internal fun wall(): UnixMillis = UnixMillis(System.currentTimeMillis())
+
+/** Returns a word that names the failure in logs. */
+internal fun StoreFailure.toLogWord(): String =
+    when (this) {
+        is StoreFailure.Conflict -> "conflict"
+        is StoreFailure.Declined -> "declined_$status"
+        StoreFailure.NoAnswer -> "no_answer"
+    }
--- /dev/null
+++ b/node/src/main/kotlin/gypsumcart/node/Log.kt
@@ -0,0 +1,37 @@
+package gypsumcart.node
+
+import gypsumcart.core.CallFailure
+import gypsumcart.core.Outcome
+import gypsumcart.core.RefusalReason
+
+/** Returns a word that names the reason in logs and metrics. */
+internal fun RefusalReason.toLogWord(): String =
+    when (this) {
+        RefusalReason.NoConfiguration -> "no_configuration"
+        RefusalReason.NoRoute -> "no_route"
+        RefusalReason.UnknownKey -> "unknown_key"
+        RefusalReason.NoRequestId -> "no_request_id"
+        RefusalReason.QuotaExceeded -> "quota"
+        is RefusalReason.Overloaded -> "overloaded_$filter"
+        RefusalReason.NoBackEnd -> "no_back_end"
+        RefusalReason.Declined -> "declined"
+    }
+
+/** Returns a word that names the failure in logs and metrics. */
+internal fun CallFailure.toLogWord(): String =
+    when (this) {
+        CallFailure.ConnectFailed -> "connect_failed"
+        is CallFailure.Declined -> "declined_$status"
+        CallFailure.WrongInstance -> "wrong_instance"
+        CallFailure.Cut -> "cut"
+        CallFailure.TimedOut -> "timed_out"
+        CallFailure.Unreadable -> "unreadable"
+        is CallFailure.ServerError -> "server_error_$status"
+    }
+
+/** Returns a word that names the outcome in logs and metrics. */
+internal fun Outcome.toLogWord(): String =
+    when (this) {
+        is Outcome.NotRun -> "not_run:${reason.toLogWord()}"
+        is Outcome.Failed -> "failed:${failure.toLogWord()}"
+    }
--- /dev/null
+++ b/node/src/main/kotlin/gypsumcart/node/RowCodecs.kt
@@ -0,0 +1,125 @@
+package gypsumcart.node
+
+import gypsumcart.core.Address
+import gypsumcart.core.FencingNumber
+import gypsumcart.core.Incarnation
+import gypsumcart.core.NodeId
+import gypsumcart.core.ServiceName
+import gypsumcart.core.TeamName
+import gypsumcart.core.UnixMillis
+import gypsumcart.core.WindowNumber
+import gypsumcart.core.ZoneName
+import gypsumcart.core.addressOrNull
+import gypsumcart.core.leases.LeaseRow
+import gypsumcart.core.membership.NodeKey
+import gypsumcart.core.membership.NodeReport
+import gypsumcart.core.membership.key
+import kotlinx.serialization.KSerializer
+import kotlinx.serialization.Serializable
+import kotlinx.serialization.SerializationException
+import kotlinx.serialization.json.Json
+
+@Serializable
+private class ReportRow(
+    val client: String,
+    val zone: String,
+    val accepting: Boolean,
+    val beat: Long,
+    val usage: Map<Long, Map<String, Int>>,
+    val until: Long,
+    val spent: Map<String, Double>,
+    val load: Map<String, Double>,
+)
+
+@Serializable
+private class HolderRow(val holder: String, val incarnation: Long, val fence: Long? = null)
+
+@Serializable
+private class CountsRow(val counts: Map<String, Int>)
+
+/** Names the tables that the nodes share. */
+internal object Tables {
+    val NODES = TableName("nodes")
+    val LEASE = TableName("lease")
+    val USAGE = TableName("usage")
+    val CLOCK = TableName("clock")
+}
+
+internal val LEASE_KEY = RowKey("duties")
+internal val CLOCK_KEY = RowKey("origin")
+
+internal fun NodeKey.toRowKey(): RowKey = RowKey("${node.text}/${incarnation.number}")
+
+internal fun RowKey.toNodeKeyOrNull(): NodeKey? {
+    val incarnation = text.substringAfterLast('/', "").toLongOrNull() ?: return null
+    return NodeKey(NodeId(text.substringBeforeLast('/')), Incarnation(incarnation))
+}
+
+internal fun WindowNumber.toRowKey(): RowKey = RowKey(number.toString())
+
+internal fun NodeReport.toRowKey(): RowKey = key.toRowKey()
+
+internal fun NodeReport.encode(): ByteArray =
+    encode(
+        ReportRow.serializer(),
+        ReportRow(
+            client = clientAddress.toString(),
+            zone = zone.text,
+            accepting = accepting,
+            beat = beat,
+            usage = usage.entries.associate { (window, counts) -> window.number to counts.mapKeys { it.key.text } },
+            until = usageUntil.millis,
+            spent = spent.mapKeys { it.key.text },
+            load = load.mapKeys { it.key.text },
+        ),
+    )
+
+/** Returns the report in the row, or null when it is none that this version can read. */
+internal fun Row.toReportOrNull(): NodeReport? {
+    val name = key.toNodeKeyOrNull() ?: return null
+    val row = decodeOrNull(ReportRow.serializer(), value) ?: return null
+    val address: Address = addressOrNull(row.client) ?: return null
+    return NodeReport(
+        node = name.node,
+        incarnation = name.incarnation,
+        clientAddress = address,
+        zone = ZoneName(row.zone),
+        accepting = row.accepting,
+        beat = row.beat,
+        usage = row.usage.entries.associate { (window, counts) -> WindowNumber(window) to counts.toTeamCounts() },
+        usageUntil = UnixMillis(row.until),
+        spent = row.spent.mapKeys { TeamName(it.key) },
+        load = row.load.mapKeys { ServiceName(it.key) },
+    )
+}
+
+internal fun encodeLease(holder: NodeId, incarnation: Incarnation, fence: FencingNumber?): ByteArray =
+    encode(HolderRow.serializer(), HolderRow(holder.text, incarnation.number, fence?.number))
+
+internal fun Row.toLeaseOrNull(): LeaseRow? {
+    val row = decodeOrNull(HolderRow.serializer(), value) ?: return null
+    val fence = row.fence?.let(::FencingNumber)
+    return LeaseRow(NodeId(row.holder), Incarnation(row.incarnation), version.number, fence)
+}
+
+internal fun encodeCounts(counts: Map<TeamName, Int>): ByteArray =
+    encode(CountsRow.serializer(), CountsRow(counts.mapKeys { it.key.text }))
+
+internal fun Row.toCountsOrNull(): Map<TeamName, Int>? =
+    decodeOrNull(CountsRow.serializer(), value)?.counts?.toTeamCounts()
+
+private fun Map<String, Int>.toTeamCounts(): Map<TeamName, Int> = mapKeys { TeamName(it.key) }
+
+private fun <T> encode(serializer: KSerializer<T>, value: T): ByteArray =
+    json.encodeToString(serializer, value).encodeToByteArray()
+
+private fun <T> decodeOrNull(serializer: KSerializer<T>, bytes: ByteArray): T? =
+    try {
+        json.decodeFromString(serializer, bytes.decodeToString())
+    } catch (_: SerializationException) {
+        null
+    } catch (_: IllegalArgumentException) {
+        null
+    }
+
+private val json = Json { ignoreUnknownKeys = true }
