Order back ends by what stood when the fleet began, and follow one table

Change: the count is taken once all have registered and is kept in the store for later holders, the peak load raises it, and lease and node reports share a feed.

--- a/core/src/main/kotlin/gypsumcart/core/membership/Membership.kt
+++ b/core/src/main/kotlin/gypsumcart/core/membership/Membership.kt
@@ -183,7 +183,7 @@
     private fun share(now: MonotonicTime): List<MembershipEffect> {
         val live = peers.values.filter { isLive(it, now) }.map { it.report }
         val members = (live + own).filter { it.accepting }.distinctBy { it.node }.map(NodeReport::toMember)
-        val reports = peers.values.map { it.report } + own
+        val reports = peers.values.map { if (isLive(it, now)) it.report else it.report.copy(load = emptyMap()) } + own
         return listOf(
             MembershipEffect.Direct(members.sortedBy { it.node }),
             MembershipEffect.CountNodes(
--- a/core/src/main/kotlin/gypsumcart/core/replicas/BackEndOrders.kt
+++ b/core/src/main/kotlin/gypsumcart/core/replicas/BackEndOrders.kt
@@ -25,6 +25,12 @@
     /** This node acts for the fleet, or does not any more. */
     public data class HoldingChanged(public val holding: Boolean) : OrdersEvent()
 
+    /** The nodes have in progress what [loads] say, by service, a map for each node. */
+    public data class Loaded(public val loads: List<Map<ServiceName, Double>>) : OrdersEvent()
+
+    /** The store holds how many back ends each service had when the fleet began to order them. */
+    public data class Remembered(public val needs: Map<ServiceName, Int>) : OrdersEvent()
+
     /** An order ended. */
     public data class Ended(public val order: DutyAct.OrderBackEnds, public val result: ActResult) : OrdersEvent()
 
@@ -36,6 +42,9 @@
 public sealed class OrdersEffect {
     /** Places [act]. */
     public data class Order(public val act: DutyAct.OrderBackEnds) : OrdersEffect()
+
+    /** Writes down for later holders how many back ends each service had. */
+    public data class Remember(public val needs: Map<ServiceName, Int>) : OrdersEffect()
 }
 
 /**
@@ -51,8 +60,10 @@
 
     private val ordered = HashMap<Slot, Ordered>()
     private val needs = HashMap<ServiceName, Int>()
+    private val peaks = HashMap<ServiceName, PeakLoad>()
     private var services: List<Service> = emptyList()
     private var backEnds: List<BackEnd> = emptyList()
+    private var listedSince: MonotonicTime? = null
     private var holding = false
 
     override fun decide(event: OrdersEvent, now: MonotonicTime): List<OrdersEffect> =
@@ -63,10 +74,12 @@
                         event.configuration.services.values
                             .toList()
                 }
-            is OrdersEvent.BackEndsListed -> nothing { backEnds = event.backEnds }
+            is OrdersEvent.BackEndsListed -> nothing { list(event.backEnds, now) }
+            is OrdersEvent.Loaded -> nothing { load(event.loads, now) }
+            is OrdersEvent.Remembered -> nothing { needs.putAll(event.needs) }
             is OrdersEvent.HoldingChanged -> nothing { changeHolding(event.holding) }
             is OrdersEvent.Ended -> nothing { end(event) }
-            OrdersEvent.Tick -> if (holding) services.flatMap { orderFor(it, now) } else emptyList()
+            OrdersEvent.Tick -> if (holding) remember(now) + services.flatMap { orderFor(it, now) } else emptyList()
         }
 
     private inline fun nothing(change: () -> Unit): List<OrdersEffect> {
@@ -80,6 +93,28 @@
         ordered.clear()
     }
 
+    private fun list(backEnds: List<BackEnd>, now: MonotonicTime) {
+        this.backEnds = backEnds
+        if (listedSince == null && backEnds.isNotEmpty()) listedSince = now
+    }
+
+    private fun load(loads: List<Map<ServiceName, Double>>, now: MonotonicTime) {
+        for (service in services) {
+            val total = loads.sumOf { it[service.name] ?: 0.0 }
+            peaks.getOrPut(service.name, ::PeakLoad).add(total, now)
+        }
+    }
+
+    /** Counts the back ends that the operator began with, once all had the time to register. */
+    private fun remember(now: MonotonicTime): List<OrdersEffect> {
+        val since = listedSince ?: return emptyList()
+        if (now - since < REGISTERING) return emptyList()
+        val unknown = services.filter { it.scaling != null && it.name !in needs }
+        if (unknown.isEmpty()) return emptyList()
+        for (service in unknown) needs[service.name] = backEnds.count { it.service == service.name && !it.leaving }
+        return listOf(OrdersEffect.Remember(needs.toMap()))
+    }
+
     private fun end(event: OrdersEvent.Ended) {
         val slot = ordered[Slot(event.order.service, event.order.zone, event.order.spot)] ?: return
         slot.pending = false
@@ -89,8 +124,8 @@
     private fun orderFor(service: Service, now: MonotonicTime): List<OrdersEffect> {
         val scaling = service.scaling ?: return emptyList()
         val staying = backEnds.filter { it.service == service.name && !it.leaving }
-        if (staying.isEmpty() && service.name !in needs) return emptyList()
-        val need = needs.getOrPut(service.name) { staying.size }
+        val began = needs[service.name] ?: return emptyList()
+        val need = maxOf(began, peaks[service.name]?.let { ceil(it.value / LOAD_PER_BACK_END).toInt() } ?: 0)
         val zones = scaling.zonePrices.keys.sorted()
         if (zones.isEmpty()) return emptyList()
         val spot = zones.associateWith { spotCount(need, zones.size, scaling) }
@@ -154,6 +189,12 @@
     }
 
     private companion object {
+        /** A heartbeat interval and a second: by then all back ends that there were have registered. */
+        val REGISTERING: Duration = 2.5.seconds
+
+        /** The load, in requests and long prompts, with which an engine still answers within its targets. */
+        const val LOAD_PER_BACK_END = 14.0
+
         /** An order that is unanswered for so long is placed again. */
         val UNANSWERED: Duration = 3.seconds
 
--- a/http/src/main/kotlin/gypsumcart/http/RequestReader.kt
+++ b/http/src/main/kotlin/gypsumcart/http/RequestReader.kt
@@ -59,14 +59,15 @@
     val headers = request.headers.toHeaders()
     val size = request.uri.length + headers.fields.sumOf { it.name.length + it.value.length + FIELD_OVERHEAD }
     if (size > limits.maxHeaderBytes) return Err(ReadFailure.HeaderTooLarge)
-    if (!request.version.startsWith("HTTP/1.")) return Err(ReadFailure.Malformed)
-    if (headers.all("Host").size != 1) return Err(ReadFailure.Malformed)
     val uri = request.uri.toString()
-    if (!uri.startsWith('/') || uri.any { it <= ' ' || it >= DELETE }) return Err(ReadFailure.Malformed)
+    val isHttp1 = request.version.startsWith("HTTP/1.")
+    if (!isHttp1 || headers.all("Host").size != 1 || !uri.isOriginForm()) return Err(ReadFailure.Malformed)
     val isOld = request.version.toString() == "HTTP/1.0"
     return framingOf(headers, isOld).map { Head(request.method.value, uri, headers, it) }
 }
 
+private fun String.isOriginForm(): Boolean = startsWith('/') && none { it <= ' ' || it >= DELETE }
+
 /** Returns how the end of the body is told; a message that tells it twice could be read in two ways. */
 private fun framingOf(headers: Headers, isOld: Boolean): Result<Framing, ReadFailure> {
     val lengths = headers.all("Content-Length")
--- a/node/src/main/kotlin/gypsumcart/node/FleetDuties.kt
+++ b/node/src/main/kotlin/gypsumcart/node/FleetDuties.kt
@@ -66,17 +66,21 @@
             is MembershipEffect.Direct -> direct(effect)
             is MembershipEffect.CountNodes -> rings.routing.put(RoutingEvent.NodesCounted(effect.nodes))
             is MembershipEffect.ChargePeers -> rings.admission.put(AdmissionEvent.PeersSpent(effect.costs))
-            is MembershipEffect.ShareReports -> rings.usage.put(UsageEvent.Reported(effect.reports))
+
+            is MembershipEffect.ShareReports -> {
+                rings.usage.put(UsageEvent.Reported(effect.reports))
+                rings.orders.put(OrdersEvent.Loaded(effect.reports.map { it.load }))
+            }
         }
     }
 
     private suspend fun publish(effect: MembershipEffect.Publish) {
-        val written = rows.put(Tables.NODES, effect.report.toRowKey(), effect.report.encode(), expected = null)
+        val written = rows.put(Tables.FLEET, effect.report.toRowKey(), effect.report.encode(), expected = null)
         written.mapError { log.info("event=report_unwritten beat={} cause={}", effect.report.beat, it.toLogWord()) }
     }
 
     private suspend fun forget(effect: MembershipEffect.Forget) {
-        val removed = rows.remove(Tables.NODES, effect.nodes.map { it.toRowKey() })
+        val removed = rows.remove(Tables.FLEET, effect.nodes.map { it.toRowKey() })
         removed.mapError { log.info("event=reports_kept count={} cause={}", effect.nodes.size, it.toLogWord()) }
     }
 
@@ -97,7 +101,7 @@
 
     private suspend fun write(effect: LeaseEffect.Write): LeaseWriteResult {
         val value = encodeLease(node, incarnation, effect.fence)
-        return rows.put(Tables.LEASE, LEASE_KEY, value, RowVersion(effect.expected)).fold(
+        return rows.put(Tables.FLEET, LEASE_KEY, value, RowVersion(effect.expected)).fold(
             { LeaseWriteResult.Written(it.number) },
             { failure ->
                 when (failure) {
@@ -109,7 +113,7 @@
     }
 
     private suspend fun readLease(): LeaseEvent =
-        rows.get(Tables.LEASE, LEASE_KEY).fold(
+        rows.get(Tables.FLEET, LEASE_KEY).fold(
             { LeaseEvent.Seen(it?.toLeaseOrNull(), wall()) },
             { LeaseEvent.ReadFailed(wall()) },
         )
@@ -153,9 +157,15 @@
     private fun carryOut(effect: OrdersEffect) {
         when (effect) {
             is OrdersEffect.Order -> rings.lease.put(LeaseEvent.Wanted(effect.act, wall()))
+            is OrdersEffect.Remember -> scope.launch { remember(effect) }
         }
     }
 
+    private suspend fun remember(effect: OrdersEffect.Remember) {
+        val written = rows.put(Tables.FLEET, NEEDS_KEY, encodeNeeds(effect.needs), expected = null)
+        written.mapError { log.info("event=needs_unwritten needs={} cause={}", effect.needs, it.toLogWord()) }
+    }
+
     private companion object {
         private val log = LoggerFactory.getLogger(FleetDuties::class.java)
     }
--- /dev/null
+++ b/node/src/main/kotlin/gypsumcart/node/FleetListener.kt
@@ -0,0 +1,39 @@
+package gypsumcart.node
+
+import gypsumcart.core.leases.LeaseEvent
+import gypsumcart.core.membership.MembershipEvent
+import gypsumcart.core.replicas.OrdersEvent
+import org.slf4j.LoggerFactory
+
+/** Hands the rows that all nodes follow to the duties that they are for. */
+internal class FleetListener(private val rings: Rings) : TableListener {
+    override fun read(rows: List<Row>) {
+        if (rows.none { it.key == LEASE_KEY }) rings.lease.put(LeaseEvent.Seen(null, wall()))
+        changed(rows, emptyList())
+    }
+
+    override fun changed(written: List<Row>, removed: List<RowKey>) {
+        val nodes = written.filter { it.key.isNode }
+        val reports = nodes.mapNotNull { row -> row.toReportOrNull() ?: row.logUnreadable() }
+        rings.membership.put(MembershipEvent.Reported(reports, removed.mapNotNull { it.toNodeKeyOrNull() }))
+        written.filterNot { it.key.isNode }.forEach(::take)
+    }
+
+    override fun answered(): Unit = rings.membership.put(MembershipEvent.StoreAnswered)
+
+    private fun take(row: Row) {
+        when (row.key) {
+            LEASE_KEY -> rings.lease.put(LeaseEvent.Seen(row.toLeaseOrNull(), wall()))
+            NEEDS_KEY -> row.toNeedsOrNull()?.let { rings.orders.put(OrdersEvent.Remembered(it)) }
+        }
+    }
+
+    private fun Row.logUnreadable(): Nothing? {
+        log.warn("event=row_unreadable table={} key={} version={}", Tables.FLEET, key, version)
+        return null
+    }
+
+    private companion object {
+        private val log = LoggerFactory.getLogger(FleetListener::class.java)
+    }
+}
--- a/node/src/main/kotlin/gypsumcart/node/Node.kt
+++ b/node/src/main/kotlin/gypsumcart/node/Node.kt
@@ -131,8 +131,7 @@
     private fun follow() {
         runtime.scope.launch { platform.followConfigurations(rings.configuration::put) }
         runtime.scope.launch { platform.followBackEnds(rings.backEnds::put) }
-        runtime.scope.launch { platform.rows.follow(Tables.NODES, NODES_PAUSE, NodesListener(rings.membership)) }
-        runtime.scope.launch { platform.rows.follow(Tables.LEASE, LEASE_PAUSE, LeaseListener(rings.lease)) }
+        runtime.scope.launch { platform.rows.follow(Tables.FLEET, FLEET_PAUSE, FleetListener(rings)) }
     }
 
     private fun tick() {
@@ -184,11 +183,8 @@
         /** Three reports that are missing, while the store answers. */
         val NODE_SILENCE: Duration = 3.5.seconds
 
-        /** Reports of nodes are read together about so often. */
-        val NODES_PAUSE: Duration = 500.milliseconds
-
-        /** The lease changes about once a second; nobody waits for it. */
-        val LEASE_PAUSE: Duration = 500.milliseconds
+        /** Reports of nodes and the lease are read together about so often. */
+        val FLEET_PAUSE: Duration = 700.milliseconds
 
         /** A fortieth of the latency targets of models, and a fifth of those of plain services. */
         val SWEEP_PERIOD: Duration = 20.milliseconds
--- a/node/src/main/kotlin/gypsumcart/node/RowCodecs.kt
+++ b/node/src/main/kotlin/gypsumcart/node/RowCodecs.kt
@@ -37,22 +37,30 @@
 @Serializable
 private class CountsRow(val counts: Map<String, Int>)
 
+@Serializable
+private class NeedsRow(val needs: Map<String, Int>)
+
 /** Names the tables that the nodes share. */
 internal object Tables {
-    val NODES = TableName("nodes")
-    val LEASE = TableName("lease")
+    /** What all nodes follow; one table, so that it takes one feed. */
+    val FLEET = TableName("fleet")
+
+    /** The reports that were fixed, a row for each window. */
     val USAGE = TableName("usage")
-    val CLOCK = TableName("clock")
 }
 
-internal val LEASE_KEY = RowKey("duties")
-internal val CLOCK_KEY = RowKey("origin")
+internal val LEASE_KEY = RowKey("lease")
+internal val CLOCK_KEY = RowKey("clock")
+internal val NEEDS_KEY = RowKey("needs")
+private const val NODE_PREFIX = "node/"
 
-internal fun NodeKey.toRowKey(): RowKey = RowKey("${node.text}/${incarnation.number}")
+internal val RowKey.isNode: Boolean get() = text.startsWith(NODE_PREFIX)
+
+internal fun NodeKey.toRowKey(): RowKey = RowKey("$NODE_PREFIX${node.text}/${incarnation.number}")
 
 internal fun RowKey.toNodeKeyOrNull(): NodeKey? {
     val incarnation = text.substringAfterLast('/', "").toLongOrNull() ?: return null
-    return NodeKey(NodeId(text.substringBeforeLast('/')), Incarnation(incarnation))
+    return NodeKey(NodeId(text.removePrefix(NODE_PREFIX).substringBeforeLast('/')), Incarnation(incarnation))
 }
 
 internal fun WindowNumber.toRowKey(): RowKey = RowKey(number.toString())
@@ -108,6 +116,12 @@
 internal fun Row.toCountsOrNull(): Map<TeamName, Int>? =
     decodeOrNull(CountsRow.serializer(), value)?.counts?.toTeamCounts()
 
+internal fun encodeNeeds(needs: Map<ServiceName, Int>): ByteArray =
+    encode(NeedsRow.serializer(), NeedsRow(needs.mapKeys { it.key.text }))
+
+internal fun Row.toNeedsOrNull(): Map<ServiceName, Int>? =
+    decodeOrNull(NeedsRow.serializer(), value)?.needs?.mapKeys { ServiceName(it.key) }
+
 private fun Map<String, Int>.toTeamCounts(): Map<TeamName, Int> = mapKeys { TeamName(it.key) }
 
 private fun <T> encode(serializer: KSerializer<T>, value: T): ByteArray =
--- a/node/src/main/kotlin/gypsumcart/node/TrueTime.kt
+++ b/node/src/main/kotlin/gypsumcart/node/TrueTime.kt
@@ -22,11 +22,11 @@
     }
 
     private suspend fun agreeOrNull(): Long? {
-        val known = rows.get(Tables.CLOCK, CLOCK_KEY).fold({ it }, { return null })
+        val known = rows.get(Tables.FLEET, CLOCK_KEY).fold({ it }, { return null })
         if (known != null) return known.toOriginOrNull()
         val clock = rows.clockOrNull() ?: return null
         val own = System.currentTimeMillis() - clock.millis
-        return rows.put(Tables.CLOCK, CLOCK_KEY, own.toString().encodeToByteArray(), RowVersion.ABSENT).fold(
+        return rows.put(Tables.FLEET, CLOCK_KEY, own.toString().encodeToByteArray(), RowVersion.ABSENT).fold(
             { own },
             { failure -> (failure as? StoreFailure.Conflict)?.current?.toOriginOrNull() },
         )
@@ -34,7 +34,7 @@
 
     private fun Row.toOriginOrNull(): Long? {
         val origin = value.decodeToString().toLongOrNull()
-        if (origin == null) log.error("event=row_unreadable table={} key={}", Tables.CLOCK, key)
+        if (origin == null) log.error("event=row_unreadable table={} key={}", Tables.FLEET, key)
         return origin
     }
 
