Count the largest zone of reclaimable back ends as lost when ordering

Ruled out: quotas (the refused requests are those of one team whose quota was set below its demand, and aren't owed).

--- a/core/src/main/kotlin/gypsumcart/core/admission/Admission.kt
+++ b/core/src/main/kotlin/gypsumcart/core/admission/Admission.kt
@@ -36,7 +36,11 @@
     public data class Route(public val admitted: Admitted) : AdmissionEffect()
 
     /** Tells the client that its request won't run. */
-    public data class Refuse(public val submission: Submission, public val outcome: Outcome.NotRun) : AdmissionEffect()
+    public data class Refuse(
+        public val submission: Submission,
+        public val team: TeamName?,
+        public val outcome: Outcome.NotRun,
+    ) : AdmissionEffect()
 
     /** Says what this node has admitted of each team's quota since its start. */
     public data class Report(public val totals: Map<TeamName, Double>) : AdmissionEffect()
@@ -85,7 +89,7 @@
         val quota = team?.quota
         if (quota != null) {
             val wait = quotas.spendOrWait(team.name, quota.unit.costOf(submission.prompt), now)
-            if (wait != null) return refuse(submission, RefusalReason.QuotaExceeded, wait)
+            if (wait != null) return refuse(submission, RefusalReason.QuotaExceeded, wait, team)
         }
         return AdmissionEffect.Route(admit(submission, route, team))
     }
@@ -113,8 +117,12 @@
         return route.services.last().service
     }
 
-    private fun refuse(submission: Submission, reason: RefusalReason, retryAfter: Duration? = null): AdmissionEffect =
-        AdmissionEffect.Refuse(submission, Outcome.NotRun(reason, retryAfter))
+    private fun refuse(
+        submission: Submission,
+        reason: RefusalReason,
+        retryAfter: Duration? = null,
+        team: Team? = null,
+    ): AdmissionEffect = AdmissionEffect.Refuse(submission, team?.name, Outcome.NotRun(reason, retryAfter))
 
     private companion object {
         /** A node reads its first configuration within a second of its start, if the store answers. */
--- a/core/src/main/kotlin/gypsumcart/core/replicas/BackEndOrders.kt
+++ b/core/src/main/kotlin/gypsumcart/core/replicas/BackEndOrders.kt
@@ -144,7 +144,12 @@
         return ceil(need.toDouble() / carrying).toInt().coerceIn(1, scaling.max)
     }
 
-    /** Fills up to [need] with on-demand back ends in the cheapest zones that have room. */
+    /**
+     * Fills up to [need] with on-demand back ends in the cheapest zones that have room.
+     *
+     * Zones are reclaimed in waves, and a new back end takes seconds to boot. The reclaimable ones of the zone that has
+     * most of them therefore count as lost already.
+     */
     private fun onDemandCounts(
         need: Int,
         zones: List<ZoneName>,
@@ -152,10 +157,12 @@
         scaling: Scaling,
         spot: Map<ZoneName, Int>,
     ): Map<ZoneName, Int> {
-        var missing = (need - staying.count { it.spot }).coerceAtLeast(0)
+        val spotByZone = staying.filter { it.spot }.groupingBy { it.zone }.eachCount()
+        val surviving = spotByZone.values.sum() - (spotByZone.values.maxOrNull() ?: 0)
+        var missing = (need - surviving).coerceAtLeast(0)
         val counts = HashMap<ZoneName, Int>()
         for (zone in zones.sortedBy { scaling.zonePrices.getValue(it) }) {
-            val spotThere = staying.count { it.spot && it.zone == zone }
+            val spotThere = spotByZone[zone] ?: 0
             val room = scaling.max - maxOf(spotThere, spot.getValue(zone).coerceAtMost(scaling.max - 1))
             counts[zone] = missing.coerceIn(0, room.coerceAtLeast(0))
             missing -= counts.getValue(zone)
--- a/node/src/main/kotlin/gypsumcart/node/ClientEdge.kt
+++ b/node/src/main/kotlin/gypsumcart/node/ClientEdge.kt
@@ -127,8 +127,10 @@
 
     private fun logCall(submission: Submission, call: DispatchEffect.Call, result: CallResult) {
         log.info(
-            "event=call request={} attempt={} back_end={} service={} result={} after_ms={}",
+            "event=call request={} team={} tokens={} attempt={} back_end={} service={} result={} after_ms={}",
             submission.request,
+            call.admitted.team,
+            submission.prompt?.let { it.tokens + it.maxNewTokens },
             call.attempt,
             call.backEnd.id,
             call.backEnd.service,
--- a/node/src/main/kotlin/gypsumcart/node/Duties.kt
+++ b/node/src/main/kotlin/gypsumcart/node/Duties.kt
@@ -46,7 +46,19 @@
     private fun carryOut(effect: AdmissionEffect) {
         when (effect) {
             is AdmissionEffect.Route -> rings.routing.put(RoutingEvent.Wanted(effect.admitted))
-            is AdmissionEffect.Refuse -> edge.deliver(effect.ticket, EdgeCommand.Conclude(effect.outcome))
+
+            is AdmissionEffect.Refuse -> {
+                log.info(
+                    "event=refused request={} reason={} team={} tokens={} retry_after_ms={}",
+                    effect.submission.request,
+                    effect.outcome.reason.toLogWord(),
+                    effect.team,
+                    effect.submission.prompt?.let { it.tokens + it.maxNewTokens },
+                    effect.outcome.retryAfter?.inWholeMilliseconds,
+                )
+                edge.deliver(effect.ticket, EdgeCommand.Conclude(effect.outcome))
+            }
+
             is AdmissionEffect.Report -> rings.membership.offer(MembershipEvent.Spent(effect.totals))
         }
     }
