--- a/core/src/main/kotlin/gypsumcart/core/admission/Admission.kt
+++ b/core/src/main/kotlin/gypsumcart/core/admission/Admission.kt
@@ -23,10 +23,13 @@
     /** A client sent a request. */
     public data class Submitted(public val submission: Submission) : AdmissionEvent()
 
-    /** Other nodes admitted requests that count as [costs] against the quotas. */
-    public data class PeersSpent(public val costs: Map<TeamName, Double>) : AdmissionEvent()
+    /** The other of [nodes] nodes are asked for [demand], a second and team. */
+    public data class PeersHeard(public val demand: Map<TeamName, Double>, public val nodes: Int) : AdmissionEvent()
 
-    /** The time came to say what this node has admitted. */
+    /** The other nodes can read that this one is asked for [demand]. */
+    public data class PeersTold(public val demand: Map<TeamName, Double>) : AdmissionEvent()
+
+    /** The time came to say what this node is asked for. */
     public data object ReportDue : AdmissionEvent()
 }
 
@@ -42,8 +45,8 @@
         public val outcome: Outcome.NotRun,
     ) : AdmissionEffect()
 
-    /** Says what this node has admitted of each team's quota since its start. */
-    public data class Report(public val totals: Map<TeamName, Double>) : AdmissionEffect()
+    /** Says what this node is asked for, a second and team, in what the teams' quotas count. */
+    public data class Report(public val demand: Map<TeamName, Double>) : AdmissionEffect()
 }
 
 /** Decides which requests go on to a back end, and to which service. */
@@ -53,21 +56,26 @@
 
     override fun decide(event: AdmissionEvent, now: MonotonicTime): List<AdmissionEffect> =
         when (event) {
-            is AdmissionEvent.Configured -> configure(event.configuration, now)
+            is AdmissionEvent.Configured -> configure(event.configuration)
 
             is AdmissionEvent.Submitted -> listOf(submit(event.submission, now))
 
-            is AdmissionEvent.PeersSpent -> {
-                quotas.chargePeers(event.costs, now)
+            is AdmissionEvent.PeersHeard -> {
+                quotas.hearPeers(event.demand, event.nodes)
+                emptyList()
+            }
+
+            is AdmissionEvent.PeersTold -> {
+                quotas.noteTold(event.demand)
                 emptyList()
             }
 
-            AdmissionEvent.ReportDue -> listOf(AdmissionEffect.Report(quotas.totals))
+            AdmissionEvent.ReportDue -> listOf(AdmissionEffect.Report(quotas.demand(now)))
         }
 
-    private fun configure(configuration: Configuration, now: MonotonicTime): List<AdmissionEffect> {
+    private fun configure(configuration: Configuration): List<AdmissionEffect> {
         this.configuration = configuration
-        quotas.configure(configuration.teams, now)
+        quotas.configure(configuration.teams)
         return emptyList()
     }
 
--- a/core/src/main/kotlin/gypsumcart/core/admission/Quotas.kt
+++ b/core/src/main/kotlin/gypsumcart/core/admission/Quotas.kt
@@ -4,72 +4,117 @@
 import gypsumcart.core.Quota
 import gypsumcart.core.Team
 import gypsumcart.core.TeamName
+import kotlin.math.exp
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.seconds
 import kotlin.time.DurationUnit
 
 /**
- * Keeps the quotas of all teams over all nodes.
+ * Keeps this node's part of the quotas of all teams.
  *
- * Each node charges what it admits to its own copy of a team's bucket, and what the other nodes say they admitted. The
- * copies differ by what was admitted within the delay of those reports.
+ * Most of a quota is divided by demand and the rest evenly, so that the parts of all nodes make up the whole and a node
+ * that a team's clients just turned to has some. A node that hears nothing of the others keeps its last part. What the
+ * platform tolerates beyond a quota is not given out: reports of demand that come late use it up.
  */
 internal class Quotas {
-    private class Bucket(var quota: Quota, var level: Double, var refilledAt: MonotonicTime)
+    private class Bucket(var quota: Quota, val demand: DemandMeter) {
+        var level: Double? = null
 
-    private val buckets = HashMap<TeamName, Bucket>()
-    private val spent = HashMap<TeamName, Double>()
+        /** What the others were last told of this node's demand. */
+        var toldDemand = 0.0
+        var refilledAt = MonotonicTime(0)
+    }
 
-    /** What this node has admitted since its start, by team. */
-    val totals: Map<TeamName, Double> get() = spent.toMap()
+    private val buckets = HashMap<TeamName, Bucket>()
+    private var peerDemand: Map<TeamName, Double> = emptyMap()
+    private var nodes = 1
 
-    /** Adopts the quotas of [teams]; a bucket that exists keeps its level, cut to the new burst. */
-    fun configure(teams: List<Team>, now: MonotonicTime) {
+    /** Adopts the quotas of [teams]; a bucket that exists keeps its level, cut to its new size. */
+    fun configure(teams: List<Team>) {
         val limited = teams.mapNotNull { team -> team.quota?.let { team.name to it } }.toMap()
         buckets.keys.retainAll(limited.keys)
-        for ((name, quota) in limited) {
-            val bucket = buckets.getOrPut(name) { Bucket(quota, quota.burst, now) }
-            refill(bucket, now)
-            bucket.quota = quota
-            bucket.level = bucket.level.coerceAtMost(quota.burst)
-        }
+        for ((name, quota) in limited) buckets.getOrPut(name) { Bucket(quota, DemandMeter()) }.quota = quota
+    }
+
+    /** Takes what the other of [nodes] nodes are asked for, a second and team. */
+    fun hearPeers(demand: Map<TeamName, Double>, nodes: Int) {
+        peerDemand = demand
+        this.nodes = nodes.coerceAtLeast(1)
+    }
+
+    /** Returns what this node is asked for, a second and team. */
+    fun demand(now: MonotonicTime): Map<TeamName, Double> = buckets.mapValues { it.value.demand.perSecond(now) }
+
+    /** Notes that the others can read of [demand] on this node. */
+    fun noteTold(demand: Map<TeamName, Double>) {
+        for ((team, bucket) in buckets) bucket.toldDemand = demand[team] ?: 0.0
     }
 
     /** Charges [cost] to [team] if its bucket isn't empty; otherwise returns how long that takes. */
     fun spendOrWait(team: TeamName, cost: Double, now: MonotonicTime): Duration? {
-        val bucket = buckets[team]
-        if (bucket != null) {
-            refill(bucket, now)
-            if (bucket.level <= 0) return waitOf(bucket)
-            bucket.level -= cost
-        }
-        spent.merge(team, cost, Double::plus)
+        val bucket = buckets[team] ?: return null
+        bucket.demand.add(cost, now)
+        val share = shareOf(team, bucket)
+        val level = refill(bucket, share, now)
+        if (level <= 0) return waitOf(level, bucket.quota.perSecond * share)
+        bucket.level = level - cost
         return null
     }
 
-    /** Charges what other nodes admitted. */
-    fun chargePeers(costs: Map<TeamName, Double>, now: MonotonicTime) {
-        for ((team, cost) in costs) {
-            val bucket = buckets[team] ?: continue
-            refill(bucket, now)
-            bucket.level = (bucket.level - cost).coerceAtLeast(-bucket.quota.perSecond * MAX_DEBT_SECONDS)
-        }
+    /** Goes by what all nodes know of each other: if each took its own newest demand, the shares would exceed one. */
+    private fun shareOf(team: TeamName, bucket: Bucket): Double {
+        val total = bucket.toldDemand + (peerDemand[team] ?: 0.0)
+        val byDemand = if (total > 0) bucket.toldDemand / total else 1.0 / nodes
+        return EVEN_PART / nodes + (1 - EVEN_PART) * byDemand
     }
 
-    private fun refill(bucket: Bucket, now: MonotonicTime) {
+    private fun refill(bucket: Bucket, share: Double, now: MonotonicTime): Double {
+        val size = bucket.quota.burst * share
         val seconds = (now - bucket.refilledAt).toDouble(DurationUnit.SECONDS)
-        bucket.level = (bucket.level + bucket.quota.perSecond * seconds).coerceAtMost(bucket.quota.burst)
+        val refilled = bucket.quota.perSecond * share * seconds
+        val level = bucket.level?.let { (it + refilled).coerceAtMost(size) } ?: size
+        bucket.level = level
         bucket.refilledAt = now
+        return level
     }
 
-    private fun waitOf(bucket: Bucket): Duration =
-        (-bucket.level / bucket.quota.perSecond).seconds.coerceAtLeast(SHORTEST_WAIT)
+    private fun waitOf(level: Double, perSecond: Double): Duration =
+        (-level / perSecond.coerceAtLeast(1.0)).seconds.coerceIn(SHORTEST_WAIT, LONGEST_WAIT)
 
     private companion object {
-        /** The most seconds of quota that a bucket may owe, so that a late report can't shut a team out for long. */
-        const val MAX_DEBT_SECONDS = 2.0
+        /** The part of a quota that is divided evenly. */
+        const val EVEN_PART = 0.25
 
         /** The shortest time after which coming back is worth a client's while: some tens of requests later. */
         val SHORTEST_WAIT = 0.1.seconds
+
+        /** By then the parts are divided anew. */
+        val LONGEST_WAIT = 2.seconds
+    }
+}
+
+/** Measures how much is asked for in a second, with more weight on the recent past. */
+internal class DemandMeter {
+    private var amount = 0.0
+    private var at = MonotonicTime(0)
+
+    fun add(cost: Double, now: MonotonicTime) {
+        decay(now)
+        amount += cost
+    }
+
+    fun perSecond(now: MonotonicTime): Double {
+        decay(now)
+        return amount / TIME_CONSTANT_SECONDS
+    }
+
+    private fun decay(now: MonotonicTime) {
+        amount *= exp(-(now - at).toDouble(DurationUnit.SECONDS) / TIME_CONSTANT_SECONDS)
+        at = now
+    }
+
+    private companion object {
+        /** Two reports of a node; shorter, and a single long prompt would move the shares. */
+        const val TIME_CONSTANT_SECONDS = 2.0
     }
 }
--- a/core/src/main/kotlin/gypsumcart/core/membership/Membership.kt
+++ b/core/src/main/kotlin/gypsumcart/core/membership/Membership.kt
@@ -20,7 +20,7 @@
  * @property beat rises with each report
  * @property usage the requests that began to run through it, by window and team
  * @property usageUntil the true time up to which [usage] is complete
- * @property spent what it has admitted of each team's quota since its start
+ * @property demand what it is asked for, a second and team, in what the teams' quotas count
  * @property load what it has in progress, by service
  */
 public data class NodeReport(
@@ -32,7 +32,7 @@
     public val beat: Long,
     public val usage: Map<WindowNumber, Map<TeamName, Int>>,
     public val usageUntil: UnixMillis,
-    public val spent: Map<TeamName, Double>,
+    public val demand: Map<TeamName, Double>,
     public val load: Map<ServiceName, Double>,
 )
 
@@ -56,8 +56,8 @@
     /** This node accepts new connections, or does not any more. */
     public data class AcceptingChanged(public val accepting: Boolean) : MembershipEvent()
 
-    /** This node has admitted so much of each team's quota. */
-    public data class Spent(public val totals: Map<TeamName, Double>) : MembershipEvent()
+    /** This node is asked for so much, a second and team. */
+    public data class Asked(public val demand: Map<TeamName, Double>) : MembershipEvent()
 
     /** This node has so much in progress, by service. */
     public data class Loaded(public val load: Map<ServiceName, Double>) : MembershipEvent()
@@ -86,8 +86,8 @@
     /** Tells the filters how many nodes there are. */
     public data class CountNodes(public val nodes: Int) : MembershipEffect()
 
-    /** Tells the admission filter what other nodes admitted. */
-    public data class ChargePeers(public val costs: Map<TeamName, Double>) : MembershipEffect()
+    /** Tells the admission filter what the other of [nodes] nodes are asked for. */
+    public data class ShareDemand(public val demand: Map<TeamName, Double>, public val nodes: Int) : MembershipEffect()
 
     /** Tells the duties what all nodes, this one too, report. */
     public data class ShareReports(public val reports: List<NodeReport>) : MembershipEffect()
@@ -126,7 +126,7 @@
             beat = 0,
             usage = emptyMap(),
             usageUntil = UnixMillis(0),
-            spent = emptyMap(),
+            demand = emptyMap(),
             load = emptyMap(),
         )
 
@@ -135,7 +135,7 @@
             is MembershipEvent.Reported -> takeReports(event, now)
             MembershipEvent.StoreAnswered -> update { storeAnsweredAt = now }
             is MembershipEvent.AcceptingChanged -> changeAccepting(event.accepting, now)
-            is MembershipEvent.Spent -> update { own = own.copy(spent = event.totals) }
+            is MembershipEvent.Asked -> update { own = own.copy(demand = event.demand) }
             is MembershipEvent.Loaded -> update { own = own.copy(load = event.load) }
             is MembershipEvent.UsageCounted -> update { own = own.copy(usage = event.usage, usageUntil = event.until) }
             MembershipEvent.ReportDue -> listOf(publish()) + share(now) + forget(now)
@@ -159,25 +159,28 @@
     private fun takeReports(event: MembershipEvent.Reported, now: MonotonicTime): List<MembershipEffect> {
         storeAnsweredAt = now
         peers.keys.removeAll(event.removed.toSet())
-        val costs = HashMap<TeamName, Double>()
         for (report in event.reports) {
             if (report.key == self) continue
             val peer = peers[report.key]
             if (peer != null && report.beat <= peer.report.beat) continue
-            addSpending(costs, report, peer?.report)
             peers[report.key] = Peer(report, now)
         }
-        val charge = if (costs.isEmpty()) emptyList() else listOf(MembershipEffect.ChargePeers(costs))
-        return charge + share(now)
+        return share(now)
     }
 
-    /** Adds what [report] shows as spent since [before]; a first report only sets the mark. */
-    private fun addSpending(costs: MutableMap<TeamName, Double>, report: NodeReport, before: NodeReport?) {
-        if (before == null) return
-        for ((team, total) in report.spent) {
-            val cost = total - (before.spent[team] ?: 0.0)
-            if (cost > 0) costs.merge(team, cost, Double::plus)
-        }
+    /**
+     * Sums what other nodes are asked for. A node that fell silent may be cut off from the store and still serve, so
+     * its last demand counts for a while.
+     */
+    private fun peerDemand(now: MonotonicTime): MembershipEffect {
+        val serving =
+            peers.values
+                .filter { it.report.node != settings.node && now - it.seenAt <= settings.silence * RESERVE_AFTER }
+                .groupBy { it.report.node }
+                .map { (_, starts) -> starts.maxBy { it.report.incarnation }.report }
+        val demand = HashMap<TeamName, Double>()
+        for (report in serving) report.demand.forEach { (team, amount) -> demand.merge(team, amount, Double::plus) }
+        return MembershipEffect.ShareDemand(demand, serving.size + 1)
     }
 
     private fun share(now: MonotonicTime): List<MembershipEffect> {
@@ -194,6 +197,7 @@
                     .size + 1,
             ),
             MembershipEffect.ShareReports(reports),
+            peerDemand(now),
         )
     }
 
@@ -211,6 +215,9 @@
     private companion object {
         /** Silences after which a report serves no usage window any more that is still to be reported. */
         const val FORGET_AFTER = 15
+
+        /** Silences for which a node's part of the quotas is kept for it: longer than most cuts. */
+        const val RESERVE_AFTER = 4
     }
 }
 
--- a/node/src/main/kotlin/gypsumcart/node/Duties.kt
+++ b/node/src/main/kotlin/gypsumcart/node/Duties.kt
@@ -59,7 +59,7 @@
                 edge.deliver(effect.ticket, EdgeCommand.Conclude(effect.outcome))
             }
 
-            is AdmissionEffect.Report -> rings.membership.offer(MembershipEvent.Spent(effect.totals))
+            is AdmissionEffect.Report -> rings.membership.offer(MembershipEvent.Asked(effect.demand))
         }
     }
 
--- a/node/src/main/kotlin/gypsumcart/node/FleetDuties.kt
+++ b/node/src/main/kotlin/gypsumcart/node/FleetDuties.kt
@@ -1,6 +1,7 @@
 package gypsumcart.node
 
 import com.github.michaelbull.result.fold
+import com.github.michaelbull.result.mapBoth
 import com.github.michaelbull.result.mapError
 import gypsumcart.core.FencingNumber
 import gypsumcart.core.Incarnation
@@ -65,7 +66,7 @@
             is MembershipEffect.Forget -> scope.launch { forget(effect) }
             is MembershipEffect.Direct -> direct(effect)
             is MembershipEffect.CountNodes -> rings.routing.put(RoutingEvent.NodesCounted(effect.nodes))
-            is MembershipEffect.ChargePeers -> rings.admission.put(AdmissionEvent.PeersSpent(effect.costs))
+            is MembershipEffect.ShareDemand -> rings.admission.put(AdmissionEvent.PeersHeard(effect.demand, effect.nodes))
 
             is MembershipEffect.ShareReports -> {
                 rings.usage.put(UsageEvent.Reported(effect.reports))
@@ -76,7 +77,10 @@
 
     private suspend fun publish(effect: MembershipEffect.Publish) {
         val written = rows.put(Tables.FLEET, effect.report.toRowKey(), effect.report.encode(), expected = null)
-        written.mapError { log.info("event=report_unwritten beat={} cause={}", effect.report.beat, it.toLogWord()) }
+        written.mapBoth(
+            { rings.admission.offer(AdmissionEvent.PeersTold(effect.report.demand)) },
+            { log.info("event=report_unwritten beat={} cause={}", effect.report.beat, it.toLogWord()) },
+        )
     }
 
     private suspend fun forget(effect: MembershipEffect.Forget) {
--- a/node/src/main/kotlin/gypsumcart/node/RowCodecs.kt
+++ b/node/src/main/kotlin/gypsumcart/node/RowCodecs.kt
@@ -27,7 +27,7 @@
     val beat: Long,
     val usage: Map<Long, Map<String, Int>>,
     val until: Long,
-    val spent: Map<String, Double>,
+    val demand: Map<String, Double>,
     val load: Map<String, Double>,
 )
 
@@ -77,7 +77,7 @@
             beat = beat,
             usage = usage.entries.associate { (window, counts) -> window.number to counts.mapKeys { it.key.text } },
             until = usageUntil.millis,
-            spent = spent.mapKeys { it.key.text },
+            demand = demand.mapKeys { it.key.text },
             load = load.mapKeys { it.key.text },
         ),
     )
@@ -96,7 +96,7 @@
         beat = row.beat,
         usage = row.usage.entries.associate { (window, counts) -> WindowNumber(window) to counts.toTeamCounts() },
         usageUntil = UnixMillis(row.until),
-        spent = row.spent.mapKeys { TeamName(it.key) },
+        demand = row.demand.mapKeys { TeamName(it.key) },
         load = row.load.mapKeys { ServiceName(it.key) },
     )
 }
--- a/node/src/main/kotlin/gypsumcart/node/Settings.kt
+++ b/node/src/main/kotlin/gypsumcart/node/Settings.kt
@@ -9,6 +9,7 @@
 import gypsumcart.core.addressOrNull
 import kotlinx.serialization.SerialName
 import kotlinx.serialization.Serializable
+import kotlinx.serialization.SerializationException
 import java.io.IOException
 import java.nio.file.Files
 import java.nio.file.Path
@@ -92,6 +93,8 @@
                 e.message,
             ),
         )
+    } catch (e: SerializationException) {
+        Err(SettingsError.Invalid("settings", e.message.orEmpty()))
     }
 
 private fun NodeSettings.firstErrorOrNull(): SettingsError? {
