Read chunks ourselves, since the library takes a cut body for a whole one

Cause, found by new tests that failed first: ktor-http-cio's decodeChunked ends normally when the connection ends between two chunks, so a truncated request or answer passed for whole; its parser throws ParserException, which is no input error and ended the connection's coroutine without an answer. Ruled out: the order in which the decoder closes its output (a second try, which waited for the decoder's result, failed the same test).

Change: ChunkReader; parser errors are malformed messages.

--- a/core/src/main/kotlin/gypsumcart/core/admission/Quotas.kt
+++ b/core/src/main/kotlin/gypsumcart/core/admission/Quotas.kt
@@ -27,7 +27,7 @@
 
     private val buckets = HashMap<TeamName, Bucket>()
     private var peerDemand: Map<TeamName, Double> = emptyMap()
-    private var nodes = 1
+    private var nodes = UNHEARD_NODES
 
     /** Adopts the quotas of [teams]; a bucket that exists keeps its level, cut to its new size. */
     fun configure(teams: List<Team>) {
@@ -82,6 +82,9 @@
         (-level / perSecond.coerceAtLeast(1.0)).seconds.coerceIn(SHORTEST_WAIT, LONGEST_WAIT)
 
     private companion object {
+        /** How many nodes a quota is divided among before any was heard of; a small fleet's number. */
+        const val UNHEARD_NODES = 4
+
         /** The part of a quota that is divided evenly. */
         const val EVEN_PART = 0.25
 
--- a/core/src/main/kotlin/gypsumcart/core/replicas/BackEndOrders.kt
+++ b/core/src/main/kotlin/gypsumcart/core/replicas/BackEndOrders.kt
@@ -145,7 +145,8 @@
     }
 
     /**
-     * Fills up to [need] with on-demand back ends in the cheapest zones that have room.
+     * Fills up to [need] with the on-demand back ends that there are, and then with more in the cheapest zones that
+     * have room.
      *
      * Zones are reclaimed in waves, and a new back end takes seconds to boot. The reclaimable ones of the zone that has
      * most of them therefore count as lost already.
@@ -161,12 +162,16 @@
         val surviving = spotByZone.values.sum() - (spotByZone.values.maxOrNull() ?: 0)
         var missing = (need - surviving).coerceAtLeast(0)
         val counts = HashMap<ZoneName, Int>()
-        for (zone in zones.sortedBy { scaling.zonePrices.getValue(it) }) {
-            val spotThere = spotByZone[zone] ?: 0
-            val room = scaling.max - maxOf(spotThere, spot.getValue(zone).coerceAtMost(scaling.max - 1))
-            counts[zone] = missing.coerceIn(0, room.coerceAtLeast(0))
+        for (zone in zones) {
+            counts[zone] = minOf(missing, staying.count { !it.spot && it.zone == zone })
             missing -= counts.getValue(zone)
         }
+        for (zone in zones.sortedBy { scaling.zonePrices.getValue(it) }) {
+            val spotThere = maxOf(spotByZone[zone] ?: 0, spot.getValue(zone).coerceAtMost(scaling.max - 1))
+            val added = missing.coerceIn(0, (scaling.max - spotThere - counts.getValue(zone)).coerceAtLeast(0))
+            counts[zone] = counts.getValue(zone) + added
+            missing -= added
+        }
         return counts
     }
 
--- /dev/null
+++ b/core/src/test/kotlin/gypsumcart/core/ConfigurationTest.kt
@@ -0,0 +1,31 @@
+package gypsumcart.core
+
+import gypsumcart.core.directory.AdoptionEffect
+import gypsumcart.core.directory.ConfigurationAdoption
+import org.junit.jupiter.api.Test
+import strikt.api.expectThat
+import strikt.assertions.containsExactly
+import strikt.assertions.isEmpty
+import strikt.assertions.isEqualTo
+import strikt.assertions.isNull
+
+class ConfigurationTest {
+    @Test
+    fun `the longest prefix of the host decides`() {
+        val short = route(CallKind.Idempotent, prefix = "/calls/")
+        val long = route(CallKind.AtMostOnce, prefix = "/calls/more/")
+        val configuration = configuration(routes = listOf(short, long))
+        expectThat(configuration.routeOrNull("host.example", "/calls/more/x")).isEqualTo(long)
+        expectThat(configuration.routeOrNull("host.example", "/calls/moreover")).isEqualTo(short)
+        expectThat(configuration.routeOrNull("other.example", "/calls/more/x")).isNull()
+    }
+
+    @Test
+    fun `a configuration comes into force once and never goes back`() {
+        val adoption = ConfigurationAdoption()
+        val second = configuration(version = 2)
+        expectThat(adoption.decide(second, MonotonicTime(0))).containsExactly(AdoptionEffect.Adopt(second))
+        expectThat(adoption.decide(configuration(version = 1), MonotonicTime(0))).isEmpty()
+        expectThat(adoption.decide(configuration(version = 2), MonotonicTime(0))).isEmpty()
+    }
+}
--- /dev/null
+++ b/core/src/test/kotlin/gypsumcart/core/usage/UsageTest.kt
@@ -0,0 +1,98 @@
+package gypsumcart.core.usage
+
+import gypsumcart.core.Address
+import gypsumcart.core.Incarnation
+import gypsumcart.core.NodeId
+import gypsumcart.core.TeamName
+import gypsumcart.core.UnixMillis
+import gypsumcart.core.WindowNumber
+import gypsumcart.core.ZoneName
+import gypsumcart.core.at
+import gypsumcart.core.leases.ActResult
+import gypsumcart.core.leases.DutyAct
+import gypsumcart.core.membership.NodeReport
+import org.junit.jupiter.api.Test
+import strikt.api.expectThat
+import strikt.assertions.contains
+import strikt.assertions.containsExactly
+import strikt.assertions.isEmpty
+import strikt.assertions.isEqualTo
+import kotlin.time.Duration.Companion.seconds
+
+class UsageTest {
+    private val team = TeamName("team")
+    private val usage = Usage(UsageSettings(window = 5.seconds, lateAfter = 10.seconds))
+    private val first = WindowNumber(20)
+
+    /** Second 0 of the process is second 100 of true time, where window 20 begins. */
+    private fun agree() = usage.decide(UsageEvent.TimeAgreed(UnixMillis(100_000), at(0.seconds)), at(0.seconds))
+
+    private fun report(node: String, count: Int, until: Long): NodeReport =
+        NodeReport(
+            node = NodeId(node),
+            incarnation = Incarnation(1),
+            clientAddress = Address("10.0.0.1", 80),
+            zone = ZoneName("a"),
+            accepting = true,
+            beat = 1,
+            usage = mapOf(first to mapOf(team to count)),
+            usageUntil = UnixMillis(until),
+            demand = emptyMap(),
+            load = emptyMap(),
+        )
+
+    private fun hold(vararg reports: NodeReport) {
+        agree()
+        usage.decide(UsageEvent.HoldingChanged(true), at(1.seconds))
+        usage.decide(UsageEvent.Reported(reports.toList()), at(1.seconds))
+    }
+
+    private fun acts(second: Double): List<UsageEffect> =
+        usage.decide(UsageEvent.Tick, at(second.seconds)).filter { it !is UsageEffect.Share }
+
+    @Test
+    fun `requests are counted in the window of true time in which they began`() {
+        agree()
+        usage.decide(UsageEvent.Began(team, at(4.9.seconds)), at(5.1.seconds))
+        usage.decide(UsageEvent.Began(team, at(5.1.seconds)), at(5.1.seconds))
+        val share = usage.decide(UsageEvent.Tick, at(6.seconds)).first() as UsageEffect.Share
+        expectThat(share.usage).isEqualTo(mapOf(first to mapOf(team to 1), WindowNumber(21) to mapOf(team to 1)))
+    }
+
+    @Test
+    fun `a window is reported when all nodes have counted it to its end`() {
+        hold(report("n1", 3, until = 106_000), report("n2", 4, until = 104_000))
+        expectThat(acts(7.0)).isEmpty()
+        usage.decide(
+            UsageEvent.Reported(listOf(report("n1", 3, 108_000), report("n2", 5, 107_000))),
+            at(8.seconds),
+        )
+        expectThat(acts(8.0)).containsExactly(UsageEffect.Fix(first, mapOf(team to 8)))
+    }
+
+    @Test
+    fun `a node that is not heard of does not make the report late`() {
+        hold(report("n1", 3, until = 106_000), report("n2", 4, until = 104_000))
+        expectThat(acts(11.5)).contains(UsageEffect.Fix(first, mapOf(team to 7)))
+    }
+
+    @Test
+    fun `what the store holds is sent, and sent again until it is taken`() {
+        hold(report("n1", 3, until = 108_000))
+        acts(8.0)
+        val fixed = mapOf(team to 2)
+        val send = UsageEffect.Send(DutyAct.ReportUsage(first, fixed))
+        expectThat(usage.decide(UsageEvent.Fixed(first, fixed), at(8.1.seconds))).containsExactly(send)
+        usage.decide(UsageEvent.Sent(first, ActResult.UNKNOWN), at(9.seconds))
+        expectThat(acts(9.5)).containsExactly(send)
+        usage.decide(UsageEvent.Sent(first, ActResult.DONE), at(9.6.seconds))
+        expectThat(acts(9.9)).isEmpty()
+    }
+
+    @Test
+    fun `a node that does not hold the lease reports nothing`() {
+        hold(report("n1", 3, until = 108_000))
+        usage.decide(UsageEvent.HoldingChanged(false), at(2.seconds))
+        expectThat(acts(8.0)).isEmpty()
+    }
+}
--- a/http/src/main/kotlin/gypsumcart/http/HttpClient.kt
+++ b/http/src/main/kotlin/gypsumcart/http/HttpClient.kt
@@ -17,7 +17,6 @@
 import io.ktor.utils.io.availableForRead
 import io.ktor.utils.io.writeByteArray
 import io.ktor.utils.io.writePacket
-import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.cancelChildren
 import kotlinx.coroutines.coroutineScope
 import kotlinx.coroutines.launch
@@ -109,7 +108,7 @@
         try {
             return coroutineScope {
                 val writer = launch { connection.write(endpoint, request) }
-                val result = connection.receive(this, request.method, receive)
+                val result = connection.receive(request.method, receive)
                 reusable = result.reusable && writer.isCompleted && connection.isClean
                 coroutineContext.cancelChildren()
                 result.value
@@ -131,13 +130,12 @@
     private class Received<T>(val value: Result<T, ExchangeFailure>, val reusable: Boolean)
 
     private suspend fun <T> Connection.receive(
-        scope: CoroutineScope,
         method: String,
         receive: suspend (ResponseHead, Body) -> T,
     ): Received<T> {
         val head = input.readResponseHead().getOrElse { return Received(Err(it.toExchangeFailure()), false) }
         val source =
-            input.bodyOrNull(scope, head, method) ?: return Received(Err(ExchangeFailure.Malformed), false)
+            input.bodyOrNull(head, method) ?: return Received(Err(ExchangeFailure.Malformed), false)
         val body = Body(source)
         val value = receive(head, body)
         head.headers.keepAliveOrNull()?.let { idleLimit = it }
--- a/http/src/main/kotlin/gypsumcart/http/RequestReader.kt
+++ b/http/src/main/kotlin/gypsumcart/http/RequestReader.kt
@@ -5,16 +5,12 @@
 import com.github.michaelbull.result.Result
 import com.github.michaelbull.result.andThen
 import com.github.michaelbull.result.map
+import io.ktor.http.cio.ParserException
 import io.ktor.http.cio.Request
-import io.ktor.http.cio.decodeChunked
 import io.ktor.http.cio.parseRequest
-import io.ktor.utils.io.ByteChannel
 import io.ktor.utils.io.ByteReadChannel
-import io.ktor.utils.io.readAvailable
 import io.ktor.utils.io.readByteArray
 import kotlinx.coroutines.TimeoutCancellationException
-import kotlinx.coroutines.coroutineScope
-import kotlinx.coroutines.launch
 import kotlinx.coroutines.withTimeout
 import kotlinx.io.EOFException
 import kotlinx.io.IOException
@@ -31,6 +27,8 @@
         throw e
     } catch (_: EOFException) {
         Err(ReadFailure.Truncated)
+    } catch (_: ParserException) {
+        Err(ReadFailure.Malformed)
     } catch (_: IOException) {
         // The parser reports both broken connections and broken messages as input errors.
         Err(if (isClosedForRead) ReadFailure.Truncated else ReadFailure.Malformed)
@@ -86,7 +84,7 @@
 private suspend fun ByteReadChannel.readBody(head: Head, limits: MessageLimits): Result<HttpRequest, ReadFailure> =
     when (val framing = head.framing) {
         is Framing.Length -> readLength(framing.bytes, limits)
-        Framing.Chunked -> readChunked(limits.maxBodyBytes)
+        Framing.Chunked -> readChunked(limits)
     }.map { HttpRequest(head.method, head.target, head.headers, it) }
 
 private suspend fun ByteReadChannel.readLength(bytes: Long, limits: MessageLimits): Result<ByteArray, ReadFailure> {
@@ -95,34 +93,19 @@
     return Ok(withTimeout(limits.idleTimeout) { readByteArray(bytes.toInt()) })
 }
 
-private suspend fun ByteReadChannel.readChunked(maxBytes: Int): Result<ByteArray, ReadFailure> =
-    coroutineScope {
-        val decoded = ByteChannel()
-        val decoder = launch { decodeInto(decoded) }
+private suspend fun ByteReadChannel.readChunked(limits: MessageLimits): Result<ByteArray, ReadFailure> =
+    withTimeout(limits.idleTimeout) {
+        val chunks = ChunkReader(this@readChunked)
         val whole = ByteArrayOutputStream()
         val buffer = ByteArray(BUFFER_BYTES)
-        while (true) {
-            val n = decoded.readAvailable(buffer)
-            if (n < 0) break
+        while (whole.size() <= limits.maxBodyBytes) {
+            val n = chunks.read(buffer)
+            if (n < 0) return@withTimeout Ok(whole.toByteArray())
             whole.write(buffer, 0, n)
-            if (whole.size() > maxBytes) {
-                decoder.cancel()
-                return@coroutineScope Err(ReadFailure.BodyTooLarge)
-            }
         }
-        Ok(whole.toByteArray())
+        Err(ReadFailure.BodyTooLarge)
     }
 
-/** Decodes chunks into [decoded], which is closed with the cause if they end before their end mark. */
-internal suspend fun ByteReadChannel.decodeInto(decoded: ByteChannel) {
-    try {
-        decodeChunked(this, decoded)
-        decoded.flushAndClose()
-    } catch (e: IOException) {
-        decoded.cancel(e)
-    }
-}
-
 /** The colon, the space and the line end of a header field. */
 private const val FIELD_OVERHEAD = 4
 
--- a/http/src/main/kotlin/gypsumcart/http/ResponseReader.kt
+++ b/http/src/main/kotlin/gypsumcart/http/ResponseReader.kt
@@ -3,12 +3,10 @@
 import com.github.michaelbull.result.Err
 import com.github.michaelbull.result.Ok
 import com.github.michaelbull.result.Result
+import io.ktor.http.cio.ParserException
 import io.ktor.http.cio.parseResponse
-import io.ktor.utils.io.ByteChannel
 import io.ktor.utils.io.ByteReadChannel
 import io.ktor.utils.io.readAvailable
-import kotlinx.coroutines.CoroutineScope
-import kotlinx.coroutines.launch
 import kotlinx.io.EOFException
 import kotlinx.io.IOException
 
@@ -23,6 +21,8 @@
             response.release()
             if (head.status < FIRST_FINAL_STATUS) Err(ReadFailure.Malformed) else Ok(head)
         }
+    } catch (_: ParserException) {
+        Err(ReadFailure.Malformed)
     } catch (_: EOFException) {
         Err(ReadFailure.Truncated)
     } catch (_: IOException) {
@@ -51,24 +51,12 @@
         }
     }
 
-    class Chunked(scope: CoroutineScope, input: ByteReadChannel) : BodySource() {
-        private val decoded = ByteChannel(autoFlush = true)
-        private var ended = false
-
-        init {
-            scope.launch { input.decodeInto(decoded) }
-        }
+    class Chunked(input: ByteReadChannel) : BodySource() {
+        private val chunks = ChunkReader(input)
 
-        override val keepsConnection: Boolean get() = ended
+        override val keepsConnection: Boolean get() = chunks.isEnded
 
-        override suspend fun read(buffer: ByteArray): Int {
-            val n = decoded.readAvailable(buffer)
-            if (n < 0) {
-                decoded.closedCause?.let { throw it }
-                ended = true
-            }
-            return n
-        }
+        override suspend fun read(buffer: ByteArray): Int = chunks.read(buffer)
     }
 
     /** A body that ends with its connection; only an orderly end is the end of the body. */
@@ -84,7 +72,7 @@
 }
 
 /** Returns the body behind [head], or null when its end can't be told. */
-internal fun ByteReadChannel.bodyOrNull(scope: CoroutineScope, head: ResponseHead, method: String): BodySource? {
+internal fun ByteReadChannel.bodyOrNull(head: ResponseHead, method: String): BodySource? {
     val codings = head.headers.tokens("Transfer-Encoding")
     val lengths =
         head.headers
@@ -93,7 +81,7 @@
             .distinct()
     return when {
         method == "HEAD" || head.status in BODILESS -> BodySource.Length(this, 0)
-        codings == listOf("chunked") && lengths.isEmpty() -> BodySource.Chunked(scope, this)
+        codings == listOf("chunked") && lengths.isEmpty() -> BodySource.Chunked(this)
         codings.isNotEmpty() || lengths.size > 1 -> null
         lengths.isEmpty() -> BodySource.UntilClose(this)
         else ->
--- a/node/src/main/kotlin/gypsumcart/node/FleetDuties.kt
+++ b/node/src/main/kotlin/gypsumcart/node/FleetDuties.kt
@@ -66,7 +66,10 @@
             is MembershipEffect.Forget -> scope.launch { forget(effect) }
             is MembershipEffect.Direct -> direct(effect)
             is MembershipEffect.CountNodes -> rings.routing.put(RoutingEvent.NodesCounted(effect.nodes))
-            is MembershipEffect.ShareDemand -> rings.admission.put(AdmissionEvent.PeersHeard(effect.demand, effect.nodes))
+            is MembershipEffect.ShareDemand ->
+                rings.admission.put(
+                    AdmissionEvent.PeersHeard(effect.demand, effect.nodes),
+                )
 
             is MembershipEffect.ShareReports -> {
                 rings.usage.put(UsageEvent.Reported(effect.reports))
