--- a/core/src/main/kotlin/gypsumcart/core/admission/Admission.kt
+++ b/core/src/main/kotlin/gypsumcart/core/admission/Admission.kt
@@ -23,8 +23,8 @@
     /** A client sent a request. */
     public data class Submitted(public val submission: Submission) : AdmissionEvent()
 
-    /** The other of [nodes] nodes are asked for [demand], a second and team. */
-    public data class PeersHeard(public val demand: Map<TeamName, Double>, public val nodes: Int) : AdmissionEvent()
+    /** A quota is divided among [peers] and this node from now on. */
+    public data class PeersHeard(public val peers: QuotaPeers) : AdmissionEvent()
 
     /** The other nodes can read that this one is asked for [demand]. */
     public data class PeersTold(public val demand: Map<TeamName, Double>) : AdmissionEvent()
@@ -61,7 +61,7 @@
             is AdmissionEvent.Submitted -> listOf(submit(event.submission, now))
 
             is AdmissionEvent.PeersHeard -> {
-                quotas.hearPeers(event.demand, event.nodes)
+                quotas.hearPeers(event.peers)
                 emptyList()
             }
 
--- a/core/src/main/kotlin/gypsumcart/core/admission/Quotas.kt
+++ b/core/src/main/kotlin/gypsumcart/core/admission/Quotas.kt
@@ -9,12 +9,28 @@
 import kotlin.time.Duration.Companion.seconds
 import kotlin.time.DurationUnit
 
+/**
+ * Says among whom a quota is divided.
+ *
+ * @property demand what the other nodes that are heard of are asked for, a second and team
+ * @property nodes how many nodes there are, this one too
+ * @property silent how many of them are not heard of and may still serve
+ * @property isolated whether this node itself is not heard of
+ */
+public data class QuotaPeers(
+    public val demand: Map<TeamName, Double>,
+    public val nodes: Int,
+    public val silent: Int,
+    public val isolated: Boolean,
+)
+
 /**
  * Keeps this node's part of the quotas of all teams.
  *
  * Most of a quota is divided by demand and the rest evenly, so that the parts of all nodes make up the whole and a node
- * that a team's clients just turned to has some. A node that hears nothing of the others keeps its last part. What the
- * platform tolerates beyond a quota is not given out: reports of demand that come late use it up.
+ * that a team's clients just turned to has some. An even part is left to each node that fell silent, and a node that is
+ * not heard of takes no more than that. What the platform tolerates beyond a quota is not given out: reports of demand
+ * that come late use it up.
  */
 internal class Quotas {
     private class Bucket(var quota: Quota, val demand: DemandMeter) {
@@ -26,8 +42,7 @@
     }
 
     private val buckets = HashMap<TeamName, Bucket>()
-    private var peerDemand: Map<TeamName, Double> = emptyMap()
-    private var nodes = UNHEARD_NODES
+    private var peers = QuotaPeers(emptyMap(), UNHEARD_NODES, silent = 0, isolated = true)
 
     /** Adopts the quotas of [teams]; a bucket that exists keeps its level, cut to its new size. */
     fun configure(teams: List<Team>) {
@@ -36,10 +51,8 @@
         for ((name, quota) in limited) buckets.getOrPut(name) { Bucket(quota, DemandMeter()) }.quota = quota
     }
 
-    /** Takes what the other of [nodes] nodes are asked for, a second and team. */
-    fun hearPeers(demand: Map<TeamName, Double>, nodes: Int) {
-        peerDemand = demand
-        this.nodes = nodes.coerceAtLeast(1)
+    fun hearPeers(peers: QuotaPeers) {
+        this.peers = peers
     }
 
     /** Returns what this node is asked for, a second and team. */
@@ -63,9 +76,12 @@
 
     /** Goes by what all nodes know of each other: if each took its own newest demand, the shares would exceed one. */
     private fun shareOf(team: TeamName, bucket: Bucket): Double {
-        val total = bucket.toldDemand + (peerDemand[team] ?: 0.0)
-        val byDemand = if (total > 0) bucket.toldDemand / total else 1.0 / nodes
-        return EVEN_PART / nodes + (1 - EVEN_PART) * byDemand
+        val even = 1.0 / peers.nodes
+        val heard = peers.nodes - peers.silent
+        val total = bucket.toldDemand + (peers.demand[team] ?: 0.0)
+        val byDemand = if (total > 0) bucket.toldDemand / total else 1.0 / heard
+        val share = heard * even * (EVEN_PART / heard + (1 - EVEN_PART) * byDemand)
+        return if (peers.isolated) minOf(share, even) else share
     }
 
     private fun refill(bucket: Bucket, share: Double, now: MonotonicTime): Double {
--- a/core/src/main/kotlin/gypsumcart/core/membership/Membership.kt
+++ b/core/src/main/kotlin/gypsumcart/core/membership/Membership.kt
@@ -10,6 +10,7 @@
 import gypsumcart.core.UnixMillis
 import gypsumcart.core.WindowNumber
 import gypsumcart.core.ZoneName
+import gypsumcart.core.admission.QuotaPeers
 import kotlin.time.Duration
 
 /**
@@ -86,8 +87,8 @@
     /** Tells the filters how many nodes there are. */
     public data class CountNodes(public val nodes: Int) : MembershipEffect()
 
-    /** Tells the admission filter what the other of [nodes] nodes are asked for. */
-    public data class ShareDemand(public val demand: Map<TeamName, Double>, public val nodes: Int) : MembershipEffect()
+    /** Tells the admission filter among whom quotas are divided. */
+    public data class ShareDemand(public val peers: QuotaPeers) : MembershipEffect()
 
     /** Tells the duties what all nodes, this one too, report. */
     public data class ShareReports(public val reports: List<NodeReport>) : MembershipEffect()
@@ -170,17 +171,19 @@
 
     /**
      * Sums what other nodes are asked for. A node that fell silent may be cut off from the store and still serve, so
-     * its last demand counts for a while.
+     * it counts for a while.
      */
     private fun peerDemand(now: MonotonicTime): MembershipEffect {
         val serving =
             peers.values
                 .filter { it.report.node != settings.node && now - it.seenAt <= settings.silence * RESERVE_AFTER }
                 .groupBy { it.report.node }
-                .map { (_, starts) -> starts.maxBy { it.report.incarnation }.report }
+                .map { (_, starts) -> starts.maxBy { it.report.incarnation } }
+        val (heard, silent) = serving.partition { isLive(it, now) }
         val demand = HashMap<TeamName, Double>()
-        for (report in serving) report.demand.forEach { (team, amount) -> demand.merge(team, amount, Double::plus) }
-        return MembershipEffect.ShareDemand(demand, serving.size + 1)
+        for (peer in heard) peer.report.demand.forEach { (team, amount) -> demand.merge(team, amount, Double::plus) }
+        val isolated = now - storeAnsweredAt > settings.silence
+        return MembershipEffect.ShareDemand(QuotaPeers(demand, serving.size + 1, silent.size, isolated))
     }
 
     private fun share(now: MonotonicTime): List<MembershipEffect> {
--- a/core/src/test/kotlin/gypsumcart/core/Fixtures.kt
+++ b/core/src/test/kotlin/gypsumcart/core/Fixtures.kt
@@ -10,7 +10,12 @@
 
 internal fun at(elapsed: Duration): MonotonicTime = MonotonicTime(0) + elapsed
 
-internal fun route(kind: CallKind, service: ServiceName = LEDGER, maxAttempts: Int = 2, prefix: String = "/calls/"): Route =
+internal fun route(
+    kind: CallKind,
+    service: ServiceName = LEDGER,
+    maxAttempts: Int = 2,
+    prefix: String = "/calls/",
+): Route =
     Route(
         host = "host.example",
         prefix = prefix,
--- a/core/src/test/kotlin/gypsumcart/core/admission/AdmissionTest.kt
+++ b/core/src/test/kotlin/gypsumcart/core/admission/AdmissionTest.kt
@@ -65,7 +65,10 @@
     @Test
     fun `a team over its quota is refused with the time at which it has some again`() {
         val admission = admission(quota)
-        admission.decide(AdmissionEvent.PeersHeard(emptyMap(), nodes = 1), MonotonicTime(0))
+        admission.decide(
+            AdmissionEvent.PeersHeard(QuotaPeers(emptyMap(), nodes = 1, silent = 0, isolated = false)),
+            MonotonicTime(0),
+        )
         val request = submission(prompt = prompt(1_500))
         expectThat(reasonOrNull(admission.decide(AdmissionEvent.Submitted(request), at(1.seconds)))).isNull()
         val refusal = admission.decide(AdmissionEvent.Submitted(request), at(1.seconds)).single()
@@ -83,11 +86,11 @@
     }
 
     @Test
-    fun `a node that is cut off keeps its last part while the demand on it grows`() {
+    fun `a node that is cut off takes an even part at most while the others leave it one`() {
         val nodes = List(4) { admission(quota) }
         playSeconds(nodes, seconds = 3, heard = { true }, requests = 1)
         val admitted = playSeconds(nodes, seconds = 8, heard = { it != 0 }, from = 3)
-        expectThat(admitted).isLessThanOrEqualTo((1_000.0 + 8 * 1_000.0) * 1.3)
+        expectThat(admitted).isLessThanOrEqualTo(1_000.0 + 8 * 1_000.0 + 4 * REQUEST)
     }
 
     /** Sends [requests] each tenth of a second to each node, lets those heard tell each other, returns what was admitted. */
@@ -126,8 +129,10 @@
             node.decide(AdmissionEvent.PeersTold(report.demand), now)
         }
         nodes.forEachIndexed { i, node ->
-            val others = told.filterKeys { it != i }.values.sumOf { it[team] ?: 0.0 }
-            if (heard(i)) node.decide(AdmissionEvent.PeersHeard(mapOf(team to others), nodes.size), now)
+            val others = told.filterKeys { it != i && heard(it) }.values.sumOf { it[team] ?: 0.0 }
+            val silent = if (heard(i)) nodes.indices.count { !heard(it) } else 0
+            val peers = QuotaPeers(mapOf(team to others), nodes.size, silent, isolated = !heard(i))
+            node.decide(AdmissionEvent.PeersHeard(peers), now)
         }
     }
 
--- a/core/src/test/kotlin/gypsumcart/core/membership/MembershipTest.kt
+++ b/core/src/test/kotlin/gypsumcart/core/membership/MembershipTest.kt
@@ -7,6 +7,7 @@
 import gypsumcart.core.TeamName
 import gypsumcart.core.UnixMillis
 import gypsumcart.core.ZoneName
+import gypsumcart.core.admission.QuotaPeers
 import gypsumcart.core.at
 import org.junit.jupiter.api.Test
 import strikt.api.expectThat
@@ -51,8 +52,10 @@
             .members
             .map { it.node.text }
 
-    private fun peerDemand(effects: List<MembershipEffect>): Double? =
-        effects.filterIsInstance<MembershipEffect.ShareDemand>().single().demand[TeamName("team")]
+    private fun peers(effects: List<MembershipEffect>): QuotaPeers =
+        effects.filterIsInstance<MembershipEffect.ShareDemand>().single().peers
+
+    private fun peerDemand(effects: List<MembershipEffect>): Double? = peers(effects).demand[TeamName("team")]
 
     private fun answered(second: Double) =
         membership.decide(MembershipEvent.StoreAnswered, at(second.seconds))
@@ -81,12 +84,21 @@
     }
 
     @Test
-    fun `the demand on a node that fell silent counts for a while`() {
+    fun `a node that fell silent has a part of the quotas for a while`() {
         see(1.0, report("n1"))
         answered(6.0)
-        expectThat(peerDemand(due(6.0))).isEqualTo(10.0)
+        val soon = peers(due(6.0))
+        expectThat(soon.nodes to soon.silent).isEqualTo(2 to 1)
         answered(20.0)
-        expectThat(peerDemand(due(20.0))).isEqualTo(null)
+        val later = peers(due(20.0))
+        expectThat(later.nodes to later.silent).isEqualTo(1 to 0)
+    }
+
+    @Test
+    fun `a node whose store is silent knows that it is not heard of`() {
+        see(1.0, report("n1"))
+        expectThat(peers(due(2.0)).isolated).isEqualTo(false)
+        expectThat(peers(due(6.0)).isolated).isEqualTo(true)
     }
 
     @Test
--- a/node/src/main/kotlin/gypsumcart/node/FleetDuties.kt
+++ b/node/src/main/kotlin/gypsumcart/node/FleetDuties.kt
@@ -68,7 +68,7 @@
             is MembershipEffect.CountNodes -> rings.routing.put(RoutingEvent.NodesCounted(effect.nodes))
             is MembershipEffect.ShareDemand ->
                 rings.admission.put(
-                    AdmissionEvent.PeersHeard(effect.demand, effect.nodes),
+                    AdmissionEvent.PeersHeard(effect.peers),
                 )
 
             is MembershipEffect.ShareReports -> {
--- a/node/src/main/kotlin/gypsumcart/node/Settings.kt
+++ b/node/src/main/kotlin/gypsumcart/node/Settings.kt
@@ -43,7 +43,6 @@
 /** Holds the times and figures by which the fleet is run; times are in the units that the names say. */
 @Serializable
 public data class Bounds(
-    @SerialName("drain_ms") public val drainMillis: Long,
     @SerialName("grace_s") public val graceSeconds: Double,
     @SerialName("lease_ms") public val leaseMillis: Long,
     @SerialName("clock_jump_ms") public val clockJumpMillis: Long,
