--- a/core/src/test/kotlin/gypsumcart/core/admission/AdmissionTest.kt
+++ b/core/src/test/kotlin/gypsumcart/core/admission/AdmissionTest.kt
@@ -93,7 +93,7 @@
         expectThat(admitted).isLessThanOrEqualTo(1_000.0 + 8 * 1_000.0 + 4 * REQUEST)
     }
 
-    /** Sends [requests] each tenth of a second to each node, lets those heard tell each other, returns what was admitted. */
+    /** Sends [requests] each tenth of a second to each node and returns what was admitted; nodes tell each other. */
     private fun playSeconds(
         nodes: List<Admission>,
         seconds: Int,
--- a/node/src/main/kotlin/gypsumcart/node/Settings.kt
+++ b/node/src/main/kotlin/gypsumcart/node/Settings.kt
@@ -107,11 +107,13 @@
             "cloud" to cloud,
         )
     val wrong = addresses.firstOrNull { (_, text) -> !text.isNullOrEmpty() && addressOrNull(text) == null }
-    if (wrong != null) return SettingsError.Invalid(wrong.first, "is not of the form host:port")
-    if (node.isBlank()) return SettingsError.Invalid("node", "is empty")
-    if (bounds.leaseMillis <= 0) return SettingsError.Invalid("bounds.lease_ms", "is not positive")
-    if (bounds.usageWindowSeconds <= 0) return SettingsError.Invalid("bounds.usage_window_s", "is not positive")
-    return null
+    return when {
+        wrong != null -> SettingsError.Invalid(wrong.first, "is not of the form host:port")
+        node.isBlank() -> SettingsError.Invalid("node", "is empty")
+        bounds.leaseMillis <= 0 -> SettingsError.Invalid("bounds.lease_ms", "is not positive")
+        bounds.usageWindowSeconds <= 0 -> SettingsError.Invalid("bounds.usage_window_s", "is not positive")
+        else -> null
+    }
 }
 
 private val yaml = Yaml(configuration = YamlConfiguration(strictMode = false))
