--- a/core/src/main/kotlin/gypsumcart/core/replicas/BackEndOrders.kt
+++ b/core/src/main/kotlin/gypsumcart/core/replicas/BackEndOrders.kt
@@ -129,7 +129,7 @@
         val zones = scaling.zonePrices.keys.sorted()
         if (zones.isEmpty()) return emptyList()
         val spot = zones.associateWith { spotCount(need, zones.size, scaling) }
-        val onDemand = onDemandCounts(need, zones, staying, scaling, spot)
+        val onDemand = onDemandCounts(need, zones, staying, scaling)
         return zones.flatMap { zone ->
             listOfNotNull(
                 orderOrNull(Slot(service.name, zone, spot = true), spot.getValue(zone), staying, scaling, now),
@@ -156,7 +156,6 @@
         zones: List<ZoneName>,
         staying: List<BackEnd>,
         scaling: Scaling,
-        spot: Map<ZoneName, Int>,
     ): Map<ZoneName, Int> {
         val spotByZone = staying.filter { it.spot }.groupingBy { it.zone }.eachCount()
         val surviving = spotByZone.values.sum() - (spotByZone.values.maxOrNull() ?: 0)
@@ -167,8 +166,8 @@
             missing -= counts.getValue(zone)
         }
         for (zone in zones.sortedBy { scaling.zonePrices.getValue(it) }) {
-            val spotThere = maxOf(spotByZone[zone] ?: 0, spot.getValue(zone).coerceAtMost(scaling.max - 1))
-            val added = missing.coerceIn(0, (scaling.max - spotThere - counts.getValue(zone)).coerceAtLeast(0))
+            val room = scaling.max - (spotByZone[zone] ?: 0) - counts.getValue(zone)
+            val added = missing.coerceIn(0, room.coerceAtLeast(0))
             counts[zone] = counts.getValue(zone) + added
             missing -= added
         }
--- a/core/src/main/kotlin/gypsumcart/core/routing/Routing.kt
+++ b/core/src/main/kotlin/gypsumcart/core/routing/Routing.kt
@@ -9,6 +9,7 @@
 import gypsumcart.core.RefusalReason
 import gypsumcart.core.ServiceName
 import gypsumcart.core.Ticket
+import kotlin.math.ceil
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.seconds
 
@@ -110,8 +111,10 @@
 
     private fun assignOrWait(admitted: Admitted, now: MonotonicTime): List<RoutingEffect> {
         budgetOf(admitted.service).countRequest(now)
-        val assigned = assignOrNull(admitted, AttemptNumber.FIRST, emptySet(), now)
-        if (assigned != null) return listOf(assigned)
+        if (waiting.isEmpty() || !isFull(admitted)) {
+            val assigned = assignOrNull(admitted, AttemptNumber.FIRST, emptySet(), now)
+            if (assigned != null) return listOf(assigned)
+        }
         val limit = admitted.submission.arrivedAt + admitted.route.target / WAITING_PART
         waiting[admitted.ticket] = Waiting(admitted, minOf(limit, admitted.due))
         return emptyList()
@@ -132,7 +135,7 @@
         now: MonotonicTime,
     ): RoutingEffect? {
         val able = listed[admitted.service].orEmpty().filter { takesWork(it, avoid) }
-        if (able.isEmpty()) return null
+        if (able.isEmpty() || attempt == AttemptNumber.FIRST && isFull(admitted)) return null
         val trusted = able.filterNot { it.isEjected(now) }.ifEmpty { able }
         val cost = costOf(admitted)
         val chosen = trusted.choose(admitted, cost)
@@ -143,22 +146,37 @@
     private fun takesWork(candidate: Candidate, avoid: Set<InstanceKey>): Boolean =
         !candidate.backEnd.leaving && candidate.backEnd.key !in avoid
 
+    /**
+     * Whether this node has its part of an engine's batch slots in use. Beyond that a request would wait for its first
+     * token longer than it may, and so would all behind it.
+     */
+    private fun isFull(admitted: Admitted): Boolean {
+        if (admitted.submission.prompt == null) return false
+        val ofService = listed[admitted.service].orEmpty()
+        val slots = ofService.filterNot { it.backEnd.leaving }.sumOf { it.backEnd.slots }
+        return ofService.sumOf { it.calls } >= ceil(slots * FILLED_PART / nodes)
+    }
+
     private fun release(event: RoutingEvent.Released, now: MonotonicTime): List<RoutingEffect> {
         candidates[event.instance]?.end(event.ticket, event.verdict, now)
-        return emptyList()
+        return if (waiting.isEmpty()) emptyList() else assignWaiting(now)
     }
 
     private fun sweep(now: MonotonicTime): List<RoutingEffect> {
         val expired = waiting.values.filter { now >= it.until }
         expired.forEach { waiting -= it.admitted.ticket }
-        return expired.map {
-            RoutingEffect.Conclude(it.admitted, Outcome.NotRun(RefusalReason.NoBackEnd, NO_BACK_END_WAIT))
-        }
+        return expired.map { RoutingEffect.Conclude(it.admitted, Outcome.NotRun(reasonFor(it), COME_BACK)) }
     }
 
+    private fun reasonFor(request: Waiting): RefusalReason =
+        if (isFull(request.admitted)) RefusalReason.Overloaded("routing") else RefusalReason.NoBackEnd
+
+    /** Assigns what waits, the most urgent first. */
     private fun assignWaiting(now: MonotonicTime): List<RoutingEffect> {
         val assigned =
-            waiting.values.mapNotNull { assignOrNull(it.admitted, AttemptNumber.FIRST, emptySet(), now) }
+            waiting.values
+                .sortedBy { it.admitted.rank }
+                .mapNotNull { assignOrNull(it.admitted, AttemptNumber.FIRST, emptySet(), now) }
         assigned.filterIsInstance<RoutingEffect.Assign>().forEach { waiting -= it.admitted.ticket }
         return assigned
     }
@@ -177,8 +195,11 @@
         /** The part of a request's latency target that it may wait for a back end to appear. */
         const val WAITING_PART = 8
 
-        /** About the time in which the directory shows a new back end. */
-        val NO_BACK_END_WAIT: Duration = 1.seconds
+        /** About the time in which the directory shows a new back end, or a batch has moved on. */
+        val COME_BACK: Duration = 1.seconds
+
+        /** The part of the batch slots that engines fill and still meet the latency targets. */
+        const val FILLED_PART = 0.45
 
         /** A prompt of so many tokens burdens an engine as much as another running request. */
         const val TOKENS_PER_COST = 4_096
--- a/core/src/test/kotlin/gypsumcart/core/replicas/BackEndOrdersTest.kt
+++ b/core/src/test/kotlin/gypsumcart/core/replicas/BackEndOrdersTest.kt
@@ -75,6 +75,13 @@
         expectThat(standIns.sumOf { it.count }).isEqualTo(3)
     }
 
+    @Test
+    fun `on-demand back ends carry the whole load while no reclaimable ones are to be had`() {
+        begin(onDemand(2))
+        orders.decide(OrdersEvent.Loaded(listOf(mapOf(MODEL to 140.0))), at(2.seconds))
+        expectThat(tick(3).filter { !it.spot }.sumOf { it.count }).isEqualTo(10)
+    }
+
     @Test
     fun `a later holder goes by what stood at first and not by what it finds`() {
         begin(spot(3))
