--- a/http/src/main/kotlin/gypsumcart/http/HttpClient.kt
+++ b/http/src/main/kotlin/gypsumcart/http/HttpClient.kt
@@ -121,6 +121,11 @@
         }
     }
 
+    /** Closes the kept connections that lead to [endpoint]. */
+    public fun dropIdle(endpoint: Endpoint) {
+        idle.remove(endpoint)?.forEach { it.close() }
+    }
+
     /** Closes the kept connections that lead to other peers than [peers]. */
     public fun retain(peers: Set<String>) {
         val gone = idle.keys.filter { it.peer.isNotEmpty() && it.peer !in peers }
--- a/node/src/main/kotlin/gypsumcart/node/BackEndCalls.kt
+++ b/node/src/main/kotlin/gypsumcart/node/BackEndCalls.kt
@@ -39,7 +39,11 @@
         val exchange =
             withTimeoutOrNull(timeLeft) {
                 client.exchange(endpoint, outgoing) { head, body -> take(call, head, body, answer) }
-            } ?: return CallResult.Failed(CallFailure.TimedOut, answer.progress)
+            }
+        if (exchange == null) {
+            client.dropIdle(endpoint)
+            return CallResult.Failed(CallFailure.TimedOut, answer.progress)
+        }
         return exchange.fold({ it }, { CallResult.Failed(it.toCallFailure(), answer.progress) })
     }
 
--- a/node/src/main/kotlin/gypsumcart/node/Node.kt
+++ b/node/src/main/kotlin/gypsumcart/node/Node.kt
@@ -2,7 +2,6 @@
 
 import gypsumcart.core.Address
 import gypsumcart.core.Incarnation
-import gypsumcart.core.MonotonicTime
 import gypsumcart.core.NodeId
 import gypsumcart.core.ZoneName
 import gypsumcart.core.addressOrNull
@@ -110,7 +109,7 @@
         rings.lease.put(LeaseEvent.Stopping(wall()))
         clientServer.drain()
         val limit = settings.bounds.grace - END_MARGIN
-        timers.after(settings.bounds.addressTtl.coerceAtMost(limit)) { endWhenIdle(clock.now() + limit / 2) }
+        timers.after((ADDRESS_TTL * LONGEST_KEPT).coerceAtMost(limit)) { endWhenIdle() }
         timers.after(limit) { stopped.countDown() }
     }
 
@@ -120,12 +119,8 @@
         log.info("event=node_stopped in_progress={}", edge.inProgress)
     }
 
-    private fun endWhenIdle(until: MonotonicTime) {
-        if (edge.inProgress == 0 || clock.now() > until) {
-            stopped.countDown()
-        } else {
-            timers.after(IDLE_CHECK) { endWhenIdle(until) }
-        }
+    private fun endWhenIdle() {
+        if (edge.inProgress == 0) stopped.countDown() else timers.after(IDLE_CHECK) { endWhenIdle() }
     }
 
     private fun follow() {
@@ -203,6 +198,9 @@
         /** Short enough that a node that leaves is avoided in a second or two. */
         val ADDRESS_TTL: Duration = 2.seconds
 
+        /** Some clients keep addresses three times as long as they may. */
+        const val LONGEST_KEPT = 3
+
         /** Left for the process itself to end. */
         val END_MARGIN: Duration = 700.milliseconds
 
--- a/node/src/main/kotlin/gypsumcart/node/RowCodecs.kt
+++ b/node/src/main/kotlin/gypsumcart/node/RowCodecs.kt
@@ -1,5 +1,6 @@
 package gypsumcart.node
 
+import com.github.michaelbull.result.get
 import gypsumcart.core.Address
 import gypsumcart.core.FencingNumber
 import gypsumcart.core.Incarnation
@@ -16,8 +17,6 @@
 import gypsumcart.core.membership.key
 import kotlinx.serialization.KSerializer
 import kotlinx.serialization.Serializable
-import kotlinx.serialization.SerializationException
-import kotlinx.serialization.json.Json
 
 @Serializable
 private class ReportRow(
@@ -125,15 +124,7 @@
 private fun Map<String, Int>.toTeamCounts(): Map<TeamName, Int> = mapKeys { TeamName(it.key) }
 
 private fun <T> encode(serializer: KSerializer<T>, value: T): ByteArray =
-    json.encodeToString(serializer, value).encodeToByteArray()
+    JsonBodies.encode(serializer, value).encodeToByteArray()
 
 private fun <T> decodeOrNull(serializer: KSerializer<T>, bytes: ByteArray): T? =
-    try {
-        json.decodeFromString(serializer, bytes.decodeToString())
-    } catch (_: SerializationException) {
-        null
-    } catch (_: IllegalArgumentException) {
-        null
-    }
-
-private val json = Json { ignoreUnknownKeys = true }
+    JsonBodies.decode(serializer, bytes.decodeToString()).get()
--- a/node/src/main/kotlin/gypsumcart/node/Settings.kt
+++ b/node/src/main/kotlin/gypsumcart/node/Settings.kt
@@ -51,16 +51,12 @@
     @SerialName("retry_window_s") public val retryWindowSeconds: Double,
     @SerialName("usage_window_s") public val usageWindowSeconds: Double,
     @SerialName("usage_late_s") public val usageLateSeconds: Double,
-    @SerialName("address_ttl_s") public val addressTtlSeconds: Double,
 ) {
     /** How long a process may go on after it was asked to end. */
     public val grace: Duration get() = graceSeconds.seconds
 
     /** How long a lease lasts after its renewal. */
     public val lease: Duration get() = leaseMillis.milliseconds
-
-    /** How long a client keeps the addresses that it was given. */
-    public val addressTtl: Duration get() = addressTtlSeconds.seconds
 }
 
 /** Says why settings can't be used. */
--- a/standins/src/main/kotlin/gypsumcart/standins/StandInFleet.kt
+++ b/standins/src/main/kotlin/gypsumcart/standins/StandInFleet.kt
@@ -93,7 +93,6 @@
                 retryWindowSeconds = 10.0,
                 usageWindowSeconds = 5.0,
                 usageLateSeconds = 10.0,
-                addressTtlSeconds = 1.0,
             )
     }
 }
