--- a/cli/src/main/kotlin/gypsumcart/cli/Main.kt
+++ b/cli/src/main/kotlin/gypsumcart/cli/Main.kt
@@ -15,4 +15,4 @@
 /** Runs the program. */
 public fun main(
     arguments: Array<String>,
-): Unit = Gypsumcart().subcommands(NodeCommand(), CheckCommand()).main(arguments)
+): Unit = Gypsumcart().subcommands(NodeCommand(), CheckCommand(), DemoCommand()).main(arguments)
