--- a/core/src/main/kotlin/gypsumcart/core/replicas/BackEndOrders.kt
+++ b/core/src/main/kotlin/gypsumcart/core/replicas/BackEndOrders.kt
@@ -125,7 +125,8 @@
         val scaling = service.scaling ?: return emptyList()
         val staying = backEnds.filter { it.service == service.name && !it.leaving }
         val began = needs[service.name] ?: return emptyList()
-        val need = maxOf(began, peaks[service.name]?.let { ceil(it.value / LOAD_PER_BACK_END).toInt() } ?: 0)
+        val loaded = peaks[service.name]?.let { ceil(it.value / LOAD_PER_BACK_END).toInt() } ?: 0
+        val need = loaded.coerceIn(began, ceil(began * MAX_GROWTH).toInt())
         val zones = scaling.zonePrices.keys.sorted()
         if (zones.isEmpty()) return emptyList()
         val spot = zones.associateWith { spotCount(need, zones.size, scaling) }
@@ -206,6 +207,12 @@
         /** The load, in requests and long prompts, with which an engine still answers within its targets. */
         const val LOAD_PER_BACK_END = 14.0
 
+        /**
+         * How many times what stood at first may be needed. Overload makes requests wait and so raises the load that is
+         * measured, most of all while few back ends are to be had.
+         */
+        const val MAX_GROWTH = 1.5
+
         /** An order that is unanswered for so long is placed again. */
         val UNANSWERED: Duration = 3.seconds
 
--- a/core/src/main/kotlin/gypsumcart/core/replicas/PeakLoad.kt
+++ b/core/src/main/kotlin/gypsumcart/core/replicas/PeakLoad.kt
@@ -20,7 +20,7 @@
     }
 
     private companion object {
-        /** Several times what a back end takes to boot. */
-        val SPAN: Duration = 20.seconds
+        /** Twice what a back end takes to boot, and a little more. */
+        val SPAN: Duration = 10.seconds
     }
 }
