Keep only those entries of back ends that lapsed with the registry

Change: only what is gone when the registry answers again after two seconds or more may have lapsed. Two tests that failed before; two others now order their events as the feed does, the removal before the return.

--- a/core/src/main/kotlin/gypsumcart/core/directory/BackEndDirectory.kt
+++ b/core/src/main/kotlin/gypsumcart/core/directory/BackEndDirectory.kt
@@ -5,6 +5,7 @@
 import gypsumcart.core.Decider
 import gypsumcart.core.MonotonicTime
 import kotlin.time.Duration
+import kotlin.time.Duration.Companion.seconds
 
 /** Tells the directory of back ends what happened. */
 public sealed class DirectoryEvent {
@@ -36,13 +37,13 @@
 /**
  * Keeps the list of back ends through outages of the registry.
  *
- * Entries may lapse with the registry and come back soon after it. An entry that disappears around an outage is
- * therefore kept until [lapseGrace] after the registry's return; one that disappears at another time is gone.
+ * Entries may lapse with the registry and come back soon after it. An entry that has disappeared when the registry
+ * answers again is therefore kept for [lapseGrace]; one that disappears at another time is gone.
  */
 public class BackEndDirectory(private val lapseGrace: Duration) : Decider<DirectoryEvent, DirectoryEffect> {
     private val listed = LinkedHashMap<BackEndId, BackEnd>()
     private val lapsed = LinkedHashMap<BackEndId, BackEnd>()
-    private var lost = false
+    private var lostSince: MonotonicTime? = null
     private var graceUntil: MonotonicTime? = null
 
     override fun decide(event: DirectoryEvent, now: MonotonicTime): List<DirectoryEffect> =
@@ -52,7 +53,7 @@
             is DirectoryEvent.Changed -> change(event, now)
 
             DirectoryEvent.Lost -> {
-                lost = true
+                if (lostSince == null) lostSince = now
                 emptyList()
             }
 
@@ -69,7 +70,7 @@
     private fun change(event: DirectoryEvent.Changed, now: MonotonicTime): List<DirectoryEffect> {
         for (id in event.removed) {
             val backEnd = listed.remove(id) ?: continue
-            if (inGrace(now) && !backEnd.leaving) lapsed[id] = backEnd
+            if (mayHaveLapsed(now) && !backEnd.leaving) lapsed[id] = backEnd
         }
         for (backEnd in event.listed) {
             lapsed -= backEnd.id
@@ -79,18 +80,24 @@
     }
 
     private fun regain(now: MonotonicTime): List<DirectoryEffect> {
-        if (lost) graceUntil = now + lapseGrace
-        lost = false
+        if (lostSince != null) graceUntil = now + lapseGrace
+        lostSince = null
         return emptyList()
     }
 
     private fun sweep(now: MonotonicTime): List<DirectoryEffect> {
-        if (lapsed.isEmpty() || inGrace(now)) return emptyList()
+        val waits = lostSince != null || graceUntil?.let { now < it } ?: false
+        if (lapsed.isEmpty() || waits) return emptyList()
         lapsed.clear()
         return list()
     }
 
-    private fun inGrace(now: MonotonicTime): Boolean = lost || graceUntil?.let { now < it } ?: false
+    private fun mayHaveLapsed(now: MonotonicTime): Boolean = lostSince?.let { now - it >= SHORTEST_LAPSE } ?: false
 
     private fun list(): List<DirectoryEffect> = listOf(DirectoryEffect.List(listed.values + lapsed.values))
+
+    private companion object {
+        /** Entries lapse after three missing heartbeats, which are seconds apart; a shorter outage loses none. */
+        val SHORTEST_LAPSE: Duration = 2.seconds
+    }
 }
--- a/core/src/test/kotlin/gypsumcart/core/directory/BackEndDirectoryTest.kt
+++ b/core/src/test/kotlin/gypsumcart/core/directory/BackEndDirectoryTest.kt
@@ -32,18 +32,33 @@
     fun `an entry that lapsed with the registry stays until it had the time to come back`() {
         read("x", "y")
         directory.decide(DirectoryEvent.Lost, at(1.seconds))
-        directory.decide(DirectoryEvent.Regained, at(5.seconds))
         expectThat(names(remove("x", 5))).containsExactly("y", "x")
+        directory.decide(DirectoryEvent.Regained, at(5.seconds))
         expectThat(directory.decide(DirectoryEvent.Sweep, at(6.seconds))).isEmpty()
         expectThat(names(directory.decide(DirectoryEvent.Sweep, at(8.seconds)))).containsExactly("y")
     }
 
+    @Test
+    fun `an entry that is removed after the registry's return is gone`() {
+        read("x", "y")
+        directory.decide(DirectoryEvent.Lost, at(1.seconds))
+        directory.decide(DirectoryEvent.Regained, at(5.seconds))
+        expectThat(names(remove("x", 6))).containsExactly("y")
+    }
+
+    @Test
+    fun `an outage that is too short for entries to lapse keeps none`() {
+        read("x", "y")
+        directory.decide(DirectoryEvent.Lost, at(1.seconds))
+        expectThat(names(remove("x", 2))).containsExactly("y")
+    }
+
     @Test
     fun `an entry that came back stays`() {
         read("x")
         directory.decide(DirectoryEvent.Lost, at(1.seconds))
-        directory.decide(DirectoryEvent.Regained, at(5.seconds))
         remove("x", 5)
+        directory.decide(DirectoryEvent.Regained, at(5.seconds))
         directory.decide(DirectoryEvent.Changed(listOf(backEnd("x")), emptyList()), at(6.seconds))
         expectThat(directory.decide(DirectoryEvent.Sweep, at(8.seconds))).isEmpty()
     }
--- a/node/src/main/kotlin/gypsumcart/node/Node.kt
+++ b/node/src/main/kotlin/gypsumcart/node/Node.kt
@@ -134,6 +134,7 @@
         timers.every(REPORT_PERIOD) { report() }
         timers.every(LEASE_PERIOD) { rings.lease.offer(LeaseEvent.Tick(wall())) }
         timers.every(READY_PERIOD) { checkReady() }
+        timers.every(LAPSE_PERIOD) { rings.backEnds.offer(DirectoryEvent.Sweep) }
     }
 
     private fun report() {
@@ -141,7 +142,6 @@
         rings.routing.offer(RoutingEvent.ReportDue)
         rings.usage.offer(UsageEvent.Tick)
         rings.orders.offer(OrdersEvent.Tick)
-        rings.backEnds.offer(DirectoryEvent.Sweep)
         rings.membership.offer(MembershipEvent.ReportDue)
         runtime.scope.launch { trueTime.agreedOrNull()?.let { rings.usage.put(it) } }
     }
@@ -192,6 +192,9 @@
 
         val READY_PERIOD: Duration = 50.milliseconds
 
+        /** A tenth of the time that entries of back ends have to come back. */
+        val LAPSE_PERIOD: Duration = 200.milliseconds
+
         /** Clients that are told fewer addresses lose little; more cost bytes. */
         const val MAX_DIRECTIONS = 64
 
