Refuse what comes while a node ends, and end sooner

Change: from 2.5 s on a node that is idle refuses what comes, with 503, and ends. A test of that, which failed before.

--- a/core/src/main/kotlin/gypsumcart/core/Outcomes.kt
+++ b/core/src/main/kotlin/gypsumcart/core/Outcomes.kt
@@ -31,6 +31,9 @@
     /** The filter named [filter] has no room for more. */
     public data class Overloaded(public val filter: String) : RefusalReason()
 
+    /** The node is about to end and sends nothing on any more. */
+    public data object Stopping : RefusalReason()
+
     /** No back end of the service could take the request in time. */
     public data object NoBackEnd : RefusalReason()
 
--- a/node/src/main/kotlin/gypsumcart/node/ClientEdge.kt
+++ b/node/src/main/kotlin/gypsumcart/node/ClientEdge.kt
@@ -20,6 +20,8 @@
 import org.slf4j.LoggerFactory
 import java.util.concurrent.ConcurrentHashMap
 import java.util.concurrent.atomic.AtomicLong
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
 
 /** Tells the edge what to do for a request. */
 internal sealed class EdgeCommand {
@@ -52,15 +54,24 @@
     private val tickets = AtomicLong()
     private val pending = ConcurrentHashMap<Ticket, Pending>()
 
+    @Volatile
+    private var closed = false
+
     /** How many requests are in progress. */
     val inProgress: Int get() = pending.size
 
+    /** Refuses all requests from now on; those in progress go on. */
+    fun close() {
+        closed = true
+    }
+
     override suspend fun handle(request: HttpRequest, reply: Reply) {
         val ticket = Ticket(tickets.incrementAndGet())
         val submission = codec.decode(request, ticket, clock.now())
         val entry = Pending(submission, request, reply)
-        if (pending.size >= MAX_IN_PROGRESS || !submit(entry)) {
-            conclude(entry, Outcome.NotRun(RefusalReason.Overloaded("edge"), null))
+        val refusal = refusalOrNull(entry)
+        if (refusal != null) {
+            conclude(entry, Outcome.NotRun(refusal, ELSEWHERE_WAIT))
             return
         }
         var concluded = false
@@ -82,6 +93,13 @@
         }
     }
 
+    private fun refusalOrNull(entry: Pending): RefusalReason? =
+        when {
+            closed -> RefusalReason.Stopping
+            pending.size >= MAX_IN_PROGRESS || !submit(entry) -> RefusalReason.Overloaded("edge")
+            else -> null
+        }
+
     private fun submit(entry: Pending): Boolean {
         pending[entry.submission.ticket] = entry
         val taken = outlets.admission.offer(AdmissionEvent.Submitted(entry.submission))
@@ -146,6 +164,9 @@
 
         /** A request has one command under way at a time, and a conclusion may overtake nothing. */
         const val COMMANDS = 2
+
+        /** Another node takes the request at once. */
+        val ELSEWHERE_WAIT: Duration = 50.milliseconds
     }
 }
 
--- a/node/src/main/kotlin/gypsumcart/node/Log.kt
+++ b/node/src/main/kotlin/gypsumcart/node/Log.kt
@@ -13,6 +13,7 @@
         RefusalReason.NoRequestId -> "no_request_id"
         RefusalReason.QuotaExceeded -> "quota"
         is RefusalReason.Overloaded -> "overloaded_$filter"
+        RefusalReason.Stopping -> "stopping"
         RefusalReason.NoBackEnd -> "no_back_end"
         RefusalReason.Declined -> "declined"
     }
--- a/node/src/main/kotlin/gypsumcart/node/Node.kt
+++ b/node/src/main/kotlin/gypsumcart/node/Node.kt
@@ -109,7 +109,8 @@
         rings.lease.put(LeaseEvent.Stopping(wall()))
         clientServer.drain()
         val limit = settings.bounds.grace - END_MARGIN
-        timers.after((ADDRESS_TTL * LONGEST_KEPT).coerceAtMost(limit)) { endWhenIdle() }
+        timers.after((ADDRESS_TTL + IN_FLIGHT).coerceAtMost(limit)) { closeWhenIdle() }
+        timers.after(limit - CLOSED_TIME) { close() }
         timers.after(limit) { stopped.countDown() }
     }
 
@@ -119,6 +120,16 @@
         log.info("event=node_stopped in_progress={}", edge.inProgress)
     }
 
+    private fun closeWhenIdle() {
+        if (edge.inProgress == 0) close() else timers.after(IDLE_CHECK) { closeWhenIdle() }
+    }
+
+    /** Refuses what still comes, so that nothing is sent on by a process that ends before it has the answer. */
+    private fun close() {
+        edge.close()
+        timers.after(IDLE_CHECK) { endWhenIdle() }
+    }
+
     private fun endWhenIdle() {
         if (edge.inProgress == 0) stopped.countDown() else timers.after(IDLE_CHECK) { endWhenIdle() }
     }
@@ -201,8 +212,11 @@
         /** Short enough that a node that leaves is avoided in a second or two. */
         val ADDRESS_TTL: Duration = 2.seconds
 
-        /** Some clients keep addresses three times as long as they may. */
-        const val LONGEST_KEPT = 3
+        /** Requests that were sent while the client still had the address. */
+        val IN_FLIGHT: Duration = 500.milliseconds
+
+        /** How long before its end at the latest a node refuses requests: what a plain service's answer takes. */
+        val CLOSED_TIME: Duration = 800.milliseconds
 
         /** Left for the process itself to end. */
         val END_MARGIN: Duration = 700.milliseconds
--- a/standins/src/test/kotlin/gypsumcart/standins/WholePathTest.kt
+++ b/standins/src/test/kotlin/gypsumcart/standins/WholePathTest.kt
@@ -13,6 +13,7 @@
 import strikt.assertions.startsWith
 import java.net.Socket
 import java.net.SocketTimeoutException
+import kotlin.concurrent.thread
 
 class WholePathTest {
     private val fleet = StandInFleet()
@@ -234,6 +235,18 @@
         expectThat(call("/checks/1")).startsWith("HTTP/1.1 200")
     }
 
+    @Test
+    fun `a node that ends sends nothing on that it can't answer`() {
+        val end = thread { node.node.awaitStopped() }
+        node.node.stop()
+        awaitTrue { call("/checks/1").startsWith("HTTP/1.1 503") }
+        val ran = runs().size
+        expectThat(call("/checks/2")).startsWith("HTTP/1.1 503").contains("Retry-After")
+        expectThat(runs()).hasSize(ran)
+        end.join(1_000)
+        expectThat(end.isAlive).isEqualTo(false)
+    }
+
     @Test
     fun `one node holds the lease and another takes it over`() {
         awaitTrue { fleet.store.getOrNull("fleet", "lease")?.contains("node-1") ?: false }
