--- a/node/src/main/kotlin/gypsumcart/node/Duties.kt
+++ b/node/src/main/kotlin/gypsumcart/node/Duties.kt
@@ -65,8 +65,17 @@
 
     private fun carryOut(effect: RoutingEffect) {
         when (effect) {
-            is RoutingEffect.Assign ->
+            is RoutingEffect.Assign -> {
+                log.info(
+                    "event=assigned request={} attempt={} back_end={} incarnation={} candidates={}",
+                    effect.admitted.submission.request,
+                    effect.attempt,
+                    effect.backEnd.id,
+                    effect.backEnd.incarnation,
+                    effect.candidates,
+                )
                 rings.dispatch.put(DispatchEvent.Assigned(effect.admitted, effect.attempt, effect.backEnd))
+            }
 
             is RoutingEffect.Conclude -> {
                 rings.dispatch.put(DispatchEvent.Concluded(effect.admitted.ticket))
--- a/node/src/main/kotlin/gypsumcart/node/Log.kt
+++ b/node/src/main/kotlin/gypsumcart/node/Log.kt
@@ -4,7 +4,7 @@
 import gypsumcart.core.Outcome
 import gypsumcart.core.RefusalReason
 
-/** Returns a word that names the reason in logs and metrics. */
+/** Returns a word that names the reason in logs. */
 internal fun RefusalReason.toLogWord(): String =
     when (this) {
         RefusalReason.NoConfiguration -> "no_configuration"
@@ -18,7 +18,7 @@
         RefusalReason.Declined -> "declined"
     }
 
-/** Returns a word that names the failure in logs and metrics. */
+/** Returns a word that names the failure in logs. */
 internal fun CallFailure.toLogWord(): String =
     when (this) {
         CallFailure.ConnectFailed -> "connect_failed"
@@ -30,7 +30,7 @@
         is CallFailure.ServerError -> "server_error_$status"
     }
 
-/** Returns a word that names the outcome in logs and metrics. */
+/** Returns a word that names the outcome in logs. */
 internal fun Outcome.toLogWord(): String =
     when (this) {
         is Outcome.NotRun -> "not_run:${reason.toLogWord()}"
--- a/node/src/main/kotlin/gypsumcart/node/Settings.kt
+++ b/node/src/main/kotlin/gypsumcart/node/Settings.kt
@@ -24,7 +24,6 @@
  * @property clients where clients connect
  * @property readiness where the platform asks whether the node is ready
  * @property directory where clients ask which addresses to use
- * @property metrics where metrics are served
  * @property cloud where orders and reports go; empty where the fleet has no such duties
  */
 @Serializable
@@ -34,7 +33,6 @@
     public val clients: String,
     public val readiness: String,
     public val directory: String,
-    public val metrics: String? = null,
     public val store: String,
     public val cloud: String = "",
     public val bounds: Bounds,
@@ -99,10 +97,9 @@
             "readiness" to readiness,
             "directory" to directory,
             "store" to store,
-            "metrics" to metrics,
             "cloud" to cloud,
         )
-    val wrong = addresses.firstOrNull { (_, text) -> !text.isNullOrEmpty() && addressOrNull(text) == null }
+    val wrong = addresses.firstOrNull { (_, text) -> text.isNotEmpty() && addressOrNull(text) == null }
     return when {
         wrong != null -> SettingsError.Invalid(wrong.first, "is not of the form host:port")
         node.isBlank() -> SettingsError.Invalid("node", "is empty")
