--- a/core/src/main/kotlin/gypsumcart/core/Requests.kt
+++ b/core/src/main/kotlin/gypsumcart/core/Requests.kt
@@ -5,7 +5,7 @@
 /**
  * Describes a request as a client sent it.
  *
- * @property patience how long the client will wait for the whole answer, or null when it does not say
+ * @property timeLeft how long the client will wait for the whole answer, or null when it does not say
  */
 public data class Submission(
     public val ticket: Ticket,
@@ -13,7 +13,7 @@
     public val host: String,
     public val path: String,
     public val key: ApiKey?,
-    public val patience: Duration?,
+    public val timeLeft: Duration?,
     public val prompt: Prompt?,
     public val arrivedAt: MonotonicTime,
 )
--- a/core/src/main/kotlin/gypsumcart/core/admission/Admission.kt
+++ b/core/src/main/kotlin/gypsumcart/core/admission/Admission.kt
@@ -103,14 +103,14 @@
     }
 
     private fun admit(submission: Submission, route: Route, team: Team?): Admitted {
-        val patience = submission.patience ?: route.timeout
+        val timeLeft = submission.timeLeft ?: route.timeout
         return Admitted(
             submission = submission,
             route = route,
             service = serviceOf(submission, route),
             team = team?.name,
             rank = team?.rank ?: route.rank,
-            due = submission.arrivedAt + minOf(patience, route.timeout),
+            due = submission.arrivedAt + minOf(timeLeft, route.timeout),
         )
     }
 
--- a/core/src/test/kotlin/gypsumcart/core/Fixtures.kt
+++ b/core/src/test/kotlin/gypsumcart/core/Fixtures.kt
@@ -41,7 +41,7 @@
         host = "host.example",
         path = path,
         key = key?.let(::ApiKey),
-        patience = 1.5.seconds,
+        timeLeft = 1.5.seconds,
         prompt = prompt,
         arrivedAt = arrivedAt,
     )
