--- a/standins/src/main/kotlin/gypsumcart/standins/StandInStore.kt
+++ b/standins/src/main/kotlin/gypsumcart/standins/StandInStore.kt
@@ -33,6 +33,9 @@
     /** It declines every call. */
     public data object Busy : StoreFault()
 
+    /** It declines to read on where the page before ended. */
+    public data object LaterPagesDeclined : StoreFault()
+
     /** It takes calls and never answers. */
     public data object Silent : StoreFault()
 
@@ -53,6 +56,10 @@
     @Volatile
     public var fault: StoreFault = StoreFault.None
 
+    /** How many rows it hands out at once. */
+    @Volatile
+    public var pageSize: Int = 500
+
     /** Writes a row as the platform itself does. */
     @Synchronized
     public fun put(table: String, key: String, value: String) {
@@ -88,6 +95,13 @@
 
             StoreFault.Busy -> reply.whole(ResponseHead(BUSY, Headers.EMPTY), ByteArray(0))
 
+            StoreFault.LaterPagesDeclined ->
+                if (request.query()["source"].isNullOrEmpty()) {
+                    answer(request, reply)
+                } else {
+                    reply.whole(ResponseHead(BUSY, Headers.EMPTY), ByteArray(0))
+                }
+
             StoreFault.Silent -> awaitCancellation()
 
             StoreFault.AnswersLost -> {
@@ -138,7 +152,7 @@
     private fun read(request: HttpRequest): Pair<Int, JsonObject> {
         val query = request.query()
         val from = query["source"].orEmpty()
-        val limit = query["maxItems"]?.toInt() ?: PAGE
+        val limit = query["maxItems"]?.toInt() ?: pageSize
         val found = rows.values.filter { it.table == query["tableName"] && !it.gone && it.key >= from }
         return OK to answerOf(found.take(limit), hasMore = found.size > limit)
     }
@@ -188,6 +202,5 @@
         const val GONE = 410
         const val CONFLICT = 412
         const val BUSY = 503
-        const val PAGE = 500
     }
 }
--- a/standins/src/test/kotlin/gypsumcart/standins/WholePathTest.kt
+++ b/standins/src/test/kotlin/gypsumcart/standins/WholePathTest.kt
@@ -270,4 +270,14 @@
         node.node.stop()
         awaitTrue { fleet.store.getOrNull("fleet", "lease")?.contains("node-2") ?: false }
     }
+
+    @Test
+    fun `a table whose later pages could not be read is read whole again`() {
+        fleet.store.pageSize = 1
+        fleet.store.fault = StoreFault.LaterPagesDeclined
+        val late = fleet.startNode("node-2")
+        Thread.sleep(1_000)
+        fleet.store.fault = StoreFault.None
+        awaitTrue { get(late.settings.readiness, "/readiness").startsWith("HTTP/1.1 200") }
+    }
 }
