Ignore what a late heartbeat says of a back end that has left

Cause: the store may carry out a write that got no answer seconds later. A heartbeat that does so would list a leaving back end as ready again, or an older start of an id in place of the newer one. Change: the directory remembers for a minute what it was told last of each id. Starts only follow each other, and one that leaves stays leaving. Before: three new tests of BackEndDirectoryTest fail. After: they pass.

--- a/core/src/main/kotlin/gypsumcart/core/directory/BackEndDirectory.kt
+++ b/core/src/main/kotlin/gypsumcart/core/directory/BackEndDirectory.kt
@@ -41,8 +41,13 @@
  * answers again is therefore kept for [lapseGrace]; one that disappears at another time is gone.
  */
 public class BackEndDirectory(private val lapseGrace: Duration) : Decider<DirectoryEvent, DirectoryEffect> {
+    private class Said(val backEnd: BackEnd, val at: MonotonicTime)
+
     private val listed = LinkedHashMap<BackEndId, BackEnd>()
     private val lapsed = LinkedHashMap<BackEndId, BackEnd>()
+
+    /** What was said last of the newest start of each id, kept for a while after its entry is gone. */
+    private val newest = HashMap<BackEndId, Said>()
     private var lostSince: MonotonicTime? = null
     private var graceUntil: MonotonicTime? = null
 
@@ -70,15 +75,29 @@
     private fun change(event: DirectoryEvent.Changed, now: MonotonicTime): List<DirectoryEffect> {
         for (id in event.removed) {
             val backEnd = listed.remove(id) ?: continue
+            newest[id] = Said(backEnd, now)
             if (mayHaveLapsed(now) && !backEnd.leaving) lapsed[id] = backEnd
         }
-        for (backEnd in event.listed) {
-            lapsed -= backEnd.id
-            listed[backEnd.id] = backEnd
-        }
+        for (backEnd in event.listed) take(backEnd, now)
         return list()
     }
 
+    /**
+     * Lists [said] unless it is older than what is known.
+     *
+     * A heartbeat that the registry takes in late shows a state that is over. Starts of an id only follow each other,
+     * and one that leaves never stays after all.
+     */
+    private fun take(said: BackEnd, now: MonotonicTime) {
+        val known = newest[said.id]?.backEnd
+        if (known != null && said.incarnation < known.incarnation) return
+        val left = known != null && known.incarnation == said.incarnation && known.leaving
+        val backEnd = if (left) said.copy(leaving = true) else said
+        newest[said.id] = Said(backEnd, now)
+        lapsed -= said.id
+        listed[said.id] = backEnd
+    }
+
     private fun regain(now: MonotonicTime): List<DirectoryEffect> {
         if (lostSince != null) graceUntil = now + lapseGrace
         lostSince = null
@@ -86,6 +105,7 @@
     }
 
     private fun sweep(now: MonotonicTime): List<DirectoryEffect> {
+        newest.entries.removeIf { (id, said) -> id !in listed && id !in lapsed && now - said.at > LATE_HEARTBEAT }
         val waits = lostSince != null || graceUntil?.let { now < it } ?: false
         if (lapsed.isEmpty() || waits) return emptyList()
         lapsed.clear()
@@ -99,5 +119,8 @@
     private companion object {
         /** Entries lapse after three missing heartbeats, which are seconds apart; a shorter outage loses none. */
         val SHORTEST_LAPSE: Duration = 2.seconds
+
+        /** Ten times the age of the oldest writes that the registry still takes in. */
+        val LATE_HEARTBEAT: Duration = 60.seconds
     }
 }
--- a/core/src/test/kotlin/gypsumcart/core/directory/BackEndDirectoryTest.kt
+++ b/core/src/test/kotlin/gypsumcart/core/directory/BackEndDirectoryTest.kt
@@ -69,4 +69,35 @@
         directory.decide(DirectoryEvent.Lost, at(1.seconds))
         expectThat(names(remove("x", 2))).isEqualTo(listOf("y"))
     }
+
+    @Test
+    fun `a late heartbeat does not call back a start that is leaving`() {
+        directory.decide(DirectoryEvent.Read(listOf(backEnd("x", leaving = true))), at(0.seconds))
+        val listed = directory.decide(DirectoryEvent.Changed(listOf(backEnd("x")), emptyList()), at(3.seconds))
+        expectThat(listed).isEqualTo(listOf(DirectoryEffect.List(listOf(backEnd("x", leaving = true)))))
+    }
+
+    @Test
+    fun `a late heartbeat does not call back a start that left and was removed`() {
+        directory.decide(DirectoryEvent.Read(listOf(backEnd("x", leaving = true))), at(0.seconds))
+        remove("x", 1)
+        val listed = directory.decide(DirectoryEvent.Changed(listOf(backEnd("x")), emptyList()), at(3.seconds))
+        expectThat(listed).isEqualTo(listOf(DirectoryEffect.List(listOf(backEnd("x", leaving = true)))))
+    }
+
+    @Test
+    fun `a late heartbeat of an older start does not replace the newer one`() {
+        directory.decide(DirectoryEvent.Read(listOf(backEnd("x", incarnation = 2))), at(0.seconds))
+        val late = backEnd("x", incarnation = 1)
+        val listed = directory.decide(DirectoryEvent.Changed(listOf(late), emptyList()), at(3.seconds))
+        expectThat(listed).isEqualTo(listOf(DirectoryEffect.List(listOf(backEnd("x", incarnation = 2)))))
+    }
+
+    @Test
+    fun `a start that follows one that left takes work`() {
+        directory.decide(DirectoryEvent.Read(listOf(backEnd("x", leaving = true))), at(0.seconds))
+        val next = backEnd("x", incarnation = 2)
+        val listed = directory.decide(DirectoryEvent.Changed(listOf(next), emptyList()), at(3.seconds))
+        expectThat(listed).isEqualTo(listOf(DirectoryEffect.List(listOf(next))))
+    }
 }
