--- a/node/src/main/kotlin/gypsumcart/node/FleetDuties.kt
+++ b/node/src/main/kotlin/gypsumcart/node/FleetDuties.kt
@@ -163,14 +163,21 @@
 
     private fun carryOut(effect: OrdersEffect) {
         when (effect) {
-            is OrdersEffect.Order -> rings.lease.put(LeaseEvent.Wanted(effect.act, wall()))
+            is OrdersEffect.Order -> order(effect)
             is OrdersEffect.Remember -> scope.launch { remember(effect) }
         }
     }
 
+    private fun order(effect: OrdersEffect.Order) {
+        log.info("event=back_ends_wanted act={} need={} load={}", effect.act, effect.need, effect.load)
+        rings.lease.put(LeaseEvent.Wanted(effect.act, wall()))
+    }
+
     private suspend fun remember(effect: OrdersEffect.Remember) {
-        val written = rows.put(Tables.FLEET, NEEDS_KEY, encodeNeeds(effect.needs), expected = null)
-        written.mapError { log.info("event=needs_unwritten needs={} cause={}", effect.needs, it.toLogWord()) }
+        val written = rows.put(Tables.FLEET, INITIAL_COUNTS_KEY, encodeInitialCounts(effect.counts), expected = null)
+        written.mapError {
+            log.info("event=initial_counts_unwritten counts={} cause={}", effect.counts, it.toLogWord())
+        }
     }
 
     private companion object {
--- a/node/src/main/kotlin/gypsumcart/node/FleetListener.kt
+++ b/node/src/main/kotlin/gypsumcart/node/FleetListener.kt
@@ -24,7 +24,7 @@
     private fun take(row: Row) {
         when (row.key) {
             LEASE_KEY -> rings.lease.put(LeaseEvent.Seen(row.toLeaseOrNull(), wall()))
-            NEEDS_KEY -> row.toNeedsOrNull()?.let { rings.orders.put(OrdersEvent.Remembered(it)) }
+            INITIAL_COUNTS_KEY -> row.toInitialCountsOrNull()?.let { rings.orders.put(OrdersEvent.Remembered(it)) }
         }
     }
 
--- a/node/src/main/kotlin/gypsumcart/node/RowCodecs.kt
+++ b/node/src/main/kotlin/gypsumcart/node/RowCodecs.kt
@@ -37,7 +37,7 @@
 private class CountsRow(val counts: Map<String, Int>)
 
 @Serializable
-private class NeedsRow(val needs: Map<String, Int>)
+private class InitialCountsRow(val counts: Map<String, Int>)
 
 /** Names the tables that the nodes share. */
 internal object Tables {
@@ -50,7 +50,7 @@
 
 internal val LEASE_KEY = RowKey("lease")
 internal val CLOCK_KEY = RowKey("clock")
-internal val NEEDS_KEY = RowKey("needs")
+internal val INITIAL_COUNTS_KEY = RowKey("initial-counts")
 private const val NODE_PREFIX = "node/"
 
 internal val RowKey.isNode: Boolean get() = text.startsWith(NODE_PREFIX)
@@ -115,11 +115,11 @@
 internal fun Row.toCountsOrNull(): Map<TeamName, Int>? =
     decodeOrNull(CountsRow.serializer(), value)?.counts?.toTeamCounts()
 
-internal fun encodeNeeds(needs: Map<ServiceName, Int>): ByteArray =
-    encode(NeedsRow.serializer(), NeedsRow(needs.mapKeys { it.key.text }))
+internal fun encodeInitialCounts(counts: Map<ServiceName, Int>): ByteArray =
+    encode(InitialCountsRow.serializer(), InitialCountsRow(counts.mapKeys { it.key.text }))
 
-internal fun Row.toNeedsOrNull(): Map<ServiceName, Int>? =
-    decodeOrNull(NeedsRow.serializer(), value)?.needs?.mapKeys { ServiceName(it.key) }
+internal fun Row.toInitialCountsOrNull(): Map<ServiceName, Int>? =
+    decodeOrNull(InitialCountsRow.serializer(), value)?.counts?.mapKeys { ServiceName(it.key) }
 
 private fun Map<String, Int>.toTeamCounts(): Map<TeamName, Int> = mapKeys { TeamName(it.key) }
 
