Serve counters and latency histograms

Micrometer counts and times requests by outcome, calls by service and result, acts for the fleet and failed writes; gauges show rings, back ends, members, the configuration, readiness and the lease.

Before: the new whole-path test fails (nothing listens). After: it passes.

--- a/node/src/main/kotlin/gypsumcart/node/ClientEdge.kt
+++ b/node/src/main/kotlin/gypsumcart/node/ClientEdge.kt
@@ -1,7 +1,6 @@
 package gypsumcart.node
 
 import gypsumcart.core.AttemptNumber
-import gypsumcart.core.MonotonicTime
 import gypsumcart.core.Outcome
 import gypsumcart.core.RefusalReason
 import gypsumcart.core.Submission
@@ -45,6 +44,7 @@
     private val exchanges: BackEndCalls,
     private val outlets: EdgeOutlets,
     private val clock: MonotonicClock,
+    private val metrics: Metrics,
 ) : RequestHandler {
     private class Pending(val submission: Submission, val request: HttpRequest, val reply: Reply) {
         val commands = Channel<EdgeCommand>(COMMANDS)
@@ -124,7 +124,7 @@
             result = exchanges.call(entry.request, call, entry.answer)
         } finally {
             end(entry.submission.ticket, call.attempt, result)
-            logCall(entry.submission, call, result)
+            countCall(entry.submission, call, result)
         }
         return result is CallResult.Answered
     }
@@ -134,16 +134,20 @@
     }
 
     private suspend fun conclude(entry: Pending, outcome: Outcome) {
+        val after = clock.now() - entry.submission.arrivedAt
+        metrics.countConcluded(outcome, after)
         log.info(
             "event=concluded request={} outcome={} after_ms={}",
             entry.submission.request,
             outcome.toLogWord(),
-            since(entry.submission.arrivedAt),
+            after.inWholeMilliseconds,
         )
         entry.answer.conclude(codec.outcomeHead(outcome, entry.submission.request))
     }
 
-    private fun logCall(submission: Submission, call: DispatchEffect.Call, result: CallResult) {
+    private fun countCall(submission: Submission, call: DispatchEffect.Call, result: CallResult) {
+        val after = clock.now() - submission.arrivedAt
+        metrics.countCall(call.backEnd.service, result, after)
         log.info(
             "event=call request={} team={} tokens={} attempt={} back_end={} service={} result={} after_ms={}",
             submission.request,
@@ -153,12 +157,10 @@
             call.backEnd.id,
             call.backEnd.service,
             result.toLogWord(),
-            since(submission.arrivedAt),
+            after.inWholeMilliseconds,
         )
     }
 
-    private fun since(time: MonotonicTime): Long = (clock.now() - time).inWholeMilliseconds
-
     private companion object {
         private val log = LoggerFactory.getLogger(ClientEdge::class.java)
 
@@ -172,10 +174,3 @@
 
 /** The most requests in progress in one process: three times what a host of the smallest class serves at its peak. */
 internal const val MAX_IN_PROGRESS: Int = 4_096
-
-private fun CallResult.toLogWord(): String =
-    when (this) {
-        is CallResult.Answered -> "answered_$status"
-        is CallResult.Failed -> failure.toLogWord()
-        CallResult.ClientGone -> "client_gone"
-    }
--- a/node/src/main/kotlin/gypsumcart/node/Duties.kt
+++ b/node/src/main/kotlin/gypsumcart/node/Duties.kt
@@ -123,12 +123,14 @@
     private fun carryOut(effect: DirectoryEffect) {
         when (effect) {
             is DirectoryEffect.List -> {
+                state.backEndsListed = true
+                state.leaving = effect.backEnds.count { it.leaving }
+                state.staying = effect.backEnds.size - state.leaving
                 log.info(
                     "event=back_ends_listed count={} leaving={}",
                     effect.backEnds.size,
-                    effect.backEnds.count { it.leaving },
+                    state.leaving,
                 )
-                state.backEndsListed = true
                 rings.routing.put(RoutingEvent.BackEndsListed(effect.backEnds))
                 rings.orders.put(OrdersEvent.BackEndsListed(effect.backEnds))
                 platform.retainBackEnds(effect.backEnds.mapTo(HashSet()) { it.peerName })
--- a/node/src/main/kotlin/gypsumcart/node/FleetDuties.kt
+++ b/node/src/main/kotlin/gypsumcart/node/FleetDuties.kt
@@ -39,6 +39,7 @@
 internal class FleetDuties(
     private val rings: Rings,
     private val state: NodeState,
+    private val metrics: Metrics,
     private val platform: Platform,
     private val scope: CoroutineScope,
     clock: MonotonicClock,
@@ -82,7 +83,10 @@
         val written = rows.put(Tables.FLEET, effect.report.toRowKey(), effect.report.encode(), expected = null)
         written.mapBoth(
             { rings.admission.offer(AdmissionEvent.PeersTold(effect.report.demand)) },
-            { log.info("event=report_unwritten beat={} cause={}", effect.report.beat, it.toLogWord()) },
+            {
+                metrics.countUnwritten("report")
+                log.info("event=report_unwritten beat={} cause={}", effect.report.beat, it.toLogWord())
+            },
         )
     }
 
@@ -127,6 +131,7 @@
 
     private suspend fun perform(act: DutyAct, fence: FencingNumber) {
         val result = platform.duties.perform(act, fence)
+        metrics.countAct(act, result)
         log.info("event=duty_act act={} fence={} result={}", act, fence, result)
         when (act) {
             is DutyAct.ReportUsage -> {
@@ -139,6 +144,7 @@
     }
 
     private fun changeHolding(fence: FencingNumber?) {
+        state.leaseHeld = fence != null
         log.info("event=lease_{} fence={}", if (fence != null) "held" else "not_held", fence)
         rings.usage.put(UsageEvent.HoldingChanged(fence != null))
         rings.orders.put(OrdersEvent.HoldingChanged(fence != null))
@@ -176,6 +182,7 @@
     private suspend fun remember(effect: OrdersEffect.Remember) {
         val written = rows.put(Tables.FLEET, INITIAL_COUNTS_KEY, encodeInitialCounts(effect.counts), expected = null)
         written.mapError {
+            metrics.countUnwritten("initial_counts")
             log.info("event=initial_counts_unwritten counts={} cause={}", effect.counts, it.toLogWord())
         }
     }
--- a/node/src/main/kotlin/gypsumcart/node/Log.kt
+++ b/node/src/main/kotlin/gypsumcart/node/Log.kt
@@ -3,6 +3,7 @@
 import gypsumcart.core.CallFailure
 import gypsumcart.core.Outcome
 import gypsumcart.core.RefusalReason
+import gypsumcart.core.dispatch.CallResult
 
 /** Returns a word that names the reason in logs. */
 internal fun RefusalReason.toLogWord(): String =
@@ -36,3 +37,11 @@
         is Outcome.NotRun -> "not_run:${reason.toLogWord()}"
         is Outcome.Failed -> "failed:${failure.toLogWord()}"
     }
+
+/** Returns a word that names the result in logs and metrics. */
+internal fun CallResult.toLogWord(): String =
+    when (this) {
+        is CallResult.Answered -> "answered_$status"
+        is CallResult.Failed -> failure.toLogWord()
+        CallResult.ClientGone -> "client_gone"
+    }
--- a/node/src/main/kotlin/gypsumcart/node/Node.kt
+++ b/node/src/main/kotlin/gypsumcart/node/Node.kt
@@ -58,6 +58,7 @@
 ) {
     private val rings = Rings()
     private val state = NodeState()
+    private val metrics = Metrics()
     private val timers = TimerService(clock)
     private val identity =
         MembershipSettings(
@@ -70,15 +71,17 @@
     private val calls =
         BackEndCalls(platform.codec, client, clock) { team, at -> rings.usage.offer(UsageEvent.Began(team, at)) }
     private val edge =
-        ClientEdge(platform.codec, calls, EdgeOutlets(rings.admission, rings.routing, rings.dispatch), clock)
+        ClientEdge(platform.codec, calls, EdgeOutlets(rings.admission, rings.routing, rings.dispatch), clock, metrics)
     private val duties: List<Duty> =
         RequestDuties(rings, edge, state, platform, clock, settings.bounds).all +
-            FleetDuties(rings, state, platform, runtime.scope, clock, identity, settings.bounds).all
+            FleetDuties(rings, state, metrics, platform, runtime.scope, clock, identity, settings.bounds).all
     private val trueTime = TrueTime(platform.rows)
 
     private val clientServer = server("clients", settings.clients, edge)
     private val readinessServer = server("readiness", settings.readiness, platform.readinessPage { state.isReady })
     private val directoryServer = server("directory", settings.directory, platform.directoryPage(::directions))
+    private val metricsServer =
+        settings.metrics.takeIf { it.isNotEmpty() }?.let { server("metrics", it, metrics.page) }
     private val stopped = CountDownLatch(1)
 
     /** Listens, then starts all duties. */
@@ -93,7 +96,10 @@
             clientServer.start()
             readinessServer.start()
             directoryServer.start()
+            metricsServer?.start()
         }
+        metrics.watch(state) { edge.inProgress }
+        rings.all.forEach(metrics::watch)
         timers.start()
         duties.forEach(Duty::start)
         follow()
--- a/node/src/main/kotlin/gypsumcart/node/NodeState.kt
+++ b/node/src/main/kotlin/gypsumcart/node/NodeState.kt
@@ -17,6 +17,18 @@
     @Volatile
     var members: List<Member> = emptyList()
 
+    /** How many back ends take new requests. */
+    @Volatile
+    var staying = 0
+
+    /** How many back ends are about to stop. */
+    @Volatile
+    var leaving = 0
+
+    /** Whether this node acts for the fleet. */
+    @Volatile
+    var leaseHeld = false
+
     /** Whether the process is about to end. */
     @Volatile
     var stopping = false
--- a/node/src/main/kotlin/gypsumcart/node/Rings.kt
+++ b/node/src/main/kotlin/gypsumcart/node/Rings.kt
@@ -28,6 +28,10 @@
     val usage = Ring<UsageEvent>("usage", REQUESTS)
     val orders = Ring<OrdersEvent>("orders", FEW)
 
+    /** All rings, for those who watch how full they are. */
+    val all: List<Ring<*>>
+        get() = listOf(admission, routing, dispatch, configuration, backEnds, membership, lease, usage, orders)
+
     private companion object {
         /** Room for four events of every request that may be in progress. */
         const val REQUESTS = 4 * MAX_IN_PROGRESS
--- a/node/src/main/kotlin/gypsumcart/node/Settings.kt
+++ b/node/src/main/kotlin/gypsumcart/node/Settings.kt
@@ -24,6 +24,7 @@
  * @property clients where clients connect
  * @property readiness where the platform asks whether the node is ready
  * @property directory where clients ask which addresses to use
+ * @property metrics where the node's figures are read; empty where nobody reads them
  * @property cloud where orders and reports go; empty where the fleet has no such duties
  */
 @Serializable
@@ -34,6 +35,7 @@
     public val readiness: String,
     public val directory: String,
     public val store: String,
+    public val metrics: String = "",
     public val cloud: String = "",
     public val bounds: Bounds,
 )
@@ -96,6 +98,7 @@
             "clients" to clients,
             "readiness" to readiness,
             "directory" to directory,
+            "metrics" to metrics,
             "store" to store,
             "cloud" to cloud,
         )
--- a/standins/src/main/kotlin/gypsumcart/standins/StandInFleet.kt
+++ b/standins/src/main/kotlin/gypsumcart/standins/StandInFleet.kt
@@ -59,6 +59,7 @@
                 clients = freeAddress(),
                 readiness = freeAddress(),
                 directory = freeAddress(),
+                metrics = freeAddress(),
                 store = storeAddress.toString(),
                 bounds = BOUNDS,
             )
--- a/standins/src/test/kotlin/gypsumcart/standins/WholePathTest.kt
+++ b/standins/src/test/kotlin/gypsumcart/standins/WholePathTest.kt
@@ -280,4 +280,17 @@
         fleet.store.fault = StoreFault.None
         awaitTrue { get(late.settings.readiness, "/readiness").startsWith("HTTP/1.1 200") }
     }
+
+    @Test
+    fun `the figures of a node are served as text`() {
+        call("/confirms/1")
+        call("/nowhere/", id = "r-2")
+        val figures = get(node.settings.metrics, "/metrics")
+        expectThat(figures)
+            .startsWith("HTTP/1.1 200")
+            .contains("gypsumcart_calls_seconds_count{result=\"answered_200\",service=\"bookings\"} 1")
+            .contains("gypsumcart_requests_seconds_count{outcome=\"not_run:no_route\"} 1")
+            .contains("gypsumcart_back_ends{state=\"staying\"} 2.0")
+            .contains("gypsumcart_ready 1.0")
+    }
 }
