Tell a request's story and count causes from logs

gypsumcart explain reads the logs of nodes, from files or standard input, and prints one request's lines in order with the newest of what its node believed when it ended, or a table of how requests ended in a span of time, and a plot of the same as an SVG file.

Before: no such command; StoriesTest does not compile. After: its six tests pass.

--- a/cli/src/main/kotlin/gypsumcart/cli/Main.kt
+++ b/cli/src/main/kotlin/gypsumcart/cli/Main.kt
@@ -4,6 +4,7 @@
 import com.github.ajalt.clikt.core.Context
 import com.github.ajalt.clikt.core.main
 import com.github.ajalt.clikt.core.subcommands
+import gypsumcart.cli.explain.ExplainCommand
 
 /** Groups the commands of the program. */
 private class Gypsumcart : CliktCommand("gypsumcart") {
@@ -15,4 +16,4 @@
 /** Runs the program. */
 public fun main(
     arguments: Array<String>,
-): Unit = Gypsumcart().subcommands(NodeCommand(), CheckCommand(), DemoCommand()).main(arguments)
+): Unit = Gypsumcart().subcommands(NodeCommand(), CheckCommand(), DemoCommand(), ExplainCommand()).main(arguments)
--- /dev/null
+++ b/cli/src/test/kotlin/gypsumcart/cli/explain/StoriesTest.kt
@@ -0,0 +1,95 @@
+package gypsumcart.cli.explain
+
+import com.github.ajalt.clikt.testing.test
+import gypsumcart.core.RequestId
+import org.junit.jupiter.api.Test
+import org.junit.jupiter.api.io.TempDir
+import strikt.api.expectThat
+import strikt.assertions.contains
+import strikt.assertions.isEqualTo
+import strikt.assertions.isNull
+import strikt.assertions.startsWith
+import java.nio.file.Files
+import java.nio.file.Path
+
+class StoriesTest {
+    private val log =
+        """
+        time=2026-06-17T06:23:00.100 level=INFO logger=RequestDuties event=back_ends_listed count=2 leaving=1
+        time=2026-06-17T06:23:00.900 level=INFO logger=RequestDuties event=back_ends_listed count=1 leaving=0
+        time=2026-06-17T06:23:01.000 level=INFO logger=RequestDuties event=assigned request=r-1 attempt=1 back_end=i-1
+        time=2026-06-17T06:23:01.200 level=INFO logger=ClientEdge event=call request=r-1 attempt=1 result=cut after_ms=200
+        time=2026-06-17T06:23:01.201 level=INFO logger=RequestDuties event=assigned request=r-1 attempt=2 back_end=i-2
+        time=2026-06-17T06:23:01.400 level=INFO logger=ClientEdge event=call request=r-1 attempt=2 result=answered_200 after_ms=400
+        time=2026-06-17T06:23:02.000 level=INFO logger=RequestDuties event=refused request=r-2 reason=quota team=t
+        time=2026-06-17T06:23:02.001 level=INFO logger=ClientEdge event=concluded request=r-2 outcome=not_run:quota after_ms=1
+        time=2026-06-17T06:23:03.000 level=INFO logger=ClientEdge event=call request=r-3 attempt=1 result=client_gone after_ms=9
+        time=2026-06-17T06:23:04.000 level=INFO logger=RequestDuties event=assigned request=r-4 attempt=1 back_end=i-1
+        """.trimIndent()
+    private val lines = log.lines().mapNotNull { logLineOrNull(it, "node-1") }
+
+    private fun explain(folder: Path, arguments: String): String {
+        val file = folder.resolve("node-1.log")
+        Files.writeString(file, log)
+        val result = ExplainCommand().test("$arguments $file")
+        return "exit ${result.statusCode}\n${result.output}"
+    }
+
+    @Test
+    fun `each request ends in its own way`() {
+        expectThat(lines.toStories().map { "${it.request} ${it.ending.cause}" })
+            .isEqualTo(listOf("r-1 answered 200", "r-2 not_run quota", "r-3 client gone", "r-4 open"))
+    }
+
+    @Test
+    fun `a request's story shows the newest of what its node believed`() {
+        val story = lines.toStories().first { it.request == RequestId("r-1") }
+        expectThat(lines.beliefsBehind(story).map { "${it.age.toMillis()} ${it.line.text}" })
+            .isEqualTo(listOf("500 event=back_ends_listed count=1 leaving=0"))
+    }
+
+    @Test
+    fun `a word before the time names the node`() {
+        val line =
+            logLineOrNull("  14.1153 edge-1 time=2026-06-17T06:23:00.100 level=INFO event=node_started node=x", "file")
+        expectThat(line?.source).isEqualTo(LogSource("edge-1"))
+    }
+
+    @Test
+    fun `other text is no line`() {
+        expectThat(logLineOrNull("at java.lang.Thread.run", "file")).isNull()
+        expectThat(logLineOrNull("time=yesterday event=call request=r-1", "file")).isNull()
+    }
+
+    @Test
+    fun `the command tells one request's story`(
+        @TempDir folder: Path,
+    ) {
+        expectThat(explain(folder, "--request r-1"))
+            .startsWith("exit 0\nrequest r-1: answered 200")
+            .contains("node-1.log event=call request=r-1 attempt=1 result=cut")
+            .contains("500 ms before: node-1.log event=back_ends_listed count=1 leaving=0")
+        expectThat(explain(folder, "--request r-9")).startsWith("exit 1")
+    }
+
+    @Test
+    fun `the command counts by cause within a span of time`(
+        @TempDir folder: Path,
+    ) {
+        val plot = folder.resolve("plot.svg")
+        expectThat(
+            explain(folder, "--to 2026-06-17T06:23:02.500 --plot $plot")
+                .lines()
+                .drop(1)
+                .map { it.trim() }
+                .take(3),
+        ).isEqualTo(
+            listOf(
+                "cause         requests   p50 ms   p99 ms",
+                "answered 200         1      400      400",
+                "not_run quota        1        -        -",
+            ),
+        )
+        expectThat(Files.readString(plot)).startsWith("<svg").contains("not_run quota</text>")
+    }
+}
