Count quotas over their window, with what all nodes admitted

Each node had a bucket of its part of one second's burst, so a long prompt or a small burst on one node emptied it while the others' were full, and nothing of what is tolerated beyond a quota was given out. Ruled out: wrong parts (each node's part matched its demand within reports).

Change: nodes tell each other what they admitted in the last window. What is left of the window's allowance, 0.85 of what is tolerated, is divided by demand, half of it evenly, and a node spends its share until it has heard anew. A share moves only after that age, so that old and new shares never sum to more than one. What a node admitted before it started again counts. A lowered quota takes effect over a window.

--- a/core/src/main/kotlin/gypsumcart/core/admission/Admission.kt
+++ b/core/src/main/kotlin/gypsumcart/core/admission/Admission.kt
@@ -26,10 +26,10 @@
     /** A quota is divided among [peers] and this node from now on. */
     public data class PeersHeard(public val peers: QuotaPeers) : AdmissionEvent()
 
-    /** The other nodes can read that this one is asked for [demand]. */
-    public data class PeersTold(public val demand: Map<TeamName, Double>) : AdmissionEvent()
+    /** The other nodes can read that teams use so much through this one. */
+    public data class PeersTold(public val use: Map<TeamName, QuotaUse>) : AdmissionEvent()
 
-    /** The time came to say what this node is asked for. */
+    /** The time came to say what teams use through this node. */
     public data object ReportDue : AdmissionEvent()
 }
 
@@ -45,37 +45,41 @@
         public val outcome: Outcome.NotRun,
     ) : AdmissionEffect()
 
-    /** Says what this node is asked for, a second and team, in what the teams' quotas count. */
-    public data class Report(public val demand: Map<TeamName, Double>) : AdmissionEffect()
+    /** Says what teams use through this node. */
+    public data class Report(public val use: Map<TeamName, QuotaUse>) : AdmissionEffect()
 }
 
-/** Decides which requests go on to a back end, and to which service. */
-public class Admission : Decider<AdmissionEvent, AdmissionEffect> {
-    private val quotas = Quotas()
+/**
+ * Decides which requests go on to a back end, and to which service.
+ *
+ * @param quotaBounds by which teams' quotas are counted
+ */
+public class Admission(quotaBounds: QuotaBounds) : Decider<AdmissionEvent, AdmissionEffect> {
+    private val quotas = Quotas(quotaBounds)
     private var configuration: Configuration? = null
 
     override fun decide(event: AdmissionEvent, now: MonotonicTime): List<AdmissionEffect> =
         when (event) {
-            is AdmissionEvent.Configured -> configure(event.configuration)
+            is AdmissionEvent.Configured -> configure(event.configuration, now)
 
             is AdmissionEvent.Submitted -> listOf(submit(event.submission, now))
 
             is AdmissionEvent.PeersHeard -> {
-                quotas.hearPeers(event.peers)
+                quotas.hearPeers(event.peers, now)
                 emptyList()
             }
 
             is AdmissionEvent.PeersTold -> {
-                quotas.noteTold(event.demand)
+                quotas.noteTold(event.use)
                 emptyList()
             }
 
-            AdmissionEvent.ReportDue -> listOf(AdmissionEffect.Report(quotas.demand(now)))
+            AdmissionEvent.ReportDue -> listOf(AdmissionEffect.Report(quotas.use(now)))
         }
 
-    private fun configure(configuration: Configuration): List<AdmissionEffect> {
+    private fun configure(configuration: Configuration, now: MonotonicTime): List<AdmissionEffect> {
         this.configuration = configuration
-        quotas.configure(configuration.teams)
+        quotas.configure(configuration.teams, now)
         return emptyList()
     }
 
--- a/core/src/main/kotlin/gypsumcart/core/membership/Membership.kt
+++ b/core/src/main/kotlin/gypsumcart/core/membership/Membership.kt
@@ -11,6 +11,7 @@
 import gypsumcart.core.WindowNumber
 import gypsumcart.core.ZoneName
 import gypsumcart.core.admission.QuotaPeers
+import gypsumcart.core.admission.QuotaUse
 import kotlin.time.Duration
 
 /**
@@ -21,7 +22,7 @@
  * @property beat rises with each report
  * @property usage the requests that began to run through it, by window and team
  * @property usageUntil the true time up to which [usage] is complete
- * @property demand what it is asked for, a second and team, in what the teams' quotas count
+ * @property quotaUse what teams use of their quotas through it
  * @property load what it has in progress, by service
  */
 public data class NodeReport(
@@ -33,7 +34,7 @@
     public val beat: Long,
     public val usage: Map<WindowNumber, Map<TeamName, Int>>,
     public val usageUntil: UnixMillis,
-    public val demand: Map<TeamName, Double>,
+    public val quotaUse: Map<TeamName, QuotaUse>,
     public val load: Map<ServiceName, Double>,
 )
 
@@ -57,8 +58,8 @@
     /** This node accepts new connections, or does not any more. */
     public data class AcceptingChanged(public val accepting: Boolean) : MembershipEvent()
 
-    /** This node is asked for so much, a second and team. */
-    public data class Asked(public val demand: Map<TeamName, Double>) : MembershipEvent()
+    /** Teams use so much of their quotas through this node. */
+    public data class QuotaUsed(public val use: Map<TeamName, QuotaUse>) : MembershipEvent()
 
     /** This node has so much in progress, by service. */
     public data class Loaded(public val load: Map<ServiceName, Double>) : MembershipEvent()
@@ -88,7 +89,7 @@
     public data class CountNodes(public val nodes: Int) : MembershipEffect()
 
     /** Tells the admission filter among whom quotas are divided. */
-    public data class ShareDemand(public val peers: QuotaPeers) : MembershipEffect()
+    public data class ShareQuotas(public val peers: QuotaPeers) : MembershipEffect()
 
     /** Tells the duties what all nodes, this one too, report. */
     public data class ShareReports(public val reports: List<NodeReport>) : MembershipEffect()
@@ -127,7 +128,7 @@
             beat = 0,
             usage = emptyMap(),
             usageUntil = UnixMillis(0),
-            demand = emptyMap(),
+            quotaUse = emptyMap(),
             load = emptyMap(),
         )
 
@@ -136,7 +137,7 @@
             is MembershipEvent.Reported -> takeReports(event, now)
             MembershipEvent.StoreAnswered -> update { storeAnsweredAt = now }
             is MembershipEvent.AcceptingChanged -> changeAccepting(event.accepting, now)
-            is MembershipEvent.Asked -> update { own = own.copy(demand = event.demand) }
+            is MembershipEvent.QuotaUsed -> update { own = own.copy(quotaUse = event.use) }
             is MembershipEvent.Loaded -> update { own = own.copy(load = event.load) }
             is MembershipEvent.UsageCounted -> update { own = own.copy(usage = event.usage, usageUntil = event.until) }
             MembershipEvent.ReportDue -> listOf(publish()) + share(now) + forget(now)
@@ -170,22 +171,31 @@
     }
 
     /**
-     * Sums what other nodes are asked for. A node that fell silent may be cut off from the store and still serve, so
-     * it counts for a while.
+     * Sums what teams use through other nodes. A node that fell silent may be cut off from the store and still serve,
+     * and what a node admitted before it started again still counts, so both are told for a while.
      */
-    private fun peerDemand(now: MonotonicTime): MembershipEffect {
-        val serving =
-            peers.values
-                .filter { it.report.node != settings.node && now - it.seenAt <= settings.silence * RESERVE_AFTER }
-                .groupBy { it.report.node }
-                .map { (_, starts) -> starts.maxBy { it.report.incarnation } }
-        val (heard, silent) = serving.partition { isLive(it, now) }
-        val demand = HashMap<TeamName, Double>()
-        for (peer in heard) peer.report.demand.forEach { (team, amount) -> demand.merge(team, amount, Double::plus) }
+    private fun quotaPeers(now: MonotonicTime): MembershipEffect {
+        val recent = peers.values.filter { now - it.seenAt <= settings.silence * RESERVE_AFTER }
+        val (newest, former) = recent.partition { it.report.key == newestStart(it.report.node) }
+        val (heard, silent) = newest.partition { isLive(it, now) }
+        val use = HashMap<TeamName, QuotaUse>()
+        for (peer in heard) peer.report.quotaUse.forEach { (team, used) -> use.merge(team, used, QuotaUse::plus) }
+        for (peer in former) {
+            peer.report.quotaUse.forEach { (team, used) -> use.merge(team, used.copy(asked = 0.0), QuotaUse::plus) }
+        }
         val isolated = now - storeAnsweredAt > settings.silence
-        return MembershipEffect.ShareDemand(QuotaPeers(demand, serving.size + 1, silent.size, isolated))
+        return MembershipEffect.ShareQuotas(
+            QuotaPeers(use, silent.map { it.report.quotaUse }, newest.size + 1, isolated),
+        )
     }
 
+    private fun newestStart(node: NodeId): NodeKey? =
+        if (node == settings.node) {
+            self
+        } else {
+            peers.keys.filter { it.node == node }.maxByOrNull { it.incarnation }
+        }
+
     private fun share(now: MonotonicTime): List<MembershipEffect> {
         val live = peers.values.filter { isLive(it, now) }.map { it.report }
         val members = (live + own).filter { it.accepting }.distinctBy { it.node }.map(NodeReport::toMember)
@@ -200,7 +210,7 @@
                     .size + 1,
             ),
             MembershipEffect.ShareReports(reports),
-            peerDemand(now),
+            quotaPeers(now),
         )
     }
 
@@ -219,7 +229,7 @@
         /** Silences after which a report serves no usage window any more that is still to be reported. */
         const val FORGET_AFTER = 15
 
-        /** Silences for which a node's part of the quotas is kept for it: longer than most cuts. */
+        /** Silences for which a node's part of the quotas is kept for it: longer than most cuts and a quota's window. */
         const val RESERVE_AFTER = 4
     }
 }
--- a/core/src/test/kotlin/gypsumcart/core/membership/MembershipTest.kt
+++ b/core/src/test/kotlin/gypsumcart/core/membership/MembershipTest.kt
@@ -8,6 +8,7 @@
 import gypsumcart.core.UnixMillis
 import gypsumcart.core.ZoneName
 import gypsumcart.core.admission.QuotaPeers
+import gypsumcart.core.admission.QuotaUse
 import gypsumcart.core.at
 import org.junit.jupiter.api.Test
 import strikt.api.expectThat
@@ -38,7 +39,7 @@
             beat = beat,
             usage = emptyMap(),
             usageUntil = UnixMillis(0),
-            demand = mapOf(TeamName("team") to 10.0),
+            quotaUse = mapOf(TeamName("team") to QuotaUse(10.0, 50.0)),
             load = emptyMap(),
         )
 
@@ -53,9 +54,9 @@
             .map { it.node.text }
 
     private fun peers(effects: List<MembershipEffect>): QuotaPeers =
-        effects.filterIsInstance<MembershipEffect.ShareDemand>().single().peers
+        effects.filterIsInstance<MembershipEffect.ShareQuotas>().single().peers
 
-    private fun peerDemand(effects: List<MembershipEffect>): Double? = peers(effects).demand[TeamName("team")]
+    private fun peerDemand(effects: List<MembershipEffect>): Double? = peers(effects).use[TeamName("team")]?.asked
 
     private fun answered(second: Double) =
         membership.decide(MembershipEvent.StoreAnswered, at(second.seconds))
@@ -88,10 +89,10 @@
         see(1.0, report("n1"))
         answered(6.0)
         val soon = peers(due(6.0))
-        expectThat(soon.nodes to soon.silent).isEqualTo(2 to 1)
+        expectThat(soon.nodes to soon.silent.size).isEqualTo(2 to 1)
         answered(20.0)
         val later = peers(due(20.0))
-        expectThat(later.nodes to later.silent).isEqualTo(1 to 0)
+        expectThat(later.nodes to later.silent.size).isEqualTo(1 to 0)
     }
 
     @Test
--- a/core/src/test/kotlin/gypsumcart/core/usage/UsageTest.kt
+++ b/core/src/test/kotlin/gypsumcart/core/usage/UsageTest.kt
@@ -37,7 +37,7 @@
             beat = 1,
             usage = mapOf(first to mapOf(team to count)),
             usageUntil = UnixMillis(until),
-            demand = emptyMap(),
+            quotaUse = emptyMap(),
             load = emptyMap(),
         )
 
--- a/node/src/main/kotlin/gypsumcart/node/Duties.kt
+++ b/node/src/main/kotlin/gypsumcart/node/Duties.kt
@@ -36,7 +36,7 @@
 
     val all: List<Duty> =
         listOf(
-            deciderDuty(rings.admission, Admission(), clock, ::carryOut),
+            deciderDuty(rings.admission, Admission(bounds.quotas), clock, ::carryOut),
             deciderDuty(rings.routing, Routing(retries), clock, ::carryOut),
             deciderDuty(rings.dispatch, Dispatch(), clock, ::carryOut),
             deciderDuty(rings.configuration, ConfigurationAdoption(), clock, ::carryOut),
@@ -59,7 +59,7 @@
                 edge.deliver(effect.ticket, EdgeCommand.Conclude(effect.outcome))
             }
 
-            is AdmissionEffect.Report -> rings.membership.offer(MembershipEvent.Asked(effect.demand))
+            is AdmissionEffect.Report -> rings.membership.offer(MembershipEvent.QuotaUsed(effect.use))
         }
     }
 
--- a/node/src/main/kotlin/gypsumcart/node/FleetDuties.kt
+++ b/node/src/main/kotlin/gypsumcart/node/FleetDuties.kt
@@ -67,7 +67,7 @@
             is MembershipEffect.Forget -> scope.launch { forget(effect) }
             is MembershipEffect.Direct -> direct(effect)
             is MembershipEffect.CountNodes -> rings.routing.put(RoutingEvent.NodesCounted(effect.nodes))
-            is MembershipEffect.ShareDemand ->
+            is MembershipEffect.ShareQuotas ->
                 rings.admission.put(
                     AdmissionEvent.PeersHeard(effect.peers),
                 )
@@ -82,7 +82,7 @@
     private suspend fun publish(effect: MembershipEffect.Publish) {
         val written = rows.put(Tables.FLEET, effect.report.toRowKey(), effect.report.encode(), expected = null)
         written.mapBoth(
-            { rings.admission.offer(AdmissionEvent.PeersTold(effect.report.demand)) },
+            { rings.admission.offer(AdmissionEvent.PeersTold(effect.report.quotaUse)) },
             {
                 metrics.countUnwritten("report")
                 log.info("event=report_unwritten beat={} cause={}", effect.report.beat, it.toLogWord())
--- a/node/src/main/kotlin/gypsumcart/node/RowCodecs.kt
+++ b/node/src/main/kotlin/gypsumcart/node/RowCodecs.kt
@@ -11,6 +11,7 @@
 import gypsumcart.core.WindowNumber
 import gypsumcart.core.ZoneName
 import gypsumcart.core.addressOrNull
+import gypsumcart.core.admission.QuotaUse
 import gypsumcart.core.leases.LeaseRow
 import gypsumcart.core.membership.NodeKey
 import gypsumcart.core.membership.NodeReport
@@ -26,10 +27,13 @@
     val beat: Long,
     val usage: Map<Long, Map<String, Int>>,
     val until: Long,
-    val demand: Map<String, Double>,
+    val quotaUse: Map<String, QuotaUseRow>,
     val load: Map<String, Double>,
 )
 
+@Serializable
+private class QuotaUseRow(val asked: Double, val spent: Double)
+
 @Serializable
 private class HolderRow(val holder: String, val incarnation: Long, val fence: Long? = null)
 
@@ -76,7 +80,7 @@
             beat = beat,
             usage = usage.entries.associate { (window, counts) -> window.number to counts.mapKeys { it.key.text } },
             until = usageUntil.millis,
-            demand = demand.mapKeys { it.key.text },
+            quotaUse = quotaUse.entries.associate { (team, use) -> team.text to QuotaUseRow(use.asked, use.spent) },
             load = load.mapKeys { it.key.text },
         ),
     )
@@ -95,7 +99,7 @@
         beat = row.beat,
         usage = row.usage.entries.associate { (window, counts) -> WindowNumber(window) to counts.toTeamCounts() },
         usageUntil = UnixMillis(row.until),
-        demand = row.demand.mapKeys { TeamName(it.key) },
+        quotaUse = row.quotaUse.entries.associate { (team, use) -> TeamName(team) to QuotaUse(use.asked, use.spent) },
         load = row.load.mapKeys { ServiceName(it.key) },
     )
 }
--- a/node/src/main/kotlin/gypsumcart/node/Settings.kt
+++ b/node/src/main/kotlin/gypsumcart/node/Settings.kt
@@ -7,6 +7,7 @@
 import com.github.michaelbull.result.Ok
 import com.github.michaelbull.result.Result
 import gypsumcart.core.addressOrNull
+import gypsumcart.core.admission.QuotaBounds
 import kotlinx.serialization.SerialName
 import kotlinx.serialization.Serializable
 import kotlinx.serialization.SerializationException
@@ -49,12 +50,18 @@
     @SerialName("retry_ratio") public val retryRatio: Double,
     @SerialName("retry_extra") public val retryExtra: Int,
     @SerialName("retry_window_s") public val retryWindowSeconds: Double,
+    @SerialName("quota_window_s") public val quotaWindowSeconds: Double,
+    @SerialName("quota_overshoot") public val quotaOvershoot: Double,
+    @SerialName("quota_slack") public val quotaSlack: Double,
     @SerialName("usage_window_s") public val usageWindowSeconds: Double,
     @SerialName("usage_late_s") public val usageLateSeconds: Double,
 ) {
     /** How long a process may go on after it was asked to end. */
     public val grace: Duration get() = graceSeconds.seconds
 
+    /** How teams' quotas are counted. */
+    public val quotas: QuotaBounds get() = QuotaBounds(quotaWindowSeconds.seconds, quotaOvershoot, quotaSlack)
+
     /** How long a lease lasts after its renewal. */
     public val lease: Duration get() = leaseMillis.milliseconds
 }
@@ -107,6 +114,7 @@
         wrong != null -> SettingsError.Invalid(wrong.first, "is not of the form host:port")
         node.isBlank() -> SettingsError.Invalid("node", "is empty")
         bounds.leaseMillis <= 0 -> SettingsError.Invalid("bounds.lease_ms", "is not positive")
+        bounds.quotaWindowSeconds <= 0 -> SettingsError.Invalid("bounds.quota_window_s", "is not positive")
         bounds.usageWindowSeconds <= 0 -> SettingsError.Invalid("bounds.usage_window_s", "is not positive")
         else -> null
     }
--- a/standins/src/main/kotlin/gypsumcart/standins/StandInFleet.kt
+++ b/standins/src/main/kotlin/gypsumcart/standins/StandInFleet.kt
@@ -92,6 +92,9 @@
                 retryRatio = 0.2,
                 retryExtra = 50,
                 retryWindowSeconds = 10.0,
+                quotaWindowSeconds = 8.0,
+                quotaOvershoot = 0.1,
+                quotaSlack = 0.0,
                 usageWindowSeconds = 5.0,
                 usageLateSeconds = 10.0,
             )
