Let what a node admitted before its restart fade from the window

What a former start had admitted counted whole for 14 s beside what the new one admitted, so teams within their quota were refused. Change: it counts less as time passes, since what it admitted leaves the window; so does what a silent node admitted. Before: the new case of MembershipTest fails (100 for 75).

--- a/cli/src/main/kotlin/gypsumcart/cli/explain/ExplainCommand.kt
+++ b/cli/src/main/kotlin/gypsumcart/cli/explain/ExplainCommand.kt
@@ -26,8 +26,8 @@
     ).path(canBeDir = false)
 
     override fun help(context: Context): String =
-        "Explains requests from the logs of one or more nodes, or from standard input. Without --request it counts how " +
-            "requests ended. Exits with 1 if the logs say nothing of the request."
+        "Explains requests from the logs of one or more nodes, or from standard input. Without --request it counts " +
+            "how requests ended. Exits with 1 if the logs say nothing of the request."
 
     override fun run() {
         val lines = readLines()
--- a/cli/src/main/kotlin/gypsumcart/cli/explain/Summaries.kt
+++ b/cli/src/main/kotlin/gypsumcart/cli/explain/Summaries.kt
@@ -57,11 +57,11 @@
                 }
             val color = COLORS[i % COLORS.size]
             """<polyline fill="none" stroke="$color" points="$points"/>""" +
-                """<text x="${LEFT + PLOT_WIDTH + GAP}" y="${GAP + (i + 1) * LINE_HEIGHT}" fill="$color">$cause</text>"""
+                """<text x="$LEGEND" y="${GAP + (i + 1) * LINE_HEIGHT}" fill="$color">$cause</text>"""
         }
     return svg(
         """<text x="0" y="$LINE_HEIGHT">$highest</text><text x="0" y="$BOTTOM">0</text>""" +
-            """<text x="$LEFT" y="${BOTTOM + LINE_HEIGHT}">requests ended in each of ${last + 1} seconds from $start</text>""" +
+            """<text x="$LEFT" y="${BOTTOM + LINE_HEIGHT}">requests ended in each second from $start</text>""" +
             lines.joinToString("\n"),
     )
 }
@@ -81,6 +81,7 @@
 private const val BOTTOM = 240
 private const val PLOT_WIDTH = 640
 private const val PLOT_HEIGHT = 220
+private const val LEGEND = 690
 private const val LINE_HEIGHT = 14
 private const val GAP = 10
 private val EMPTY_PLOT = svg("")
--- a/core/src/main/kotlin/gypsumcart/core/admission/Quotas.kt
+++ b/core/src/main/kotlin/gypsumcart/core/admission/Quotas.kt
@@ -46,11 +46,11 @@
 /**
  * Keeps this node's part of the quotas of all teams.
  *
- * In any window, all nodes together admit the quota's rate times the window and its burst, and most of what is tolerated
- * beyond that. What others admitted is known up to some age; what is left then is divided by demand and in part evenly, and each node spends its share of it
- * until that age has passed. Shares of the same age make up the whole, so the sum over the nodes keeps to the quota, and
- * what one node leaves is there for all soon after. A node that is not heard of takes an even part, which the others
- * leave to it.
+ * In any window, all nodes together admit the quota's rate times the window and its burst, and most of what is
+ * tolerated beyond that. What others admitted is known up to some age; what is left then is divided by demand and in
+ * part evenly, and each node spends its share of it until that age has passed. Shares of the same age make up the
+ * whole, so the sum over the nodes keeps to the quota, and what one node leaves is there for all soon after. A node
+ * that is not heard of takes an even part, which the others leave to it.
  */
 internal class Quotas(private val bounds: QuotaBounds) {
     private val window: Duration get() = bounds.window
--- a/core/src/main/kotlin/gypsumcart/core/membership/Membership.kt
+++ b/core/src/main/kotlin/gypsumcart/core/membership/Membership.kt
@@ -102,6 +102,7 @@
  * Describes this node to others.
  *
  * @property silence how long a node may be silent, while the store answers, before it counts as gone
+ * @property quotaWindow over which quotas are counted
  */
 public data class MembershipSettings(
     public val node: NodeId,
@@ -109,6 +110,7 @@
     public val clientAddress: Address,
     public val zone: ZoneName,
     public val silence: Duration,
+    public val quotaWindow: Duration,
 )
 
 /** Decides which nodes are live and tells each what it needs of the others. */
@@ -171,24 +173,30 @@
     }
 
     /**
-     * Sums what teams use through other nodes. A node that fell silent may be cut off from the store and still serve,
-     * and what a node admitted before it started again still counts, so both are told for a while.
+     * Sums what teams use through other nodes.
+     *
+     * A node that fell silent may be cut off from the store and still serve. What a node admitted before it started
+     * again counts as far as it still lies in the window.
      */
     private fun quotaPeers(now: MonotonicTime): MembershipEffect {
         val recent = peers.values.filter { now - it.seenAt <= settings.silence * RESERVE_AFTER }
         val (newest, former) = recent.partition { it.report.key == newestStart(it.report.node) }
         val (heard, silent) = newest.partition { isLive(it, now) }
         val use = HashMap<TeamName, QuotaUse>()
-        for (peer in heard) peer.report.quotaUse.forEach { (team, used) -> use.merge(team, used, QuotaUse::plus) }
-        for (peer in former) {
-            peer.report.quotaUse.forEach { (team, used) -> use.merge(team, used.copy(asked = 0.0), QuotaUse::plus) }
-        }
+        val counted = heard.map { it.report.quotaUse } + former.map { it.remainingUse(now) }
+        for (one in counted) one.forEach { (team, used) -> use.merge(team, used, QuotaUse::plus) }
         val isolated = now - storeAnsweredAt > settings.silence
         return MembershipEffect.ShareQuotas(
-            QuotaPeers(use, silent.map { it.report.quotaUse }, newest.size + 1, isolated),
+            QuotaPeers(use, silent.map { it.remainingUse(now) }, newest.size + 1, isolated),
         )
     }
 
+    /** Returns the use that still lies in the window, when nothing was heard since. */
+    private fun Peer.remainingUse(now: MonotonicTime): Map<TeamName, QuotaUse> {
+        val left = (1 - (now - seenAt) / settings.quotaWindow).coerceAtLeast(0.0)
+        return report.quotaUse.mapValues { (_, used) -> QuotaUse(asked = 0.0, spent = used.spent * left) }
+    }
+
     private fun newestStart(node: NodeId): NodeKey? =
         if (node == settings.node) {
             self
@@ -229,7 +237,7 @@
         /** Silences after which a report serves no usage window any more that is still to be reported. */
         const val FORGET_AFTER = 15
 
-        /** Silences for which a node's part of the quotas is kept for it: longer than most cuts and a quota's window. */
+        /** Silences for which a node's part of the quotas is kept: longer than most cuts and a quota's window. */
         const val RESERVE_AFTER = 4
     }
 }
--- a/core/src/test/kotlin/gypsumcart/core/membership/MembershipTest.kt
+++ b/core/src/test/kotlin/gypsumcart/core/membership/MembershipTest.kt
@@ -26,6 +26,7 @@
                 clientAddress = Address("10.0.0.9", 80),
                 zone = ZoneName("a"),
                 silence = 3.seconds,
+                quotaWindow = 8.seconds,
             ),
         )
 
@@ -56,6 +57,8 @@
     private fun peers(effects: List<MembershipEffect>): QuotaPeers =
         effects.filterIsInstance<MembershipEffect.ShareQuotas>().single().peers
 
+    private fun spent(effects: List<MembershipEffect>): Double? = peers(effects).use[TeamName("team")]?.spent
+
     private fun peerDemand(effects: List<MembershipEffect>): Double? = peers(effects).use[TeamName("team")]?.asked
 
     private fun answered(second: Double) =
@@ -116,4 +119,11 @@
         expectThat(published.accepting).isEqualTo(false)
         expectThat(members(effects)).isEqualTo(emptyList())
     }
+
+    @Test
+    fun `what a node admitted before it started again counts less and less`() {
+        see(0.0, report("n1", incarnation = 1))
+        expectThat(spent(see(4.0, report("n1", incarnation = 2)))).isEqualTo(50.0 + 50.0 / 2)
+        expectThat(spent(see(8.0, report("n1", incarnation = 2, beat = 2)))).isEqualTo(50.0)
+    }
 }
--- a/node/src/main/kotlin/gypsumcart/node/Node.kt
+++ b/node/src/main/kotlin/gypsumcart/node/Node.kt
@@ -67,6 +67,7 @@
             clientAddress = settings.clients.toAddress(),
             zone = ZoneName(settings.zone),
             silence = NODE_SILENCE,
+            quotaWindow = settings.bounds.quotas.window,
         )
     private val calls =
         BackEndCalls(platform.codec, client, clock) { team, at -> rings.usage.offer(UsageEvent.Began(team, at)) }
