Share reports between nodes over a peer link instead of the store

Cause: each node wrote its report to the store every second and read those of all others through three feeds: 5.9 calls a node and second, the same at 4 and at 38 nodes.

Change: nodes exchange reports four times a second with a relay of their zone, and the relays with each other, in a versioned protocol over our own HTTP. The relay is the oldest reachable node of a zone, chosen without a vote. While all zones are in contact a node writes to the store every 5 s and reads it every 4 s; feeds wait as long as contact_ms allows, the registry's pause follows drain_ms. A node that falls silent on the link is looked for in the store before it counts as gone. Unknown senders are refused. Recording a report no longer depends on the number of nodes. RowStore.remove removes all its keys.

A restarted process now earns its even share over one window.

--- a/cli/src/main/kotlin/gypsumcart/cli/NodeCommand.kt
+++ b/cli/src/main/kotlin/gypsumcart/cli/NodeCommand.kt
@@ -11,6 +11,7 @@
 import gypsumcart.node.Node
 import gypsumcart.node.NodeSettings
 import gypsumcart.platform.HttpPlatform
+import gypsumcart.platform.StoreTiming
 import org.slf4j.LoggerFactory
 import sun.misc.Signal
 import java.nio.file.Path
@@ -35,7 +36,8 @@
         val runtime = EdgeRuntime()
         val client = HttpClient(runtime.selector, CONNECT_TIMEOUT)
         val store = checkNotNull(addressOrNull(settings.store)) { "invalid store address ${settings.store}" }
-        val platform = HttpPlatform(settings.node, store, addressOrNull(settings.cloud), client)
+        val timing = StoreTiming.within(settings.bounds)
+        val platform = HttpPlatform(settings.node, store, addressOrNull(settings.cloud), client, timing)
         return Node(settings, platform, runtime, client).also { it.start() }
     }
 
--- a/core/src/main/kotlin/gypsumcart/core/admission/Quotas.kt
+++ b/core/src/main/kotlin/gypsumcart/core/admission/Quotas.kt
@@ -36,13 +36,16 @@
  * @property unreachable for each node that no longer reports but may still serve requests, what teams used through it
  * according to its last report
  * @property nodeCount the number of nodes, including this one and the unreachable ones
- * @property isolated whether this node itself has no contact with the store, so that the others count it as unreachable
+ * @property isolated whether this node itself has no contact with the others, so that they count it as unreachable
+ * @property isolatedFraction the part of its even share that this node may use while it is isolated; less than 1 after
+ * a restart, as long as what the previous process admitted may still lie in the window
  */
 public data class QuotaPeers(
     public val use: Map<TeamName, QuotaUse>,
     public val unreachable: List<Map<TeamName, QuotaUse>>,
     public val nodeCount: Int,
     public val isolated: Boolean,
+    public val isolatedFraction: Double = 1.0,
 )
 
 /**
@@ -136,7 +139,7 @@
         val limit = account.limitAt(now)
         val evenShare = limit / peers.nodeCount
         val spent = account.spent.spentWithin(window, now)
-        if (peers.isolated) return evenShare - spent
+        if (peers.isolated) return evenShare * peers.isolatedFraction - spent
         val recent = account.spent.spentWithin(MAX_REPORT_AGE, now)
         val others = peers.use[team]?.spent ?: 0.0
         val reserved = peers.unreachable.sumOf { maxOf(it[team]?.spent ?: 0.0, evenShare) }
--- a/core/src/main/kotlin/gypsumcart/core/leases/Lease.kt
+++ b/core/src/main/kotlin/gypsumcart/core/leases/Lease.kt
@@ -97,6 +97,9 @@
         public val fencingToken: FencingToken,
     ) : LeaseEffect()
 
+    /** Reports that this node wrote the lease row, which is now [row]. */
+    public data class RowWritten(public val row: LeaseRow) : LeaseEffect()
+
     /** Reports that this node now holds the lease with [fencingToken], or no longer holds it if null. */
     public data class HoldingChanged(public val fencingToken: FencingToken?) : LeaseEffect()
 }
@@ -183,9 +186,11 @@
         when (result) {
             is LeaseWriteResult.Written -> {
                 val renewed = row?.takeIf(::isHeldByThisNode)
-                row = LeaseRow(node, incarnation, result.version, renewed?.fencingToken)
+                val written = LeaseRow(node, incarnation, result.version, renewed?.fencingToken)
+                row = written
                 rowChangedAt = now
                 heldUntil = sentAt + term
+                return listOf(LeaseEffect.RowWritten(written))
             }
 
             is LeaseWriteResult.Outdated -> observeRow(result.current, now)
--- a/core/src/main/kotlin/gypsumcart/core/membership/Membership.kt
+++ b/core/src/main/kotlin/gypsumcart/core/membership/Membership.kt
@@ -5,127 +5,54 @@
 import gypsumcart.core.Incarnation
 import gypsumcart.core.MonotonicTime
 import gypsumcart.core.NodeId
-import gypsumcart.core.ServiceName
-import gypsumcart.core.TeamName
 import gypsumcart.core.UnixMillis
-import gypsumcart.core.WindowNumber
 import gypsumcart.core.ZoneName
-import gypsumcart.core.admission.QuotaPeers
-import gypsumcart.core.admission.QuotaUse
 import kotlin.time.Duration
-
-/**
- * Describes the state that one node publishes to the others, about once a second.
- *
- * @property clientAddress the address to which clients connect
- * @property accepting whether clients should choose the node for new connections
- * @property heartbeat the sequence number of the report within the incarnation; a higher one replaces a lower one
- * @property usage the number of requests that started to run through the node, by window and team
- * @property usageUntil the Unix time, as agreed among the nodes, up to which [usage] is complete
- * @property quotaUse the use of each team's quota through the node
- * @property load the load of the requests waiting or in progress at the node, by service
- */
-public data class NodeReport(
-    public val node: NodeId,
-    public val incarnation: Incarnation,
-    public val clientAddress: Address,
-    public val zone: ZoneName,
-    public val accepting: Boolean,
-    public val heartbeat: Long,
-    public val usage: Map<WindowNumber, Map<TeamName, Int>>,
-    public val usageUntil: UnixMillis,
-    public val quotaUse: Map<TeamName, QuotaUse>,
-    public val load: Map<ServiceName, Double>,
-)
-
-/** Identifies one incarnation of a node. */
-public data class NodeKey(public val node: NodeId, public val incarnation: Incarnation)
-
-/** The key of the node incarnation that published the report. */
-public val NodeReport.key: NodeKey get() = NodeKey(node, incarnation)
-
-/** Represents an input of the [Membership] decider. */
-public sealed class MembershipEvent {
-    /** The store returned new reports of nodes, possibly including this one, and the keys of removed reports. */
-    public data class ReportsReceived(
-        public val reports: List<NodeReport>,
-        public val removed: List<NodeKey>,
-    ) : MembershipEvent()
-
-    /** The store answered that no report had changed. */
-    public data object StoreAnswered : MembershipEvent()
-
-    /** This node started or stopped accepting new connections. */
-    public data class AcceptingChanged(public val accepting: Boolean) : MembershipEvent()
-
-    /** The use of each team's quota through this node was measured. */
-    public data class QuotaUseMeasured(public val use: Map<TeamName, QuotaUse>) : MembershipEvent()
-
-    /** The load of each service on this node was measured. */
-    public data class LoadMeasured(public val load: Map<ServiceName, Double>) : MembershipEvent()
-
-    /** The requests that started to run through this node were counted; the counts are complete up to [until]. */
-    public data class UsageCounted(
-        public val usage: Map<WindowNumber, Map<TeamName, Int>>,
-        public val until: UnixMillis,
-    ) : MembershipEvent()
-
-    /** A timer tick, on which this node publishes its report. */
-    public data object ReportDue : MembershipEvent()
-}
-
-/** Represents an output of the [Membership] decider. */
-public sealed class MembershipEffect {
-    /** Writes this node's report to the store. */
-    public data class Publish(public val report: NodeReport) : MembershipEffect()
-
-    /** Removes the expired reports of [nodes] from the store. */
-    public data class RemoveReports(public val nodes: List<NodeKey>) : MembershipEffect()
-
-    /** Replaces the nodes from which clients choose one to connect to. */
-    public data class UpdateMembers(public val members: List<Member>) : MembershipEffect()
-
-    /** Updates the number of live nodes, this one included. */
-    public data class UpdateNodeCount(public val nodeCount: Int) : MembershipEffect()
-
-    /** Updates the nodes among which the admission filter divides quotas. */
-    public data class UpdateQuotaPeers(public val peers: QuotaPeers) : MembershipEffect()
-
-    /** Distributes the latest reports of all nodes, this one included, to the other duties. */
-    public data class DistributeReports(public val reports: List<NodeReport>) : MembershipEffect()
-}
-
-/** Describes a node that clients can connect to. */
-public data class Member(public val node: NodeId, public val clientAddress: Address, public val zone: ZoneName)
+import kotlin.time.Duration.Companion.seconds
 
 /**
  * Specifies the identity of this node and the periods used by [Membership].
  *
- * @property heartbeatTimeout how long a node may go without a new report, while the store answers, before it counts as
- * gone
+ * @property peerAddress the address at which this node receives messages of others, or null to use the store alone
+ * @property heartbeatTimeout how long a node may go without a new report, while the store or the link answers, before
+ * it counts as gone
  * @property quotaWindow the window over which quotas are counted
  */
 public data class MembershipSettings(
     public val node: NodeId,
     public val incarnation: Incarnation,
     public val clientAddress: Address,
+    public val peerAddress: Address?,
     public val zone: ZoneName,
     public val heartbeatTimeout: Duration,
     public val quotaWindow: Duration,
 )
 
-/** Detects which nodes are live from their reports, and provides this node with the state of the others. */
+/**
+ * Detects which nodes are live from their reports, and provides this node with the state of the others.
+ *
+ * Reports come over the peer link, several times a second, and through the store. While all zones are in contact over
+ * the link, a node writes its report to the store seldom. A node of which nothing is heard over the link is looked for
+ * in the store before it counts as gone.
+ */
 public class Membership(private val settings: MembershipSettings) : Decider<MembershipEvent, MembershipEffect> {
-    private class Peer(var report: NodeReport, var receivedAt: MonotonicTime)
-
-    private val peers = HashMap<NodeKey, Peer>()
     private val self = NodeKey(settings.node, settings.incarnation)
+    private val table = PeerTable(self)
+    private val exchanges = PeerExchanges(self, settings.zone, table)
+    private val quotaView = PeerQuotaView(settings, table)
     private var storeAnsweredAt = MonotonicTime(0)
+    private var firstReadAt: MonotonicTime? = null
+    private var publishedAt: MonotonicTime? = null
+    private var storeReadRequestedAt: MonotonicTime? = null
+    private var linked = false
+    private var usageChanged = false
+    private var distributedPosition = TablePosition.START
     private var ownReport =
         NodeReport(
             node = settings.node,
             incarnation = settings.incarnation,
             clientAddress = settings.clientAddress,
+            peerAddress = settings.peerAddress,
             zone = settings.zone,
             accepting = false,
             heartbeat = 0,
@@ -133,6 +60,7 @@
             usageUntil = UnixMillis(0),
             quotaUse = emptyMap(),
             load = emptyMap(),
+            lease = null,
         )
 
     override fun decide(event: MembershipEvent, now: MonotonicTime): List<MembershipEffect> =
@@ -142,9 +70,12 @@
             is MembershipEvent.AcceptingChanged -> changeAccepting(event.accepting, now)
             is MembershipEvent.QuotaUseMeasured -> noEffects { ownReport = ownReport.copy(quotaUse = event.use) }
             is MembershipEvent.LoadMeasured -> noEffects { ownReport = ownReport.copy(load = event.load) }
-            is MembershipEvent.UsageCounted ->
-                noEffects { ownReport = ownReport.copy(usage = event.usage, usageUntil = event.until) }
-            MembershipEvent.ReportDue -> listOf(publish()) + distribute(now) + removeExpired(now)
+            is MembershipEvent.UsageCounted -> noEffects { changeUsage(event) }
+            is MembershipEvent.LeaseWritten -> noEffects { ownReport = ownReport.copy(lease = event.row) }
+            is MembershipEvent.MessageReceived -> receiveMessage(event, now)
+            is MembershipEvent.ExchangeEnded -> endExchange(event, now)
+            MembershipEvent.ExchangeDue -> exchange(now)
+            MembershipEvent.ReportDue -> report(now)
         }
 
     private inline fun noEffects(change: () -> Unit): List<MembershipEffect> {
@@ -152,105 +83,206 @@
         return emptyList()
     }
 
+    private fun changeUsage(event: MembershipEvent.UsageCounted) {
+        ownReport = ownReport.copy(usage = event.usage, usageUntil = event.until)
+        usageChanged = true
+    }
+
     private fun changeAccepting(accepting: Boolean, now: MonotonicTime): List<MembershipEffect> {
         ownReport = ownReport.copy(accepting = accepting)
-        return listOf(publish()) + distribute(now)
+        renewReport(now)
+        return listOf(publish(now)) + distribute(now) + sendMessages(now)
     }
 
-    private fun publish(): MembershipEffect {
+    private fun report(now: MonotonicTime): List<MembershipEffect> {
+        renewReport(now)
+        val shared = if (linked) listOf(MembershipEffect.ShareQuotaUse(ownReport.quotaUse)) else emptyList()
+        val published = if (isPublishDue(now)) listOf(publish(now)) else emptyList()
+        return shared + published + distribute(now) + distributeReports(now) + removeExpired(now)
+    }
+
+    private fun renewReport(now: MonotonicTime) {
         ownReport = ownReport.copy(heartbeat = ownReport.heartbeat + 1)
+        table.putOwn(ownReport, now, usageChanged)
+        usageChanged = false
+    }
+
+    private fun isPublishDue(now: MonotonicTime): Boolean {
+        val period = if (linked) LINKED_PUBLISH_PERIOD else PUBLISH_PERIOD
+        return publishedAt?.let { now - it >= period - PERIOD_TOLERANCE } ?: true
+    }
+
+    private fun publish(now: MonotonicTime): MembershipEffect {
+        publishedAt = now
         return MembershipEffect.Publish(ownReport)
     }
 
     private fun receiveReports(event: MembershipEvent.ReportsReceived, now: MonotonicTime): List<MembershipEffect> {
         storeAnsweredAt = now
-        peers.keys.removeAll(event.removed.toSet())
-        for (report in event.reports) {
-            if (report.key == self) continue
-            val peer = peers[report.key]
-            if (peer != null && report.heartbeat <= peer.report.heartbeat) continue
-            peers[report.key] = Peer(report, now)
+        if (firstReadAt == null) firstReadAt = now
+        event.removed.forEach(table::remove)
+        for (report in event.reports) table.putStored(report, now)
+        // With a link, the next exchange distributes the changes together with those that it brings.
+        return if (settings.peerAddress == null) distribute(now) + distributeReports(now) else distributeMembers(now)
+    }
+
+    /** Applies a message of a node that the store or another node has named; refuses that of any other node. */
+    private fun receiveMessage(event: MembershipEvent.MessageReceived, now: MonotonicTime): List<MembershipEffect> {
+        val sender = event.message.sender
+        val zone = table[sender]?.report?.zone
+        if (zone == null || sender == self) {
+            return listOf(MembershipEffect.Refuse(event.exchange, sender)) + requestStoreRead(now)
         }
-        return distribute(now)
+        val leases = applyItems(event.message, now)
+        val response = exchanges.respond(event.message, zone, now, linked)
+        return listOf(MembershipEffect.Respond(event.exchange, response)) + leases
     }
 
-    /**
-     * Sums the quota use of other nodes.
-     *
-     * A node whose reports stopped may only have lost its connection to the store and still serve clients, so it keeps
-     * a share of the quotas. What a node admitted before a restart counts as far as it still lies in the quota window.
-     */
-    private fun quotaPeers(now: MonotonicTime): MembershipEffect {
-        val recent = peers.values.filter { now - it.receivedAt <= settings.heartbeatTimeout * QUOTA_RESERVE_TIMEOUTS }
-        val (current, former) = recent.partition { it.report.key == latestIncarnation(it.report.node) }
-        val (live, silent) = current.partition { isLive(it, now) }
-        val use = HashMap<TeamName, QuotaUse>()
-        val counted = live.map { it.report.quotaUse } + former.map { it.remainingUse(now) }
-        for (useByTeam in counted) useByTeam.forEach { (team, used) -> use.merge(team, used, QuotaUse::plus) }
-        val isolated = now - storeAnsweredAt > settings.heartbeatTimeout
-        return MembershipEffect.UpdateQuotaPeers(
-            QuotaPeers(use, silent.map { it.remainingUse(now) }, current.size + 1, isolated),
-        )
+    private fun endExchange(event: MembershipEvent.ExchangeEnded, now: MonotonicTime): List<MembershipEffect> {
+        val response = event.response
+        if (!exchanges.end(event.exchange, response, now) || response == null) return emptyList()
+        return applyItems(response, now)
+    }
+
+    /** Records the reports in [message] and returns the lease rows that they show. */
+    private fun applyItems(message: PeerMessage, now: MonotonicTime): List<MembershipEffect> =
+        message.items
+            .filter { table.putLinked(it, message.sender, now) }
+            .mapNotNull { item -> item.report.lease?.let(MembershipEffect::ObserveLease) }
+
+    private fun exchange(now: MonotonicTime): List<MembershipEffect> {
+        if (settings.peerAddress == null) return emptyList()
+        return updateLink(now) + sendMessages(now) + distribute(now) + checkSilentPeers(now)
     }
 
-    /** Returns the part of the last reported use that still lies in the quota window, assuming no use since then. */
-    private fun Peer.remainingUse(now: MonotonicTime): Map<TeamName, QuotaUse> {
-        val fraction = (1 - (now - receivedAt) / settings.quotaWindow).coerceAtLeast(0.0)
-        return report.quotaUse.mapValues { (_, used) -> QuotaUse(demandPerSecond = 0.0, spent = used.spent * fraction) }
+    private fun updateLink(now: MonotonicTime): List<MembershipEffect> {
+        val live = livePeers(now)
+        val othersAreKnown = firstReadAt?.let { now - it >= STARTUP_TIME } ?: false
+        val isLinked =
+            othersAreKnown &&
+                live.all { it.peerAddress != null } &&
+                exchanges.isLinked(live.mapNotNull { it.target }, now)
+        if (isLinked == linked) return emptyList()
+        linked = isLinked
+        return listOf(MembershipEffect.LinkChanged(isLinked))
     }
 
-    private fun latestIncarnation(node: NodeId): NodeKey? =
-        if (node == settings.node) {
-            self
-        } else {
-            peers.keys.filter { it.node == node }.maxByOrNull { it.incarnation }
+    private fun sendMessages(now: MonotonicTime): List<MembershipEffect> {
+        if (settings.peerAddress == null) return emptyList()
+        return exchanges.dueTargets(livePeers(now).mapNotNull { it.target }, now).map { target ->
+            val (id, message) = exchanges.start(target, now, linked)
+            MembershipEffect.Send(id, target, message)
         }
+    }
+
+    /** Looks for nodes of which the link has brought no report lately in the store. */
+    private fun checkSilentPeers(now: MonotonicTime): List<MembershipEffect> {
+        if (!linked) return emptyList()
+        val silent = table.peers.any { isLive(it, now) && now - it.heardAt > SILENCE_BEFORE_READ }
+        return if (silent) requestStoreRead(now) else emptyList()
+    }
+
+    private fun requestStoreRead(now: MonotonicTime): List<MembershipEffect> {
+        if (storeReadRequestedAt?.let { now - it < STORE_READ_INTERVAL } ?: false) return emptyList()
+        storeReadRequestedAt = now
+        return listOf(MembershipEffect.ReadStore)
+    }
+
+    private fun quotaPeers(now: MonotonicTime): List<MembershipEffect> {
+        val readAt = firstReadAt ?: return emptyList()
+        val isCurrent: (PeerTable.Entry) -> Boolean =
+            if (settings.peerAddress == null) {
+                { isLive(it, now) }
+            } else {
+                { entry -> entry.linkedAt?.let { now - it <= LINK_REPORT_TIMEOUT } ?: false }
+            }
+        val isIsolated =
+            if (settings.peerAddress == null) now - storeAnsweredAt > settings.heartbeatTimeout else !linked
+        return listOf(MembershipEffect.UpdateQuotaPeers(quotaView.peers(now, readAt, isIsolated, isCurrent)))
+    }
 
+    /** Passes on what has changed since the last call, and the quota use, which ages also without a change. */
     private fun distribute(now: MonotonicTime): List<MembershipEffect> {
-        val live = peers.values.filter { isLive(it, now) }.map { it.report }
+        if (settings.peerAddress != null && table.position == distributedPosition) return emptyList()
+        distributedPosition = table.position
+        return distributeMembers(now) + quotaPeers(now)
+    }
+
+    private fun distributeMembers(now: MonotonicTime): List<MembershipEffect> {
+        val live = livePeers(now)
         val members = (live + ownReport).filter { it.accepting }.distinctBy { it.node }.map(NodeReport::toMember)
-        val peerReports = peers.values.map { if (isLive(it, now)) it.report else it.report.copy(load = emptyMap()) }
         return listOf(
             MembershipEffect.UpdateMembers(members.sortedBy { it.node }),
-            MembershipEffect.UpdateNodeCount(
-                live
-                    .map { it.node }
-                    .toSet()
-                    .minus(settings.node)
-                    .size + 1,
-            ),
-            MembershipEffect.DistributeReports(peerReports + ownReport),
-            quotaPeers(now),
+            MembershipEffect.UpdateNodeCount(live.distinctBy { it.node }.size + 1),
         )
     }
 
-    /** A report ages only while the store answers, so that an outage of the store removes no node. */
-    private fun isLive(peer: Peer, now: MonotonicTime): Boolean =
-        peer.report.node != settings.node && minOf(storeAnsweredAt, now) - peer.receivedAt <= settings.heartbeatTimeout
+    private fun distributeReports(now: MonotonicTime): List<MembershipEffect> {
+        val reports =
+            table.peers.map { if (isLive(it, now)) it.report else it.report.copy(load = emptyMap()) }.toList()
+        return listOf(MembershipEffect.DistributeReports(reports + ownReport))
+    }
+
+    private fun livePeers(now: MonotonicTime): List<NodeReport> =
+        table.peers
+            .filter { isLive(it, now) }
+            .map { it.report }
+            .toList()
+
+    /**
+     * Returns whether the node may still run.
+     *
+     * A report ages only while the store or the link answers, so that an outage of both removes no node. Without a link
+     * this node has to wait for what the others write to the store, which they may do seldom.
+     */
+    private fun isLive(entry: PeerTable.Entry, now: MonotonicTime): Boolean {
+        if (entry.report.node == settings.node) return false
+        val contactAt = if (linked) now else minOf(storeAnsweredAt, now)
+        val waitsForStore = !linked && settings.peerAddress != null && entry.report.peerAddress != null
+        val publishPeriod = if (waitsForStore) LINKED_PUBLISH_PERIOD else Duration.ZERO
+        return contactAt - entry.heardAt <= settings.heartbeatTimeout + publishPeriod
+    }
 
+    /** Removes reports of nodes that are gone for long; only one node removes them from the store too. */
     private fun removeExpired(now: MonotonicTime): List<MembershipEffect> {
-        val expired = peers.filterValues { now - it.receivedAt > settings.heartbeatTimeout * REMOVAL_TIMEOUTS }.keys
-        if (expired.isEmpty()) return emptyList()
-        peers.keys.removeAll(expired)
-        return listOf(MembershipEffect.RemoveReports(expired.toList()))
+        val expired =
+            table.peers
+                .filter { now - it.heardAt > settings.heartbeatTimeout * REMOVAL_TIMEOUTS }
+                .map { it.key }
+                .toList()
+        expired.forEach(table::remove)
+        val removes = table.peers.none { isLive(it, now) && it.key < self }
+        return if (expired.isEmpty() || !removes) emptyList() else listOf(MembershipEffect.RemoveReports(expired))
     }
 
     private companion object {
+        /** If a host fails, the counts of at most this time are lost with it, if it has no link. */
+        val PUBLISH_PERIOD: Duration = 1.seconds
+
+        /** After its first read of the store, a node allows this time for the reports of nodes that start with it. */
+        val STARTUP_TIME: Duration = 3.seconds
+
+        /** Ticks come slightly early or late; a period counts as over when it nearly is. */
+        val PERIOD_TOLERANCE: Duration = 0.25.seconds
+
+        /** Four exchange periods more than the longest path of a report. */
+        val SILENCE_BEFORE_READ: Duration = 2.seconds
+
+        /** The minimum time between two reads of the store that are made before they are due. */
+        val STORE_READ_INTERVAL: Duration = 1.seconds
+
+        /** The age up to which the quota use in a report of the link counts as current. */
+        val LINK_REPORT_TIMEOUT: Duration = 2.5.seconds
+
         /**
          * The age, in heartbeat timeouts, at which a report is removed; by then no usage window that it covers is still
          * to be reported.
          */
         const val REMOVAL_TIMEOUTS = 15
-
-        /**
-         * The age of the last report, in heartbeat timeouts, up to which a node keeps a share of the quotas: longer
-         * than most losses of the connection to the store and than a quota window.
-         */
-        const val QUOTA_RESERVE_TIMEOUTS = 4
     }
 }
 
-private fun NodeReport.toMember(): Member = Member(node, clientAddress, zone)
+/** Every call to the store has its price, and nodes with a link read the reports there only as a second path. */
+internal val LINKED_PUBLISH_PERIOD: Duration = 5.seconds
 
-/** Returns the members with those in [zone] first, otherwise in their original order. */
-public fun List<Member>.nearestFirst(zone: ZoneName?): List<Member> = sortedBy { if (it.zone == zone) 0 else 1 }
+private val NodeReport.target: PeerTarget? get() = peerAddress?.let { PeerTarget(key, it, zone) }
--- /dev/null
+++ b/core/src/main/kotlin/gypsumcart/core/membership/MembershipEvents.kt
@@ -0,0 +1,103 @@
+package gypsumcart.core.membership
+
+import gypsumcart.core.ServiceName
+import gypsumcart.core.TeamName
+import gypsumcart.core.UnixMillis
+import gypsumcart.core.WindowNumber
+import gypsumcart.core.admission.QuotaPeers
+import gypsumcart.core.admission.QuotaUse
+import gypsumcart.core.leases.LeaseRow
+
+/** Represents an input of the [Membership] decider. */
+public sealed class MembershipEvent {
+    /** The store returned new reports of nodes, possibly including this one, and the keys of removed reports. */
+    public data class ReportsReceived(
+        public val reports: List<NodeReport>,
+        public val removed: List<NodeKey>,
+    ) : MembershipEvent()
+
+    /** The store responded without any new report. */
+    public data object StoreAnswered : MembershipEvent()
+
+    /** This node starts or stops accepting connections from clients. */
+    public data class AcceptingChanged(public val accepting: Boolean) : MembershipEvent()
+
+    /** The use of each team's quota through this node was measured. */
+    public data class QuotaUseMeasured(public val use: Map<TeamName, QuotaUse>) : MembershipEvent()
+
+    /** The load of each service on this node was measured. */
+    public data class LoadMeasured(public val load: Map<ServiceName, Double>) : MembershipEvent()
+
+    /** The requests that started to run through this node were counted; the counts are complete up to [until]. */
+    public data class UsageCounted(
+        public val usage: Map<WindowNumber, Map<TeamName, Int>>,
+        public val until: UnixMillis,
+    ) : MembershipEvent()
+
+    /** This node wrote the lease row, which is now [row]. */
+    public data class LeaseWritten(public val row: LeaseRow) : MembershipEvent()
+
+    /** Another node sent [message], to which it waits for the response to [exchange]. */
+    public data class MessageReceived(
+        public val exchange: ExchangeId,
+        public val message: PeerMessage,
+    ) : MembershipEvent()
+
+    /** The [exchange] that this node started ended with [response], or with none if null. */
+    public data class ExchangeEnded(
+        public val exchange: ExchangeId,
+        public val response: PeerMessage?,
+    ) : MembershipEvent()
+
+    /** A timer tick, on which messages are exchanged with other nodes and changes are passed on to the other duties. */
+    public data object ExchangeDue : MembershipEvent()
+
+    /** A timer tick, on which this node renews its report. */
+    public data object ReportDue : MembershipEvent()
+}
+
+/** Represents an output of the [Membership] decider. */
+public sealed class MembershipEffect {
+    /** Writes this node's report to the store. */
+    public data class Publish(public val report: NodeReport) : MembershipEffect()
+
+    /** Removes the expired reports of [nodes] from the store. */
+    public data class RemoveReports(public val nodes: List<NodeKey>) : MembershipEffect()
+
+    /** Replaces the nodes from which clients choose one to connect to. */
+    public data class UpdateMembers(public val members: List<Member>) : MembershipEffect()
+
+    /** Updates the number of live nodes, this one included. */
+    public data class UpdateNodeCount(public val nodeCount: Int) : MembershipEffect()
+
+    /** Updates the nodes among which the admission filter divides quotas. */
+    public data class UpdateQuotaPeers(public val peers: QuotaPeers) : MembershipEffect()
+
+    /** Reports that [use], the use of quotas through this node, is sent to the other nodes. */
+    public data class ShareQuotaUse(public val use: Map<TeamName, QuotaUse>) : MembershipEffect()
+
+    /** Distributes the latest reports of all nodes, this one included, to the other duties. */
+    public data class DistributeReports(public val reports: List<NodeReport>) : MembershipEffect()
+
+    /** Passes on the lease row as its holder reports to have written it. */
+    public data class ObserveLease(public val row: LeaseRow) : MembershipEffect()
+
+    /** Sends [message] to [target] and waits for its response to [exchange]. */
+    public data class Send(
+        public val exchange: ExchangeId,
+        public val target: PeerTarget,
+        public val message: PeerMessage,
+    ) : MembershipEffect()
+
+    /** Responds to the message that came with [exchange]. */
+    public data class Respond(public val exchange: ExchangeId, public val message: PeerMessage) : MembershipEffect()
+
+    /** Refuses the message that came with [exchange], because its [sender] is not known. */
+    public data class Refuse(public val exchange: ExchangeId, public val sender: NodeKey) : MembershipEffect()
+
+    /** Reads the reports in the store at once instead of at the next due time. */
+    public data object ReadStore : MembershipEffect()
+
+    /** Reports that this node is now in contact with all zones over the peer link, or no longer is. */
+    public data class LinkChanged(public val linked: Boolean) : MembershipEffect()
+}
--- /dev/null
+++ b/core/src/main/kotlin/gypsumcart/core/membership/NodeReport.kt
@@ -0,0 +1,57 @@
+package gypsumcart.core.membership
+
+import gypsumcart.core.Address
+import gypsumcart.core.Incarnation
+import gypsumcart.core.NodeId
+import gypsumcart.core.ServiceName
+import gypsumcart.core.TeamName
+import gypsumcart.core.UnixMillis
+import gypsumcart.core.WindowNumber
+import gypsumcart.core.ZoneName
+import gypsumcart.core.admission.QuotaUse
+import gypsumcart.core.leases.LeaseRow
+
+/**
+ * Describes the state that one node shares with the others, through the peer link and, less often, the store.
+ *
+ * @property clientAddress the address to which clients connect
+ * @property peerAddress the address at which the node receives the messages of other nodes, or null if it has no link
+ * @property accepting whether clients should choose the node for new connections
+ * @property heartbeat the sequence number of the report within the incarnation; a higher one replaces a lower one
+ * @property usage the number of requests that started to run through the node, by window and team
+ * @property usageUntil the Unix time, as agreed among the nodes, up to which [usage] is complete
+ * @property quotaUse the use of each team's quota through the node
+ * @property load the load of the requests waiting or in progress at the node, by service
+ * @property lease the lease row as last written by the node, or null if it has not written one
+ */
+public data class NodeReport(
+    public val node: NodeId,
+    public val incarnation: Incarnation,
+    public val clientAddress: Address,
+    public val peerAddress: Address?,
+    public val zone: ZoneName,
+    public val accepting: Boolean,
+    public val heartbeat: Long,
+    public val usage: Map<WindowNumber, Map<TeamName, Int>>,
+    public val usageUntil: UnixMillis,
+    public val quotaUse: Map<TeamName, QuotaUse>,
+    public val load: Map<ServiceName, Double>,
+    public val lease: LeaseRow?,
+)
+
+/** Identifies one incarnation of a node. */
+public data class NodeKey(public val node: NodeId, public val incarnation: Incarnation) : Comparable<NodeKey> {
+    /** Orders keys by age, the process that started first before the others. */
+    override fun compareTo(other: NodeKey): Int = compareValuesBy(this, other, { it.incarnation }, { it.node })
+}
+
+/** The key of the node incarnation that published the report. */
+public val NodeReport.key: NodeKey get() = NodeKey(node, incarnation)
+
+/** Describes a node that clients can connect to. */
+public data class Member(public val node: NodeId, public val clientAddress: Address, public val zone: ZoneName)
+
+internal fun NodeReport.toMember(): Member = Member(node, clientAddress, zone)
+
+/** Returns the members with those in [zone] first, otherwise in their original order. */
+public fun List<Member>.nearestFirst(zone: ZoneName?): List<Member> = sortedBy { if (it.zone == zone) 0 else 1 }
--- /dev/null
+++ b/core/src/main/kotlin/gypsumcart/core/membership/PeerMessages.kt
@@ -0,0 +1,51 @@
+package gypsumcart.core.membership
+
+import gypsumcart.core.Address
+import gypsumcart.core.ZoneName
+import kotlin.time.Duration
+
+/** Identifies an exchange of messages within one process. */
+@JvmInline
+public value class ExchangeId(public val number: Long) {
+    override fun toString(): String = number.toString()
+}
+
+/** Numbers the changes of one process's table of reports; a peer that has seen a position lacks only later changes. */
+@JvmInline
+public value class TablePosition(public val number: Long) : Comparable<TablePosition> {
+    override fun compareTo(other: TablePosition): Int = number.compareTo(other.number)
+
+    override fun toString(): String = number.toString()
+
+    public companion object {
+        /** The position before the first change. */
+        public val START: TablePosition = TablePosition(0)
+    }
+}
+
+/**
+ * Passes on the report of one node.
+ *
+ * @property age the time since the node itself sent the report, as far as the sender knows
+ * @property hasUsage whether the report includes the usage counts; if not, the recipient already has the current ones
+ */
+public data class PeerItem(public val report: NodeReport, public val age: Duration, public val hasUsage: Boolean)
+
+/**
+ * Represents one direction of an exchange between two nodes.
+ *
+ * @property items the reports that changed in the sender's table and that the recipient may lack
+ * @property position the position of the sender's table up to which [items] are complete
+ * @property received the position of the recipient's table up to which the sender has received items
+ * @property linked whether the sender is in contact with all zones
+ */
+public data class PeerMessage(
+    public val sender: NodeKey,
+    public val items: List<PeerItem>,
+    public val position: TablePosition,
+    public val received: TablePosition,
+    public val linked: Boolean,
+)
+
+/** Identifies a node to which this node sends messages. */
+public data class PeerTarget(public val key: NodeKey, public val address: Address, public val zone: ZoneName)
--- a/core/src/test/kotlin/gypsumcart/core/membership/MembershipTest.kt
+++ b/core/src/test/kotlin/gypsumcart/core/membership/MembershipTest.kt
@@ -24,6 +24,7 @@
                 node = NodeId("self"),
                 incarnation = Incarnation(9),
                 clientAddress = Address("10.0.0.9", 80),
+                peerAddress = null,
                 zone = ZoneName("a"),
                 heartbeatTimeout = 3.seconds,
                 quotaWindow = 8.seconds,
@@ -40,6 +41,7 @@
             node = NodeId(node),
             incarnation = Incarnation(incarnation),
             clientAddress = Address("10.0.0.1", 80),
+            peerAddress = null,
             zone = ZoneName("b"),
             accepting = accepting,
             heartbeat = heartbeat,
@@ -47,6 +49,7 @@
             usageUntil = UnixMillis(0),
             quotaUse = mapOf(TeamName("team") to QuotaUse(10.0, 50.0)),
             load = emptyMap(),
+            lease = null,
         )
 
     private fun receive(second: Double, vararg reports: NodeReport): List<MembershipEffect> =
--- a/core/src/test/kotlin/gypsumcart/core/usage/UsageTest.kt
+++ b/core/src/test/kotlin/gypsumcart/core/usage/UsageTest.kt
@@ -33,6 +33,7 @@
             node = NodeId(node),
             incarnation = Incarnation(1),
             clientAddress = Address("10.0.0.1", 80),
+            peerAddress = null,
             zone = ZoneName("a"),
             accepting = true,
             heartbeat = 1,
@@ -40,6 +41,7 @@
             usageUntil = UnixMillis(until),
             quotaUse = emptyMap(),
             load = emptyMap(),
+            lease = null,
         )
 
     private fun acquireLease(vararg reports: NodeReport) {
--- a/node/src/main/kotlin/gypsumcart/node/FleetDuties.kt
+++ b/node/src/main/kotlin/gypsumcart/node/FleetDuties.kt
@@ -46,6 +46,8 @@
     private val metrics: Metrics,
     private val platform: Platform,
     private val scope: CoroutineScope,
+    private val peerLink: PeerLink,
+    private val readPace: FleetReadPace,
     clock: MonotonicClock,
     private val identity: MembershipSettings,
     bounds: Bounds,
@@ -76,6 +78,20 @@
                     AdmissionEvent.PeersUpdated(effect.peers),
                 )
 
+            is MembershipEffect.ShareQuotaUse -> rings.admission.offer(AdmissionEvent.UsePublished(effect.use))
+
+            is MembershipEffect.ObserveLease -> rings.lease.offer(LeaseEvent.RowObserved(effect.row, wallTime()))
+
+            is MembershipEffect.Send -> peerLink.send(effect)
+
+            is MembershipEffect.Respond -> peerLink.respond(effect)
+
+            is MembershipEffect.Refuse -> peerLink.refuse(effect)
+
+            MembershipEffect.ReadStore -> readPace.wakeUp()
+
+            is MembershipEffect.LinkChanged -> changeLink(effect.linked)
+
             is MembershipEffect.DistributeReports -> {
                 rings.usage.put(UsageEvent.ReportsUpdated(effect.reports))
                 rings.orders.put(AutoscalerEvent.LoadMeasured(effect.reports.map { it.load }))
@@ -83,6 +99,13 @@
         }
     }
 
+    private fun changeLink(linked: Boolean) {
+        state.linked = linked
+        readPace.linked = linked
+        if (!linked) readPace.wakeUp()
+        log.info("event=link_changed linked={}", linked)
+    }
+
     private suspend fun publishReport(effect: MembershipEffect.Publish) {
         val written = rows.put(Tables.FLEET, effect.report.toRowKey(), effect.report.encode(), expected = null)
         written.mapBoth(
@@ -111,6 +134,7 @@
                 scope.launch { rings.lease.put(LeaseEvent.WriteEnded(writeLease(effect), wallTime())) }
             LeaseEffect.ReadRow -> scope.launch { rings.lease.put(readLease()) }
             is LeaseEffect.Execute -> scope.launch { executeCommand(effect.command, effect.fencingToken) }
+            is LeaseEffect.RowWritten -> rings.membership.offer(MembershipEvent.LeaseWritten(effect.row))
             is LeaseEffect.HoldingChanged -> changeHolding(effect.fencingToken)
         }
     }
--- /dev/null
+++ b/node/src/main/kotlin/gypsumcart/node/FleetReadPace.kt
@@ -0,0 +1,37 @@
+package gypsumcart.node
+
+import kotlinx.coroutines.channels.Channel
+import kotlinx.coroutines.withTimeoutOrNull
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+/**
+ * Paces the reads of the fleet table.
+ *
+ * The table is read seldom while the peer link brings the reports of all nodes, and often otherwise.
+ */
+internal class FleetReadPace : ReadPace {
+    private val wakeUps = Channel<Unit>(Channel.CONFLATED)
+
+    /** Whether the peer link is in contact with all zones. */
+    @Volatile
+    var linked = false
+
+    /** Makes the next read due now. */
+    fun wakeUp() {
+        wakeUps.trySend(Unit)
+    }
+
+    override suspend fun awaitNext() {
+        withTimeoutOrNull(if (linked) LINKED_PAUSE else PAUSE) { wakeUps.receive() }
+    }
+
+    private companion object {
+        /** Each read returns the changed reports and the lease together. */
+        val PAUSE: Duration = 700.milliseconds
+
+        /** A little less than the period in which linked nodes write their reports. */
+        val LINKED_PAUSE: Duration = 4.seconds
+    }
+}
--- a/node/src/main/kotlin/gypsumcart/node/Metrics.kt
+++ b/node/src/main/kotlin/gypsumcart/node/Metrics.kt
@@ -53,6 +53,12 @@
     /** Counts a failed write to the store by [kind], the kind of row. */
     fun countFailedWrite(kind: String): Unit = registry.counter("gypsumcart.store.unwritten", "rows", kind).increment()
 
+    /** Counts an exchange of messages that this node started with another. */
+    fun countPeerExchange(succeeded: Boolean): Unit =
+        registry
+            .counter("gypsumcart.peer.exchanges", "result", if (succeeded) "answered" else "failed")
+            .increment()
+
     /** Registers a gauge for the number of events that wait in [ring]. */
     fun registerGauges(ring: Ring<*>) {
         registry.gauge("gypsumcart.ring.events", listOf(tag("ring", ring.name)), ring) { it.size.toDouble() }
@@ -66,6 +72,7 @@
             .register(registry)
         registry.gauge("gypsumcart.ready", state) { if (it.isReady) 1.0 else 0.0 }
         registry.gauge("gypsumcart.lease.held", state) { if (it.leaseHeld) 1.0 else 0.0 }
+        registry.gauge("gypsumcart.linked", state) { if (it.linked) 1.0 else 0.0 }
         registry.gauge("gypsumcart.members", state) { it.members.size.toDouble() }
         registry.gauge("gypsumcart.back.ends", listOf(tag("state", "staying")), state) { it.activeBackEnds.toDouble() }
         registry.gauge(
--- a/node/src/main/kotlin/gypsumcart/node/Node.kt
+++ b/node/src/main/kotlin/gypsumcart/node/Node.kt
@@ -65,6 +65,7 @@
             node = NodeId(settings.node),
             incarnation = Incarnation(System.currentTimeMillis()),
             clientAddress = settings.clients.toAddress(),
+            peerAddress = settings.peers.takeIf { it.isNotEmpty() }?.toAddress(),
             zone = ZoneName(settings.zone),
             heartbeatTimeout = HEARTBEAT_TIMEOUT,
             quotaWindow = settings.bounds.quotas.window,
@@ -75,9 +76,22 @@
         }
     private val edge =
         ClientEdge(platform.codec, calls, EdgeRings(rings.admission, rings.routing, rings.dispatch), clock, metrics)
+    private val peerLink = PeerLink(rings.membership, client, runtime.scope, metrics)
+    private val readPace = FleetReadPace()
     private val duties: List<Duty> =
         RequestDuties(rings, edge, state, platform, clock, settings.bounds).all +
-            FleetDuties(rings, state, metrics, platform, runtime.scope, clock, identity, settings.bounds).all
+            FleetDuties(
+                rings,
+                state,
+                metrics,
+                platform,
+                runtime.scope,
+                peerLink,
+                readPace,
+                clock,
+                identity,
+                settings.bounds,
+            ).all
     private val fleetClock = FleetClock(platform.rowStore)
 
     private val clientServer = createServer("clients", settings.clients, edge)
@@ -87,6 +101,8 @@
         createServer("directory", settings.directory, platform.directoryHandler(::addressesFor))
     private val metricsServer =
         settings.metrics.takeIf { it.isNotEmpty() }?.let { createServer("metrics", it, metrics.handler) }
+    private val peerServer =
+        settings.peers.takeIf { it.isNotEmpty() }?.let { createServer("peers", it, peerLink, ::peerLimits) }
     private val stopped = CountDownLatch(1)
 
     /** Binds the addresses of all servers, then starts the duties and timers. */
@@ -102,6 +118,7 @@
             readinessServer.start()
             directoryServer.start()
             metricsServer?.start()
+            peerServer?.start()
         }
         metrics.registerGauges(state) { edge.inProgress }
         rings.all.forEach(metrics::registerGauges)
@@ -149,12 +166,16 @@
     private fun followTables() {
         runtime.scope.launch { platform.followConfigurations(rings.configuration::put) }
         runtime.scope.launch { platform.followBackEnds(rings.backEnds::put) }
-        runtime.scope.launch { platform.rowStore.follow(Tables.FLEET, FLEET_READ_PAUSE, FleetListener(rings)) }
+        runtime.scope.launch { platform.rowStore.follow(Tables.FLEET, readPace, FleetListener(rings)) }
     }
 
     private fun startTimers() {
         timers.every(SWEEP_PERIOD) { rings.routing.offer(RoutingEvent.Sweep) }
         timers.every(REPORT_PERIOD) { triggerReports() }
+        timers.every(FLEET_TICK_PERIOD) { triggerFleetDuties() }
+        if (peerServer != null) {
+            timers.every(EXCHANGE_PERIOD) { rings.membership.offer(MembershipEvent.ExchangeDue) }
+        }
         timers.every(LEASE_TICK_PERIOD) { rings.lease.offer(LeaseEvent.Tick(wallTime())) }
         timers.every(READINESS_CHECK_PERIOD) { checkReadiness() }
         timers.every(EXPIRY_SWEEP_PERIOD) { rings.backEnds.offer(DirectoryEvent.Sweep) }
@@ -163,9 +184,12 @@
     private fun triggerReports() {
         rings.admission.offer(AdmissionEvent.ReportDue)
         rings.routing.offer(RoutingEvent.ReportDue)
+        rings.membership.offer(MembershipEvent.ReportDue)
+    }
+
+    private fun triggerFleetDuties() {
         rings.usage.offer(UsageEvent.Tick)
         rings.orders.offer(AutoscalerEvent.Tick)
-        rings.membership.offer(MembershipEvent.ReportDue)
         runtime.scope.launch { fleetClock.latestOrNull()?.let { rings.usage.put(it) } }
     }
 
@@ -185,11 +209,18 @@
         return NodeAddresses(addresses.take(MAX_ADDRESSES), ADDRESS_TTL)
     }
 
-    private fun createServer(name: String, address: String, handler: RequestHandler): HttpServer {
+    private fun createServer(
+        name: String,
+        address: String,
+        handler: RequestHandler,
+        limits: () -> MessageLimits = ::messageLimits,
+    ): HttpServer {
         val (host, port) = address.toAddress()
-        return HttpServer(name, host, port, runtime.selector, runtime.scope, ::messageLimits, handler)
+        return HttpServer(name, host, port, runtime.selector, runtime.scope, limits, handler)
     }
 
+    private fun peerLimits(): MessageLimits = PEER_LIMITS
+
     private fun messageLimits(): MessageLimits {
         val limits = state.configuration?.limits ?: return DEFAULT_LIMITS
         return MessageLimits(limits.maxHeaderBytes, limits.maxBodyBytes, limits.headerTimeout, limits.idleTimeout)
@@ -201,14 +232,17 @@
         /** Allows for three missed reports; it elapses only while the store responds. */
         val HEARTBEAT_TIMEOUT: Duration = 3.5.seconds
 
-        /** The pause between two reads of the fleet table; each returns the changed reports and the lease together. */
-        val FLEET_READ_PAUSE: Duration = 700.milliseconds
-
         /** A fortieth of the latency target of a model, and a fifth of that of a plain service. */
         val SWEEP_PERIOD: Duration = 20.milliseconds
 
-        /** If a host fails, the counts of at most this time are lost with it. */
-        val REPORT_PERIOD: Duration = 1.seconds
+        /** How often a node renews its report, from which the others compute their shares of the quotas. */
+        val REPORT_PERIOD: Duration = 500.milliseconds
+
+        /** If a host fails, the usage counts of at most this time are lost with it. */
+        val FLEET_TICK_PERIOD: Duration = 1.seconds
+
+        /** A report takes up to three exchanges to reach the nodes of another zone. */
+        val EXCHANGE_PERIOD: Duration = 250.milliseconds
 
         /**
          * Short enough for several ticks between a renewal of the lease and the time when the next one is due, the
@@ -235,6 +269,8 @@
 
         val IDLE_CHECK_PERIOD: Duration = 100.milliseconds
 
+        val PEER_LIMITS = MessageLimits(16_384, MAX_PEER_MESSAGE_BYTES, 1.seconds, 15.seconds)
+
         /** In force until the first configuration is adopted; limits that are common for HTTP servers. */
         val DEFAULT_LIMITS = MessageLimits(16_384, 4_194_304, 3.seconds, 15.seconds)
     }
--- a/node/src/main/kotlin/gypsumcart/node/NodeState.kt
+++ b/node/src/main/kotlin/gypsumcart/node/NodeState.kt
@@ -33,6 +33,10 @@
     @Volatile
     var leaseHeld = false
 
+    /** Whether the peer link is in contact with all zones. */
+    @Volatile
+    var linked = false
+
     /** Whether the node is shutting down. */
     @Volatile
     var stopping = false
--- a/node/src/main/kotlin/gypsumcart/node/Ports.kt
+++ b/node/src/main/kotlin/gypsumcart/node/Ports.kt
@@ -18,6 +18,7 @@
 import gypsumcart.http.HttpRequest
 import gypsumcart.http.RequestHandler
 import gypsumcart.http.ResponseHead
+import kotlinx.coroutines.delay
 import kotlin.time.Duration
 
 /** Identifies a table of the store. */
@@ -78,6 +79,17 @@
     public fun onAvailable() {}
 }
 
+/** Paces the reads of a table. */
+public fun interface ReadPace {
+    /** Waits after a successful read until the next one is due. */
+    public suspend fun awaitNext()
+
+    public companion object {
+        /** Reads again after [pause]. */
+        public fun every(pause: Duration): ReadPace = ReadPace { delay(pause) }
+    }
+}
+
 /** Stores the rows that all nodes share. */
 public interface RowStore {
     /** Returns the row with [key], or null if there is none. */
@@ -96,15 +108,19 @@
         expected: RowVersion?,
     ): Result<RowVersion, StoreFailure>
 
-    /** Removes the rows with [keys], up to the store's limit for one call, and returns the version of this change. */
+    /**
+     * Removes the rows with [keys] and returns the version of the last change.
+     *
+     * Makes as many calls as the store's limit requires; if one fails, the rows of the later ones stay.
+     */
     public suspend fun remove(table: TableName, keys: List<RowKey>): Result<RowVersion, StoreFailure>
 
     /**
      * Passes the contents of a table and then its changes to [listener], until the coroutine is cancelled.
      *
-     * @param pause the delay between two successful reads of the table
+     * @param pace determines when the table is read again after a successful read
      */
-    public suspend fun follow(table: TableName, pause: Duration, listener: TableListener)
+    public suspend fun follow(table: TableName, pace: ReadPace, listener: TableListener)
 
     /** Returns the latest reading of the store's clock, or null before the first response. */
     public fun clockOrNull(): StoreClock?
--- a/node/src/main/kotlin/gypsumcart/node/RowCodecs.kt
+++ b/node/src/main/kotlin/gypsumcart/node/RowCodecs.kt
@@ -23,6 +23,7 @@
 @Serializable
 private class ReportRow(
     @SerialName("client") val clientAddress: String,
+    @SerialName("peer") val peerAddress: String? = null,
     val zone: String,
     val accepting: Boolean,
     @SerialName("beat") val heartbeat: Long,
@@ -83,6 +84,7 @@
         ReportRow.serializer(),
         ReportRow(
             clientAddress = clientAddress.toString(),
+            peerAddress = peerAddress?.toString(),
             zone = zone.text,
             accepting = accepting,
             heartbeat = heartbeat,
@@ -96,7 +98,11 @@
         ),
     )
 
-/** Returns the report in the row, or null if this version can't decode the key or the value. */
+/**
+ * Returns the report in the row, or null if this version can't decode the key or the value.
+ *
+ * It has no lease, which has a row of its own.
+ */
 internal fun Row.toReportOrNull(): NodeReport? {
     val nodeKey = key.toNodeKeyOrNull() ?: return null
     val row = decodeOrNull(ReportRow.serializer(), value) ?: return null
@@ -105,6 +111,7 @@
         node = nodeKey.node,
         incarnation = nodeKey.incarnation,
         clientAddress = address,
+        peerAddress = row.peerAddress?.let(::addressOrNull),
         zone = ZoneName(row.zone),
         accepting = row.accepting,
         heartbeat = row.heartbeat,
@@ -115,6 +122,7 @@
                 TeamName(team) to QuotaUse(use.demandPerSecond, use.spent)
             },
         load = row.load.mapKeys { ServiceName(it.key) },
+        lease = null,
     )
 }
 
--- a/node/src/main/kotlin/gypsumcart/node/Settings.kt
+++ b/node/src/main/kotlin/gypsumcart/node/Settings.kt
@@ -25,6 +25,7 @@
  * @property clients the address on which client requests are served
  * @property readiness the address on which readiness checks of the platform are served
  * @property directory the address on which clients look up the nodes' addresses
+ * @property peers the address on which the messages of other nodes are received, or empty to use the store alone
  * @property store the address of the store
  * @property metrics the address on which the metrics are served, or empty to serve none
  * @property cloud the address to which orders and usage reports are sent, or empty if the fleet sends none; the address
@@ -37,6 +38,7 @@
     public val clients: String,
     public val readiness: String,
     public val directory: String,
+    public val peers: String = "",
     public val store: String,
     public val metrics: String = "",
     public val cloud: String = "",
@@ -57,6 +59,8 @@
     @SerialName("quota_slack") public val quotaSlack: Double,
     @SerialName("usage_window_s") public val usageWindowSeconds: Double,
     @SerialName("usage_late_s") public val usageLateSeconds: Double,
+    @SerialName("contact_ms") public val contactMillis: Long = DEFAULT_CONTACT_MILLIS,
+    @SerialName("drain_ms") public val drainMillis: Long = DEFAULT_DRAIN_MILLIS,
 ) {
     /** The time within which a process must stop after it was asked to. */
     public val grace: Duration get() = graceSeconds.seconds
@@ -64,6 +68,12 @@
     /** How the quotas of teams are counted. */
     public val quotas: QuotaBounds get() = QuotaBounds(quotaWindowSeconds.seconds, quotaOvershoot, quotaSlack)
 
+    /** The time after a loss of contact within which a node must have regained it and know what it missed. */
+    public val contact: Duration get() = contactMillis.milliseconds
+
+    /** The time after a back end starts to drain within which no node may send it new requests. */
+    public val drain: Duration get() = drainMillis.milliseconds
+
     /** The time for which a lease is valid after its renewal. */
     public val lease: Duration get() = leaseMillis.milliseconds
 }
@@ -107,6 +117,7 @@
             "clients" to clients,
             "readiness" to readiness,
             "directory" to directory,
+            "peers" to peers,
             "metrics" to metrics,
             "store" to store,
             "cloud" to cloud,
@@ -117,9 +128,15 @@
         node.isBlank() -> SettingsError.Invalid("node", "is empty")
         bounds.leaseMillis <= 0 -> SettingsError.Invalid("bounds.lease_ms", "is not positive")
         bounds.quotaWindowSeconds <= 0 -> SettingsError.Invalid("bounds.quota_window_s", "is not positive")
+        bounds.contactMillis <= 0 -> SettingsError.Invalid("bounds.contact_ms", "is not positive")
+        bounds.drainMillis <= 0 -> SettingsError.Invalid("bounds.drain_ms", "is not positive")
         bounds.usageWindowSeconds <= 0 -> SettingsError.Invalid("bounds.usage_window_s", "is not positive")
         else -> null
     }
 }
 
+/** The values of the smallest deployments, for settings files that do not state them. */
+private const val DEFAULT_CONTACT_MILLIS = 3_000L
+private const val DEFAULT_DRAIN_MILLIS = 2_000L
+
 private val yaml = Yaml(configuration = YamlConfiguration(strictMode = false))
--- a/standins/src/main/kotlin/gypsumcart/standins/StandInFleet.kt
+++ b/standins/src/main/kotlin/gypsumcart/standins/StandInFleet.kt
@@ -60,6 +60,7 @@
                 readiness = freeAddress(),
                 directory = freeAddress(),
                 metrics = freeAddress(),
+                peers = freeAddress(),
                 store = storeAddress.toString(),
                 bounds = BOUNDS,
             )
