Run sockets, timers and coroutines of the edge on one thread

A scratch run of one node with stand-ins (40 events a stream, trial) took 20 ms of processor time a streamed request and 100 ms a second when idle. perf shows half of it in kernel futexes between the threads of Ktor's socket coroutines, the selector and the edge; each piece of a stream crossed three threads each way. Ruled out: the parser and our own code (JFR finds few samples in Java); fewer worker threads by settings (11.8 ms a request).

Change: SocketLoop is dispatcher, timer and selector in one thread, over the JDK's channels; Ktor's channels and parser stay. A connection reads only what a reader waits for, and one that is idle is looked at before it is used again, so late bytes and closes are seen at that moment. Idle connections are now only touched on that thread; a duty's thread used to remove them from its map.

--- a/cli/src/main/kotlin/gypsumcart/cli/NodeCommand.kt
+++ b/cli/src/main/kotlin/gypsumcart/cli/NodeCommand.kt
@@ -34,7 +34,7 @@
 
     private fun startNode(settings: NodeSettings): Node {
         val runtime = EdgeRuntime()
-        val client = HttpClient(runtime.selector, CONNECT_TIMEOUT)
+        val client = HttpClient(runtime.loop, CONNECT_TIMEOUT)
         val store = checkNotNull(addressOrNull(settings.store)) { "invalid store address ${settings.store}" }
         val timing = StoreTiming.within(settings.bounds)
         val platform = HttpPlatform(settings.node, store, addressOrNull(settings.cloud), client, timing)
--- a/core/src/main/kotlin/gypsumcart/core/routing/Routing.kt
+++ b/core/src/main/kotlin/gypsumcart/core/routing/Routing.kt
@@ -46,7 +46,7 @@
     /** The number of live nodes, including this one, that share the retry budget and the batch slots was updated. */
     public data class NodeCountUpdated(public val nodeCount: Int) : RoutingEvent()
 
-    /** A timer tick, on which requests that have waited too long are ended. */
+    /** The time given by [RoutingEffect.SweepAt], at which requests that have waited too long are ended. */
     public data object Sweep : RoutingEvent()
 
     /** A timer tick, on which this node's load is reported. */
@@ -70,6 +70,9 @@
     /** Ends a request without a further call and passes [outcome] to the client. */
     public data class Conclude(public val admitted: AdmittedRequest, public val outcome: Outcome) : RoutingEffect()
 
+    /** Requests a [RoutingEvent.Sweep] at [time], when a request that started to wait will have waited too long. */
+    public data class SweepAt(public val time: MonotonicTime) : RoutingEffect()
+
     /** Reports the load of this node by service: the cost of in-flight calls plus the number of waiting requests. */
     public data class ReportLoad(public val load: Map<ServiceName, Double>) : RoutingEffect()
 }
@@ -124,8 +127,9 @@
             if (assigned != null) return listOf(assigned)
         }
         val limit = admitted.submission.arrivedAt + admitted.route.targetLatency / MAX_WAIT_DIVISOR
-        waiting[admitted.ticket] = WaitingRequest(admitted, minOf(limit, admitted.deadline))
-        return emptyList()
+        val request = WaitingRequest(admitted, minOf(limit, admitted.deadline))
+        waiting[admitted.ticket] = request
+        return listOf(RoutingEffect.SweepAt(request.deadline))
     }
 
     private fun retryOrConclude(event: RoutingEvent.RetryRequested, now: MonotonicTime): RoutingEffect {
--- a/core/src/test/kotlin/gypsumcart/core/routing/RoutingTest.kt
+++ b/core/src/test/kotlin/gypsumcart/core/routing/RoutingTest.kt
@@ -14,6 +14,7 @@
 import gypsumcart.core.prompt
 import org.junit.jupiter.api.Test
 import strikt.api.expectThat
+import strikt.assertions.containsExactly
 import strikt.assertions.hasSize
 import strikt.assertions.isA
 import strikt.assertions.isEmpty
@@ -49,7 +50,8 @@
     @Test
     fun `a request is refused if no back end is listed before its waiting time ends`() {
         val request = admitted(CallKind.Idempotent)
-        expectThat(routing.decide(RoutingEvent.RequestAdmitted(request), at(0.milliseconds))).isEmpty()
+        val waits = routing.decide(RoutingEvent.RequestAdmitted(request), at(0.milliseconds))
+        expectThat(waits).containsExactly(RoutingEffect.SweepAt(at(50.milliseconds)))
         expectThat(routing.decide(RoutingEvent.Sweep, at(40.milliseconds))).isEmpty()
         val effects = routing.decide(RoutingEvent.Sweep, at(60.milliseconds))
         val outcome = (effects.single() as RoutingEffect.Conclude).outcome
@@ -69,8 +71,8 @@
         routing.decide(RoutingEvent.NodeCountUpdated(2), start)
         val assigned =
             List(9) { admitted(CallKind.Idempotent, it.toLong(), prompt(100)) }
-                .map { routing.decide(RoutingEvent.RequestAdmitted(it), at(0.seconds)) }
-                .count { it.isNotEmpty() }
+                .map { routing.decide(RoutingEvent.RequestAdmitted(it), at(0.seconds)).single() }
+                .count { it is RoutingEffect.Assign }
         expectThat(assigned).isEqualTo(3)
         val refusal = routing.decide(RoutingEvent.Sweep, at(60.milliseconds)).first() as RoutingEffect.Conclude
         expectThat((refusal.outcome as Outcome.NotRun).reason).isEqualTo(RefusalReason.Overloaded("routing"))
--- a/http/src/main/kotlin/gypsumcart/http/HttpClient.kt
+++ b/http/src/main/kotlin/gypsumcart/http/HttpClient.kt
@@ -6,20 +6,12 @@
 import com.github.michaelbull.result.getOrElse
 import io.ktor.http.HttpMethod
 import io.ktor.http.cio.RequestResponseBuilder
-import io.ktor.network.selector.SelectorManager
-import io.ktor.network.sockets.InetSocketAddress
-import io.ktor.network.sockets.Socket
-import io.ktor.network.sockets.aSocket
-import io.ktor.network.sockets.openReadChannel
-import io.ktor.network.sockets.openWriteChannel
-import io.ktor.utils.io.ByteReadChannel
-import io.ktor.utils.io.ByteWriteChannel
-import io.ktor.utils.io.availableForRead
 import io.ktor.utils.io.writeByteArray
 import io.ktor.utils.io.writePacket
 import kotlinx.coroutines.cancelChildren
 import kotlinx.coroutines.coroutineScope
 import kotlinx.coroutines.launch
+import kotlinx.coroutines.withContext
 import kotlinx.coroutines.withTimeoutOrNull
 import kotlinx.io.IOException
 import org.slf4j.LoggerFactory
@@ -79,24 +71,22 @@
 }
 
 /**
- * Sends requests over HTTP/1.1 and reuses idle connections.
+ * Sends requests over HTTP/1.1 and reuses idle connections; all of its work is done on the thread of [loop].
  *
  * @property connectTimeout limits the time for establishing a connection
  */
 public class HttpClient(
-    private val selector: SelectorManager,
+    private val loop: SocketLoop,
     private val connectTimeout: Duration,
 ) {
-    private class Connection(val socket: Socket) {
-        val input: ByteReadChannel = socket.openReadChannel()
-        val output: ByteWriteChannel = socket.openWriteChannel(autoFlush = false)
+    private class Connection(val socket: TcpConnection) {
         var idleSince: TimeMark = TimeSource.Monotonic.markNow()
         var idleTimeout: Duration = DEFAULT_IDLE_TIMEOUT
 
         /** Whether the connection is open and has no unread bytes, which would belong to no request. */
-        val isOpenAndEmpty: Boolean get() = !input.isClosedForRead && input.availableForRead == 0
+        val isOpenAndEmpty: Boolean get() = socket.input.isOpenAndEmpty()
 
-        val isReusable: Boolean get() = isOpenAndEmpty && idleSince.elapsedNow() < idleTimeout
+        val isReusable: Boolean get() = idleSince.elapsedNow() < idleTimeout && isOpenAndEmpty
 
         fun close() = socket.close()
     }
@@ -112,6 +102,12 @@
         endpoint: Endpoint,
         request: OutgoingRequest,
         receive: suspend (ResponseHead, ResponseBody) -> T,
+    ): Result<T, ExchangeFailure> = withContext(loop) { exchangeOnLoop(endpoint, request, receive) }
+
+    private suspend fun <T> exchangeOnLoop(
+        endpoint: Endpoint,
+        request: OutgoingRequest,
+        receive: suspend (ResponseHead, ResponseBody) -> T,
     ): Result<T, ExchangeFailure> {
         val connection = takeIdleOrNull(endpoint) ?: connectOrNull(endpoint) ?: return Err(ExchangeFailure.NotConnected)
         var reusable = false
@@ -132,15 +128,15 @@
     }
 
     /** Closes the idle connections to [endpoint]. */
-    public fun closeIdle(endpoint: Endpoint) {
-        idleConnections.remove(endpoint)?.forEach { it.close() }
-    }
+    public fun closeIdle(endpoint: Endpoint): Unit =
+        loop.execute { idleConnections.remove(endpoint)?.forEach { it.close() } }
 
     /** Closes the idle connections to peers that are not in [peerIds]; keeps those to endpoints without a peer id. */
-    public fun closeIdleExcept(peerIds: Set<String>) {
-        val stale = idleConnections.keys.filter { it.peerId.isNotEmpty() && it.peerId !in peerIds }
-        for (endpoint in stale) idleConnections.remove(endpoint)?.forEach { it.close() }
-    }
+    public fun closeIdleExcept(peerIds: Set<String>): Unit =
+        loop.execute {
+            val stale = idleConnections.keys.filter { it.peerId.isNotEmpty() && it.peerId !in peerIds }
+            for (endpoint in stale) idleConnections.remove(endpoint)?.forEach { it.close() }
+        }
 
     private class ReceivedResponse<T>(val value: Result<T, ExchangeFailure>, val reusable: Boolean)
 
@@ -148,6 +144,7 @@
         method: String,
         receive: suspend (ResponseHead, ResponseBody) -> T,
     ): ReceivedResponse<T> {
+        val input = socket.input
         val head = input.readResponseHead().getOrElse { return ReceivedResponse(Err(it.toExchangeFailure()), false) }
         val source =
             input.bodySourceOrNull(head, method) ?: return ReceivedResponse(Err(ExchangeFailure.Malformed), false)
@@ -167,6 +164,7 @@
             builder.headerLine("Content-Length", request.body.size.toString())
         }
         builder.emptyLine()
+        val output = socket.output
         try {
             output.writePacket(builder.build())
             output.writeByteArray(request.body)
@@ -189,10 +187,7 @@
 
     private suspend fun connectOrNull(endpoint: Endpoint): Connection? =
         try {
-            withTimeoutOrNull(connectTimeout) {
-                val address = InetSocketAddress(endpoint.host, endpoint.port)
-                Connection(aSocket(selector).tcp().connect(address) { noDelay = true })
-            }
+            withTimeoutOrNull(connectTimeout) { Connection(loop.connect(endpoint.host, endpoint.port)) }
         } catch (e: IOException) {
             log.debug("event=connect_failed endpoint={}:{} error={}", endpoint.host, endpoint.port, e.message)
             null
--- a/http/src/main/kotlin/gypsumcart/http/HttpServer.kt
+++ b/http/src/main/kotlin/gypsumcart/http/HttpServer.kt
@@ -1,12 +1,6 @@
 package gypsumcart.http
 
 import com.github.michaelbull.result.getOrElse
-import io.ktor.network.selector.SelectorManager
-import io.ktor.network.sockets.ServerSocket
-import io.ktor.network.sockets.Socket
-import io.ktor.network.sockets.aSocket
-import io.ktor.network.sockets.openReadChannel
-import io.ktor.network.sockets.openWriteChannel
 import io.ktor.utils.io.ByteReadChannel
 import io.ktor.utils.io.ByteWriteChannel
 import kotlinx.coroutines.CoroutineScope
@@ -14,6 +8,7 @@
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.isActive
 import kotlinx.coroutines.launch
+import kotlinx.coroutines.withContext
 import kotlinx.coroutines.withTimeoutOrNull
 import kotlinx.io.IOException
 import org.slf4j.LoggerFactory
@@ -26,7 +21,7 @@
 }
 
 /**
- * Serves HTTP/1.1 on one address.
+ * Serves HTTP/1.1 on one address; all of its work is done on the thread of [loop].
  *
  * @property name identifies the server in log lines
  * @property limits called for each request, so that the limits may change while the server runs
@@ -35,12 +30,12 @@
     private val name: String,
     private val host: String,
     private val port: Int,
-    private val selector: SelectorManager,
+    private val loop: SocketLoop,
     private val scope: CoroutineScope,
     private val limits: () -> MessageLimits,
     private val handler: RequestHandler,
 ) {
-    private var listener: ServerSocket? = null
+    private var listener: TcpListener? = null
 
     @Volatile
     private var draining = false
@@ -50,15 +45,12 @@
      *
      * @throws IOException if the address cannot be bound
      */
-    public suspend fun start() {
-        val socket =
-            aSocket(selector).tcp().bind(host, port) {
-                backlogSize = BACKLOG
-                reuseAddress = true
-            }
-        listener = socket
-        scope.launch { acceptConnections(socket) }
-    }
+    public suspend fun start(): Unit =
+        withContext(loop) {
+            val opened = TcpListener(loop, host, port, BACKLOG)
+            listener = opened
+            scope.launch(loop) { acceptConnections(opened) }
+        }
 
     /** Closes each connection after its next response, which carries `Connection: close`. */
     public fun drain() {
@@ -67,28 +59,26 @@
 
     /** Stops accepting connections; open ones are still served. */
     public fun stopListening() {
-        listener?.close()
+        loop.execute { listener?.close() }
     }
 
-    private suspend fun acceptConnections(socket: ServerSocket) {
-        while (scope.isActive && !socket.isClosed()) {
+    private suspend fun acceptConnections(listener: TcpListener) {
+        while (scope.isActive) {
             try {
-                val connection = socket.accept()
-                scope.launch { serveConnection(connection) }
+                val connection = listener.acceptOrNull() ?: return
+                scope.launch(loop) { serveConnection(connection) }
             } catch (e: IOException) {
-                if (socket.isClosed()) return
+                if (listener.isClosed) return
                 log.warn("event=accept_failed server={} error={}", name, e.message)
                 delay(ACCEPT_RETRY_DELAY)
             }
         }
     }
 
-    private fun ServerSocket.isClosed(): Boolean = socketContext.isCompleted || socketContext.isCancelled
-
-    private suspend fun serveConnection(socket: Socket) {
+    private suspend fun serveConnection(socket: TcpConnection) {
         try {
-            val input = socket.openReadChannel()
-            val output = socket.openWriteChannel(autoFlush = false)
+            val input = socket.input
+            val output = socket.output
             do {
                 val mayContinue = serveRequest(input, output)
             } while (mayContinue)
--- /dev/null
+++ b/http/src/main/kotlin/gypsumcart/http/TcpSockets.kt
@@ -0,0 +1,200 @@
+package gypsumcart.http
+
+import io.ktor.utils.io.ByteReadChannel
+import io.ktor.utils.io.ByteWriteChannel
+import io.ktor.utils.io.InternalAPI
+import kotlinx.io.Buffer
+import kotlinx.io.IOException
+import kotlinx.io.Sink
+import kotlinx.io.Source
+import kotlinx.io.readAtMostTo
+import java.net.InetSocketAddress
+import java.net.StandardSocketOptions
+import java.nio.ByteBuffer
+import java.nio.channels.ClosedChannelException
+import java.nio.channels.SelectionKey
+import java.nio.channels.ServerSocketChannel
+import java.nio.channels.SocketChannel
+
+/**
+ * Represents an open TCP connection; used on the thread of its [loop] only.
+ *
+ * Reads from the socket only what a reader waits for, and writes when its writer flushes, so that a slow peer holds up
+ * its counterpart instead of filling memory.
+ */
+internal class TcpConnection(private val loop: SocketLoop, private val channel: SocketChannel) {
+    private val interest = loop.register(channel)
+    private var isClosed = false
+
+    val input: SocketInput = SocketInput()
+    val output: ByteWriteChannel = SocketOutput()
+
+    fun close() {
+        if (isClosed) return
+        isClosed = true
+        channel.close()
+        interest.resumeAll()
+    }
+
+    /** Suspends until the connection that was begun is established. */
+    suspend fun awaitConnected() {
+        while (!channel.finishConnect()) interest.awaitWritable(SelectionKey.OP_CONNECT)
+    }
+
+    @OptIn(InternalAPI::class)
+    inner class SocketInput : ByteReadChannel {
+        private val received = Buffer()
+        private var isEnded = false
+
+        override var closedCause: Throwable? = null
+            private set
+
+        override val isClosedForRead: Boolean get() = (isEnded || closedCause != null) && received.exhausted()
+
+        override val readBuffer: Source
+            get() {
+                closedCause?.let { throw it }
+                return received
+            }
+
+        override suspend fun awaitContent(min: Int): Boolean {
+            while (received.size < min) {
+                closedCause?.let { throw it }
+                if (isEnded) return false
+                if (readOnce() == 0) interest.awaitReadable()
+            }
+            return true
+        }
+
+        override fun cancel(cause: Throwable?) {
+            if (closedCause == null && !isEnded) closedCause = cause ?: IOException("the connection was cancelled")
+        }
+
+        /** Reads what has arrived and returns whether the connection is open and no bytes are unread. */
+        fun isOpenAndEmpty(): Boolean {
+            if (isEnded || closedCause != null) return false
+            return try {
+                readOnce() == 0 && received.size == 0L
+            } catch (_: IOException) {
+                false
+            }
+        }
+
+        /** Returns the number of bytes read, or -1 at the end. */
+        private fun readOnce(): Int {
+            val buffer = loop.transferBuffer.clear()
+            val n =
+                try {
+                    channel.read(buffer)
+                } catch (e: IOException) {
+                    closedCause = e
+                    throw e
+                }
+            if (n < 0) isEnded = true
+            if (n > 0) received.append(buffer.flip())
+            return n
+        }
+    }
+
+    @OptIn(InternalAPI::class)
+    private inner class SocketOutput : ByteWriteChannel {
+        private val pending = Buffer()
+
+        override var closedCause: Throwable? = null
+            private set
+
+        override val isClosedForWrite: Boolean get() = isClosed || closedCause != null
+
+        override val writeBuffer: Sink
+            get() {
+                closedCause?.let { throw it }
+                return pending
+            }
+
+        /** Returns when the socket has taken all bytes. */
+        override suspend fun flush() {
+            if (pending.exhausted()) return
+            val bytes = ByteArray(pending.size.toInt())
+            var length = 0
+            while (!pending.exhausted()) length += pending.readAtMostTo(bytes, length, bytes.size)
+            val buffer = ByteBuffer.wrap(bytes)
+            try {
+                while (buffer.hasRemaining()) {
+                    if (channel.write(buffer) == 0) interest.awaitWritable()
+                }
+            } catch (e: IOException) {
+                closedCause = e
+                throw e
+            }
+        }
+
+        override suspend fun flushAndClose() {
+            flush()
+            if (channel.isOpen) channel.shutdownOutput()
+        }
+
+        override fun cancel(cause: Throwable?) {
+            if (closedCause == null) closedCause = cause ?: IOException("the connection was cancelled")
+        }
+    }
+}
+
+private fun Buffer.append(bytes: ByteBuffer) {
+    val copy = ByteArray(bytes.remaining())
+    bytes.get(copy)
+    write(copy)
+}
+
+/** Connects to [host] at [port]; a coroutine that is cancelled meanwhile closes the connection. */
+internal suspend fun SocketLoop.connect(host: String, port: Int): TcpConnection {
+    val channel = SocketChannel.open()
+    channel.configureBlocking(false)
+    channel.setOption(StandardSocketOptions.TCP_NODELAY, true)
+    val connection = TcpConnection(this, channel)
+    var connected = false
+    try {
+        if (!channel.connect(InetSocketAddress(host, port))) connection.awaitConnected()
+        connected = true
+    } finally {
+        if (!connected) connection.close()
+    }
+    return connection
+}
+
+/** Accepts connections on one address; used on the thread of its [loop] only. */
+internal class TcpListener(private val loop: SocketLoop, host: String, port: Int, backlog: Int) {
+    private val channel =
+        ServerSocketChannel.open().apply {
+            configureBlocking(false)
+            setOption(StandardSocketOptions.SO_REUSEADDR, true)
+            bind(InetSocketAddress(host, port), backlog)
+        }
+    private val interest = loop.register(channel)
+
+    val isClosed: Boolean get() = !channel.isOpen
+
+    /** Returns the next connection, or null after [close]. */
+    suspend fun acceptOrNull(): TcpConnection? {
+        while (channel.isOpen) {
+            val accepted =
+                try {
+                    channel.accept()
+                } catch (_: ClosedChannelException) {
+                    return null
+                }
+            if (accepted == null) {
+                interest.awaitReadable(SelectionKey.OP_ACCEPT)
+            } else {
+                accepted.configureBlocking(false)
+                accepted.setOption(StandardSocketOptions.TCP_NODELAY, true)
+                return TcpConnection(loop, accepted)
+            }
+        }
+        return null
+    }
+
+    fun close() {
+        channel.close()
+        interest.resumeAll()
+    }
+}
--- a/http/src/test/kotlin/gypsumcart/http/HttpClientTest.kt
+++ b/http/src/test/kotlin/gypsumcart/http/HttpClientTest.kt
@@ -2,8 +2,6 @@
 
 import com.github.michaelbull.result.Result
 import com.github.michaelbull.result.fold
-import io.ktor.network.selector.SelectorManager
-import kotlinx.coroutines.Dispatchers
 import kotlinx.coroutines.runBlocking
 import org.junit.jupiter.api.AfterEach
 import org.junit.jupiter.api.Test
@@ -18,15 +16,15 @@
 import kotlin.time.Duration.Companion.seconds
 
 class HttpClientTest {
-    private val selector = SelectorManager(Dispatchers.IO)
-    private val client = HttpClient(selector, 1.seconds)
+    private val loop = SocketLoop("test")
+    private val client = HttpClient(loop, 1.seconds)
     private val listener = ServerSocket(0, 50, InetAddress.getByName(LoopbackServer.HOST))
     private val accepted = AtomicInteger()
 
     @AfterEach
     fun close() {
         listener.close()
-        selector.close()
+        loop.close()
     }
 
     /**
--- a/http/src/test/kotlin/gypsumcart/http/LoopbackServer.kt
+++ b/http/src/test/kotlin/gypsumcart/http/LoopbackServer.kt
@@ -1,6 +1,5 @@
 package gypsumcart.http
 
-import io.ktor.network.selector.SelectorManager
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.Dispatchers
 import kotlinx.coroutines.SupervisorJob
@@ -14,11 +13,11 @@
 /** Runs an [HttpServer] on the loopback interface for a test, and provides a client for it. */
 internal class LoopbackServer(handler: RequestHandler) : AutoCloseable {
     val scope = CoroutineScope(SupervisorJob() + Dispatchers.Default)
-    val selector = SelectorManager(Dispatchers.IO)
-    val client = HttpClient(selector, 1.seconds)
+    val loop = SocketLoop("test")
+    val client = HttpClient(loop, 1.seconds)
     val port: Int = freePort()
     private val limits = MessageLimits(2_000, 10_000, 500.milliseconds, 2.seconds)
-    val server = HttpServer("test", HOST, port, selector, scope, { limits }, handler)
+    val server = HttpServer("test", HOST, port, loop, scope, { limits }, handler)
 
     init {
         runBlocking { server.start() }
@@ -38,7 +37,7 @@
 
     override fun close() {
         scope.cancel()
-        selector.close()
+        loop.close()
     }
 
     companion object {
--- a/node/src/main/kotlin/gypsumcart/node/Node.kt
+++ b/node/src/main/kotlin/gypsumcart/node/Node.kt
@@ -18,34 +18,27 @@
 import gypsumcart.http.HttpServer
 import gypsumcart.http.MessageLimits
 import gypsumcart.http.RequestHandler
+import gypsumcart.http.SocketLoop
 import gypsumcart.pipeline.Duty
 import gypsumcart.pipeline.MonotonicClock
 import gypsumcart.pipeline.TimerService
-import io.ktor.network.selector.SelectorManager
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.SupervisorJob
-import kotlinx.coroutines.asCoroutineDispatcher
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.runBlocking
 import org.slf4j.LoggerFactory
 import java.util.concurrent.CountDownLatch
-import java.util.concurrent.Executors
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 
-/** Provides the threads of network I/O: one for all coroutines, and one that waits for sockets to become ready. */
+/** Provides the thread of network I/O. */
 public class EdgeRuntime {
-    private val edgeThread =
-        Executors.newSingleThreadExecutor { Thread(it, "edge").apply { isDaemon = true } }.asCoroutineDispatcher()
-    private val selectorThread =
-        Executors.newSingleThreadExecutor { Thread(it, "selector").apply { isDaemon = true } }.asCoroutineDispatcher()
+    /** Runs all coroutines and sockets of the edge. */
+    public val loop: SocketLoop = SocketLoop("edge")
 
-    /** Runs the coroutines of servers and clients, all on one thread. */
-    public val scope: CoroutineScope = CoroutineScope(SupervisorJob() + edgeThread)
-
-    /** Waits on a thread of its own for sockets to become ready. */
-    public val selector: SelectorManager = SelectorManager(selectorThread)
+    /** The scope of the coroutines of servers and clients. */
+    public val scope: CoroutineScope = CoroutineScope(SupervisorJob() + loop)
 }
 
 /** Serves the requests of clients on one host. */
@@ -79,7 +72,7 @@
     private val peerLink = PeerLink(rings.membership, client, runtime.scope, metrics)
     private val readPace = FleetReadPace()
     private val duties: List<Duty> =
-        RequestDuties(rings, edge, state, platform, clock, settings.bounds).all +
+        RequestDuties(rings, edge, state, platform, timers, clock, settings.bounds).all +
             FleetDuties(
                 rings,
                 state,
@@ -216,7 +209,7 @@
         limits: () -> MessageLimits = ::messageLimits,
     ): HttpServer {
         val (host, port) = address.toAddress()
-        return HttpServer(name, host, port, runtime.selector, runtime.scope, limits, handler)
+        return HttpServer(name, host, port, runtime.loop, runtime.scope, limits, handler)
     }
 
     private fun peerLimits(): MessageLimits = PEER_LIMITS
@@ -232,8 +225,8 @@
         /** Allows for three missed reports; it elapses only while the store responds. */
         val HEARTBEAT_TIMEOUT: Duration = 3.5.seconds
 
-        /** A fortieth of the latency target of a model, and a fifth of that of a plain service. */
-        val SWEEP_PERIOD: Duration = 20.milliseconds
+        /** Makes up for a sweep that found the ring of the routing filter full. */
+        val SWEEP_PERIOD: Duration = 500.milliseconds
 
         /** How often a node renews its report, from which the others compute their shares of the quotas. */
         val REPORT_PERIOD: Duration = 500.milliseconds
@@ -250,7 +243,7 @@
          */
         val LEASE_TICK_PERIOD: Duration = 250.milliseconds
 
-        val READINESS_CHECK_PERIOD: Duration = 50.milliseconds
+        val READINESS_CHECK_PERIOD: Duration = 200.milliseconds
 
         /** A tenth of the time within which expired entries of live back ends reappear in the registry. */
         val EXPIRY_SWEEP_PERIOD: Duration = 200.milliseconds
--- a/node/src/main/kotlin/gypsumcart/node/RequestDuties.kt
+++ b/node/src/main/kotlin/gypsumcart/node/RequestDuties.kt
@@ -19,8 +19,10 @@
 import gypsumcart.core.routing.RoutingEvent
 import gypsumcart.pipeline.Duty
 import gypsumcart.pipeline.MonotonicClock
+import gypsumcart.pipeline.Timers
 import gypsumcart.pipeline.deciderDuty
 import org.slf4j.LoggerFactory
+import kotlin.time.Duration
 import kotlin.time.Duration.Companion.seconds
 
 /** Runs the deciders that serve requests, and passes their effects on to rings, the edge and the platform. */
@@ -29,7 +31,8 @@
     private val edge: ClientEdge,
     private val state: NodeState,
     private val platform: Platform,
-    clock: MonotonicClock,
+    private val timers: Timers,
+    private val clock: MonotonicClock,
     bounds: Bounds,
 ) {
     private val retryLimits = RetryLimits(bounds.retryRatio, bounds.retryExtra, bounds.retryWindowSeconds.seconds)
@@ -82,6 +85,11 @@
                 edge.deliver(effect.admitted.ticket, EdgeCommand.Conclude(effect.outcome))
             }
 
+            is RoutingEffect.SweepAt ->
+                timers.after((effect.time - clock.now()).coerceAtLeast(Duration.ZERO)) {
+                    rings.routing.offer(RoutingEvent.Sweep)
+                }
+
             is RoutingEffect.ReportLoad -> rings.membership.offer(MembershipEvent.LoadMeasured(effect.load))
         }
     }
--- a/standins/src/main/kotlin/gypsumcart/standins/StandInFleet.kt
+++ b/standins/src/main/kotlin/gypsumcart/standins/StandInFleet.kt
@@ -65,7 +65,7 @@
                 bounds = BOUNDS,
             )
         val nodeRuntime = EdgeRuntime()
-        val client = HttpClient(nodeRuntime.selector, 1.seconds)
+        val client = HttpClient(nodeRuntime.loop, 1.seconds)
         val platform = HttpPlatform(name, storeAddress, null, client)
         val node = Node(settings, platform, nodeRuntime, client)
         node.start()
@@ -76,7 +76,7 @@
         val address = checkNotNull(addressOrNull(freeAddress()))
         val limits = MessageLimits(MAX_BYTES, MAX_BYTES, 5.seconds, 60.seconds)
         val server =
-            HttpServer(name, address.host, address.port, runtime.selector, runtime.scope, { limits }, handler)
+            HttpServer(name, address.host, address.port, runtime.loop, runtime.scope, { limits }, handler)
         runBlocking(runtime.scope.coroutineContext) { server.start() }
         return address
     }
