Let the reports of others age only while a node has contact

Cause: a node that was cut off for longer than 14 s forgot the others and took the whole quota as its even share. Seed 71 of QuotaSharesTest with nodes cut off one after the other: 12,820 of 10,800 tokens; failing first, with and without the change of shares that was tried beside it. Change: the age of a report is counted up to the node's last contact. Ruled out: giving out the rest of the window without the bound of one report's age (trial): it fails the same seed and gains nothing there.

--- a/core/src/main/kotlin/gypsumcart/core/membership/Membership.kt
+++ b/core/src/main/kotlin/gypsumcart/core/membership/Membership.kt
@@ -45,6 +45,7 @@
     private var publishedAt: MonotonicTime? = null
     private var storeReadRequestedAt: MonotonicTime? = null
     private var linked = false
+    private var lastLinkedAt = MonotonicTime(0)
     private var usageChanged = false
     private var distributedPosition = TablePosition.START
     private var ownReport =
@@ -162,6 +163,7 @@
             othersAreKnown &&
                 live.all { it.peerAddress != null } &&
                 exchanges.isLinked(live.mapNotNull { it.target }, now)
+        if (isLinked) lastLinkedAt = now
         if (isLinked == linked) return emptyList()
         linked = isLinked
         return listOf(MembershipEffect.LinkChanged(isLinked))
@@ -198,7 +200,7 @@
             }
         val isIsolated =
             if (settings.peerAddress == null) now - storeAnsweredAt > settings.heartbeatTimeout else !linked
-        return listOf(MembershipEffect.UpdateQuotaPeers(quotaView.peers(now, readAt, isIsolated, isCurrent)))
+        return listOf(MembershipEffect.UpdateQuotaPeers(quotaView.peers(now, contactAt(now), readAt, isIsolated, isCurrent)))
     }
 
     /** Passes on what has changed since the last call, and the quota use, which ages also without a change. */
@@ -237,17 +239,20 @@
      */
     private fun isLive(entry: PeerTable.Entry, now: MonotonicTime): Boolean {
         if (entry.report.node == settings.node) return false
-        val contactAt = if (linked) now else minOf(storeAnsweredAt, now)
         val waitsForStore = !linked && settings.peerAddress != null && entry.report.peerAddress != null
         val publishPeriod = if (waitsForStore) LINKED_PUBLISH_PERIOD else Duration.ZERO
-        return contactAt - entry.heardAt <= settings.heartbeatTimeout + publishPeriod
+        return contactAt(now) - entry.heardAt <= settings.heartbeatTimeout + publishPeriod
     }
 
+    /** Returns when this node last had contact with the store or, over the link, with all zones. */
+    private fun contactAt(now: MonotonicTime): MonotonicTime =
+        if (linked) now else maxOf(storeAnsweredAt, lastLinkedAt)
+
     /** Removes reports of nodes that are gone for long; only one node removes them from the store too. */
     private fun removeExpired(now: MonotonicTime): List<MembershipEffect> {
         val expired =
             table.peers
-                .filter { now - it.heardAt > settings.heartbeatTimeout * REMOVAL_TIMEOUTS }
+                .filter { contactAt(now) - it.heardAt > settings.heartbeatTimeout * REMOVAL_TIMEOUTS }
                 .map { it.key }
                 .toList()
         expired.forEach(table::remove)
--- a/core/src/main/kotlin/gypsumcart/core/membership/PeerQuotaView.kt
+++ b/core/src/main/kotlin/gypsumcart/core/membership/PeerQuotaView.kt
@@ -13,16 +13,21 @@
      * A node whose reports stopped may only have lost its contact and still serve clients, so it keeps a share of the
      * quotas. What a node admitted before a restart counts as far as it still lies in the quota window.
      *
+     * @param contactAt when this node last had contact with others; reports do not age without
      * @param startedAt when this process first knew of the other nodes
      * @param isCurrent whether the quota use in an entry is what the node uses now
      */
     fun peers(
         now: MonotonicTime,
+        contactAt: MonotonicTime,
         startedAt: MonotonicTime,
         isIsolated: Boolean,
         isCurrent: (PeerTable.Entry) -> Boolean,
     ): QuotaPeers {
-        val recent = table.peers.filter { now - it.heardAt <= settings.heartbeatTimeout * RESERVE_TIMEOUTS }.toList()
+        val recent =
+            table.peers
+                .filter { contactAt - it.heardAt <= settings.heartbeatTimeout * RESERVE_TIMEOUTS }
+                .toList()
         val (latest, former) = recent.partition { table.isLatest(it.key) }
         val (live, silent) = latest.partition(isCurrent)
         val use = HashMap<TeamName, QuotaUse>()
--- a/core/src/test/kotlin/gypsumcart/core/admission/QuotaSharesTest.kt
+++ b/core/src/test/kotlin/gypsumcart/core/admission/QuotaSharesTest.kt
@@ -13,6 +13,7 @@
 import gypsumcart.core.route
 import gypsumcart.core.submission
 import org.junit.jupiter.params.ParameterizedTest
+import org.junit.jupiter.params.provider.MethodSource
 import org.junit.jupiter.params.provider.ValueSource
 import strikt.api.expectThat
 import strikt.assertions.isGreaterThan
@@ -120,7 +121,7 @@
     }
 
     @ParameterizedTest
-    @ValueSource(longs = [1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12])
+    @MethodSource("seeds")
     fun `lost, delayed, repeated and reordered messages never add up to more than the quota`(seed: Long) {
         val network =
             SimulatedNetwork(maxDelay = 400.milliseconds, lossRate = 0.3, repeatRate = 0.3)
@@ -128,7 +129,7 @@
     }
 
     @ParameterizedTest
-    @ValueSource(longs = [1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12])
+    @MethodSource("seeds")
     fun `nodes that are cut off, one after the other or together, never add up to more than the quota`(seed: Long) {
         val run =
             run(seed, SimulatedNetwork(lossRate = 0.02)) {
@@ -144,7 +145,7 @@
     }
 
     @ParameterizedTest
-    @ValueSource(longs = [1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12])
+    @MethodSource("seeds")
     fun `processes that start again, one after the other or together, never add up to more than the quota`(seed: Long) {
         val run =
             run(seed, SimulatedNetwork()) {
@@ -162,6 +163,10 @@
     }
 
     private companion object {
+        /** A few seeds, and those that failed before. */
+        @JvmStatic
+        fun seeds(): List<Long> = (1L..16L) + 71L
+
         val WINDOW = 8.seconds
         val QUOTA = Quota(ratePerSecond = 1_000.0, burst = 1_000.0, unit = QuotaUnit.Tokens(defaultTokens = 10))
         val BOUNDS = QuotaBounds(WINDOW, overshoot = 0.1, slack = 900.0)
