Learn what load an engine carries instead of assuming it

Cause: a back end was taken to carry a load of 14 whatever its engine. Change: nodes report the time to the first piece of their slowest tenth of requests as a fraction of the target; EngineCapacity learns from it and from the load on each engine, as in a queue, the load at which the targets are met. It starts from the places of the engine.

--- a/core/src/main/kotlin/gypsumcart/core/membership/Membership.kt
+++ b/core/src/main/kotlin/gypsumcart/core/membership/Membership.kt
@@ -61,6 +61,7 @@
             usageUntil = UnixMillis(0),
             quotaUse = emptyMap(),
             load = emptyMap(),
+            latency = emptyMap(),
             lease = null,
         )
 
@@ -70,7 +71,8 @@
             MembershipEvent.StoreAnswered -> noEffects { storeAnsweredAt = now }
             is MembershipEvent.AcceptingChanged -> changeAccepting(event.accepting, now)
             is MembershipEvent.QuotaUseMeasured -> noEffects { ownReport = ownReport.copy(quotaUse = event.use) }
-            is MembershipEvent.LoadMeasured -> noEffects { ownReport = ownReport.copy(load = event.load) }
+            is MembershipEvent.LoadMeasured ->
+                noEffects { ownReport = ownReport.copy(load = event.load, latency = event.latency) }
             is MembershipEvent.UsageCounted -> noEffects { changeUsage(event) }
             is MembershipEvent.LeaseWritten -> noEffects { ownReport = ownReport.copy(lease = event.row) }
             is MembershipEvent.MessageReceived -> receiveMessage(event, now)
@@ -200,7 +202,9 @@
             }
         val isIsolated =
             if (settings.peerAddress == null) now - storeAnsweredAt > settings.heartbeatTimeout else !linked
-        return listOf(MembershipEffect.UpdateQuotaPeers(quotaView.peers(now, contactAt(now), readAt, isIsolated, isCurrent)))
+        return listOf(
+            MembershipEffect.UpdateQuotaPeers(quotaView.peers(now, contactAt(now), readAt, isIsolated, isCurrent)),
+        )
     }
 
     /** Passes on what has changed since the last call, and the quota use, which ages also without a change. */
@@ -221,7 +225,18 @@
 
     private fun distributeReports(now: MonotonicTime): List<MembershipEffect> {
         val reports =
-            table.peers.map { if (isLive(it, now)) it.report else it.report.copy(load = emptyMap()) }.toList()
+            table.peers
+                .map {
+                    if (isLive(
+                            it,
+                            now,
+                        )
+                    ) {
+                        it.report
+                    } else {
+                        it.report.copy(load = emptyMap(), latency = emptyMap())
+                    }
+                }.toList()
         return listOf(MembershipEffect.DistributeReports(reports + ownReport))
     }
 
--- a/core/src/main/kotlin/gypsumcart/core/membership/MembershipEvents.kt
+++ b/core/src/main/kotlin/gypsumcart/core/membership/MembershipEvents.kt
@@ -25,8 +25,11 @@
     /** The use of each team's quota through this node was measured. */
     public data class QuotaUseMeasured(public val use: Map<TeamName, QuotaUse>) : MembershipEvent()
 
-    /** The load of each service on this node was measured. */
-    public data class LoadMeasured(public val load: Map<ServiceName, Double>) : MembershipEvent()
+    /** The load of each service on this node, and the latency of its requests, were measured. */
+    public data class LoadMeasured(
+        public val load: Map<ServiceName, Double>,
+        public val latency: Map<ServiceName, Double>,
+    ) : MembershipEvent()
 
     /** The requests that started to run through this node were counted; the counts are complete up to [until]. */
     public data class UsageCounted(
--- a/core/src/main/kotlin/gypsumcart/core/replicas/Autoscaler.kt
+++ b/core/src/main/kotlin/gypsumcart/core/replicas/Autoscaler.kt
@@ -25,8 +25,17 @@
     /** This node acquired or lost the lease. */
     public data class HoldingChanged(public val holding: Boolean) : AutoscalerEvent()
 
-    /** The load of each service was measured; [loads] has one map for each node. */
-    public data class LoadMeasured(public val loads: List<Map<ServiceName, Double>>) : AutoscalerEvent()
+    /**
+     * The load of each service was measured.
+     *
+     * @property loads the load by service, one map for each node
+     * @property latencies the time to the first piece of the slowest tenth of requests by service, as a fraction of
+     * their latency target, one map for each node
+     */
+    public data class LoadMeasured(
+        public val loads: List<Map<ServiceName, Double>>,
+        public val latencies: List<Map<ServiceName, Double>> = emptyList(),
+    ) : AutoscalerEvent()
 
     /** The store contains [counts], the number of back ends that each service had when the fleet began to scale it. */
     public data class InitialCountsRead(public val counts: Map<ServiceName, Int>) : AutoscalerEvent()
@@ -48,11 +57,13 @@
      *
      * @property required how many back ends the service requires in all zones together
      * @property load the peak load of the recent past, in requests, where a long prompt counts as more than one
+     * @property loadPerBackEnd the load that each back end is expected to carry
      */
     public data class Order(
         public val command: FencedCommand.OrderBackEnds,
         public val required: Int,
         public val load: Double,
+        public val loadPerBackEnd: Double,
     ) : AutoscalerEffect()
 
     /** Stores for later lease holders how many back ends each service had initially. */
@@ -81,6 +92,7 @@
     /** The number of back ends that each service required at the last check. */
     private val requiredCounts = HashMap<ServiceName, Int>()
     private val peakLoads = HashMap<ServiceName, PeakLoad>()
+    private val capacities = HashMap<ServiceName, EngineCapacity>()
     private var services: List<Service> = emptyList()
     private var backEnds: List<BackEnd> = emptyList()
     private var firstListedAt: MonotonicTime? = null
@@ -98,7 +110,7 @@
                 updateBackEnds(event.backEnds, now)
                 order(now)
             }
-            is AutoscalerEvent.LoadMeasured -> noEffects { addLoads(event.loads, now) }
+            is AutoscalerEvent.LoadMeasured -> noEffects { addLoads(event, now) }
             is AutoscalerEvent.InitialCountsRead -> noEffects { initialCounts.putAll(event.counts) }
             is AutoscalerEvent.HoldingChanged -> noEffects { changeHolding(event.holding) }
             is AutoscalerEvent.OrderEnded -> noEffects { endOrder(event) }
@@ -121,13 +133,21 @@
         if (firstListedAt == null && backEnds.isNotEmpty()) firstListedAt = now
     }
 
-    private fun addLoads(loads: List<Map<ServiceName, Double>>, now: MonotonicTime) {
+    private fun addLoads(event: AutoscalerEvent.LoadMeasured, now: MonotonicTime) {
         for (service in services) {
-            val total = loads.sumOf { it[service.name] ?: 0.0 }
+            val total = event.loads.sumOf { it[service.name] ?: 0.0 }
             peakLoads.getOrPut(service.name, ::PeakLoad).add(total, now)
+            val latencies = event.latencies.mapNotNull { it[service.name] }
+            val serving = backEnds.count { it.service == service.name && !it.draining }
+            if (latencies.isNotEmpty() && serving > 0) {
+                capacityOf(service).observe(total / serving, latencies.average(), now)
+            }
         }
     }
 
+    private fun capacityOf(service: Service): EngineCapacity =
+        capacities.getOrPut(service.name) { EngineCapacity(service.engine) }
+
     /** Counts the back ends that the operator started with, after all of them have had time to register. */
     private fun recordInitialCounts(now: MonotonicTime): List<AutoscalerEffect> {
         val since = firstListedAt ?: return emptyList()
@@ -155,7 +175,8 @@
         val zones = scaling.zonePrices.keys.sortedBy(scaling.zonePrices::getValue)
         if (zones.isEmpty()) return emptyList()
         val load = peakLoads[service.name]?.value ?: 0.0
-        val required = requiredCount(service.name, load, initial)
+        val loadPerBackEnd = capacityOf(service).sustainableLoad
+        val required = requiredCount(service.name, load, loadPerBackEnd, initial)
         val staying = backEnds.filter { it.service == service.name && !it.draining }
         val spot = spotCountPerZone(required, zones.size, scaling)
         val onDemand = onDemandCounts(required, zones, staying, service.name, scaling, now)
@@ -166,7 +187,7 @@
                     orderOrNull(Pool(service.name, zone, spot = false), onDemand.getValue(zone), staying, scaling, now),
                 )
             }
-        return commands.map { AutoscalerEffect.Order(it, required, load) }
+        return commands.map { AutoscalerEffect.Order(it, required, load, loadPerBackEnd) }
     }
 
     /**
@@ -175,9 +196,9 @@
      * The number rises at once with the load, but falls only when the load is clearly lower, as each change costs boots
      * and drains.
      */
-    private fun requiredCount(service: ServiceName, load: Double, initial: Int): Int {
-        val lower = ceil(load / LOAD_PER_BACK_END).toInt()
-        val upper = ceil(load / (LOAD_PER_BACK_END * SCALE_DOWN_FRACTION)).toInt()
+    private fun requiredCount(service: ServiceName, load: Double, loadPerBackEnd: Double, initial: Int): Int {
+        val lower = ceil(load / loadPerBackEnd).toInt()
+        val upper = ceil(load / (loadPerBackEnd * SCALE_DOWN_FRACTION)).toInt()
         val limits = ceil(initial * MIN_FRACTION).toInt()..ceil(initial * MAX_GROWTH).toInt()
         val required = (requiredCounts[service] ?: lower).coerceIn(lower, upper).coerceIn(limits)
         requiredCounts[service] = required
@@ -277,18 +298,12 @@
         /** A heartbeat interval of the back ends and a second, by which time all those running have registered. */
         val REGISTRATION_TIME: Duration = 2.5.seconds
 
-        /**
-         * The load at which a back end still meets its latency targets, in requests, where a long prompt counts as more
-         * than one.
-         */
-        const val LOAD_PER_BACK_END = 14.0
-
         /** The fraction of the initial back ends that is kept for loads that rise faster than a back end boots. */
         const val MIN_FRACTION = 0.6
 
         /**
-         * Back ends are removed when the load on each falls below this fraction of [LOAD_PER_BACK_END]; most lulls do
-         * not reach it.
+         * Back ends are removed when the load on each falls below this fraction of what it can carry; most lulls do not
+         * reach it.
          */
         const val SCALE_DOWN_FRACTION = 0.8
 
--- /dev/null
+++ b/core/src/main/kotlin/gypsumcart/core/routing/LatencyWindow.kt
@@ -0,0 +1,33 @@
+package gypsumcart.core.routing
+
+import gypsumcart.core.MonotonicTime
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.seconds
+
+/** Keeps the latencies of the recent past, as fractions of the latency targets of their requests. */
+internal class LatencyWindow {
+    private class Sample(val fraction: Double, val at: MonotonicTime)
+
+    private val samples = ArrayDeque<Sample>()
+
+    fun add(fraction: Double, now: MonotonicTime) {
+        if (samples.size == MAX_SAMPLES) samples.removeFirst()
+        samples.addLast(Sample(fraction, now))
+    }
+
+    /** Returns the latency that nine tenths of the requests did not exceed, or null if there were too few. */
+    fun slowestTenthOrNull(now: MonotonicTime): Double? {
+        while (samples.isNotEmpty() && now - samples.first().at > SPAN) samples.removeFirst()
+        if (samples.size < MIN_SAMPLES) return null
+        return samples.map { it.fraction }.sorted()[samples.size * 9 / 10]
+    }
+
+    private companion object {
+        /** Long enough for a sufficient number of requests, short enough to follow a loss of back ends. */
+        val SPAN: Duration = 3.seconds
+
+        /** With fewer requests, a single slow one would decide. */
+        const val MIN_SAMPLES = 20
+        const val MAX_SAMPLES = 256
+    }
+}
--- a/core/src/main/kotlin/gypsumcart/core/routing/Routing.kt
+++ b/core/src/main/kotlin/gypsumcart/core/routing/Routing.kt
@@ -40,6 +40,9 @@
         public val health: HealthSignal,
     ) : RoutingEvent()
 
+    /** The first piece of a response of [service] arrived after [fraction] of the request's latency target. */
+    public data class FirstPieceReceived(public val service: ServiceName, public val fraction: Double) : RoutingEvent()
+
     /** The client of the request with [ticket] disconnected, so that the request no longer waits for a back end. */
     public data class RequestCancelled(public val ticket: Ticket) : RoutingEvent()
 
@@ -73,8 +76,16 @@
     /** Requests a [RoutingEvent.Sweep] at [time], when a request that started to wait will have waited too long. */
     public data class SweepAt(public val time: MonotonicTime) : RoutingEffect()
 
-    /** Reports the load of this node by service: the cost of in-flight calls plus the number of waiting requests. */
-    public data class ReportLoad(public val load: Map<ServiceName, Double>) : RoutingEffect()
+    /**
+     * Reports the load of this node by service.
+     *
+     * @property load the cost of in-flight calls plus the number of waiting requests
+     * @property latency the time to the first piece of the slowest tenth of requests, as a fraction of their target
+     */
+    public data class ReportLoad(
+        public val load: Map<ServiceName, Double>,
+        public val latency: Map<ServiceName, Double>,
+    ) : RoutingEffect()
 }
 
 /**
@@ -89,6 +100,7 @@
     private val candidatesByService = HashMap<ServiceName, List<Candidate>>()
     private val waiting = LinkedHashMap<Ticket, WaitingRequest>()
     private val retryBudgets = HashMap<ServiceName, RetryBudget>()
+    private val latencies = HashMap<ServiceName, LatencyWindow>()
     private var nodeCount = 1
 
     override fun decide(event: RoutingEvent, now: MonotonicTime): List<RoutingEffect> =
@@ -97,10 +109,12 @@
             is RoutingEvent.RequestAdmitted -> assignOrWait(event.admitted, now)
             is RoutingEvent.RetryRequested -> listOf(retryOrConclude(event, now))
             is RoutingEvent.CallReleased -> releaseCall(event, now)
+            is RoutingEvent.FirstPieceReceived ->
+                noEffects { latencies.getOrPut(event.service, ::LatencyWindow).add(event.fraction, now) }
             is RoutingEvent.RequestCancelled -> noEffects { waiting -= event.ticket }
             is RoutingEvent.NodeCountUpdated -> noEffects { nodeCount = event.nodeCount }
             RoutingEvent.Sweep -> expireWaiting(now)
-            RoutingEvent.ReportDue -> listOf(RoutingEffect.ReportLoad(loadByService()))
+            RoutingEvent.ReportDue -> listOf(RoutingEffect.ReportLoad(loadByService(), latencyByService(now)))
         }
 
     private inline fun noEffects(change: () -> Unit): List<RoutingEffect> {
@@ -202,6 +216,11 @@
             serviceCandidates.sumOf { it.load } + waiting.values.count { it.admitted.service == service }
         }
 
+    private fun latencyByService(now: MonotonicTime): Map<ServiceName, Double> =
+        latencies
+            .mapNotNull { (service, window) -> window.slowestTenthOrNull(now)?.let { service to it } }
+            .toMap()
+
     private fun retryBudgetOf(service: ServiceName): RetryBudget =
         retryBudgets.getOrPut(service) { RetryBudget(retryLimits) }
 
--- a/core/src/test/kotlin/gypsumcart/core/membership/MembershipTest.kt
+++ b/core/src/test/kotlin/gypsumcart/core/membership/MembershipTest.kt
@@ -49,6 +49,7 @@
             usageUntil = UnixMillis(0),
             quotaUse = mapOf(TeamName("team") to QuotaUse(10.0, 50.0)),
             load = emptyMap(),
+            latency = emptyMap(),
             lease = null,
         )
 
--- a/core/src/test/kotlin/gypsumcart/core/usage/UsageTest.kt
+++ b/core/src/test/kotlin/gypsumcart/core/usage/UsageTest.kt
@@ -41,6 +41,7 @@
             usageUntil = UnixMillis(until),
             quotaUse = emptyMap(),
             load = emptyMap(),
+            latency = emptyMap(),
             lease = null,
         )
 
--- a/node/src/main/kotlin/gypsumcart/node/BackEndCalls.kt
+++ b/node/src/main/kotlin/gypsumcart/node/BackEndCalls.kt
@@ -25,6 +25,7 @@
 /**
  * Makes upstream calls and forwards their responses to clients.
  *
+ * @property onFirstPiece called when the first event of a streamed response arrives
  * @property onRequestStarted called with the team and the current time when a back end starts to respond to a request
  *   of a team, except if the call resumes a stream
  */
@@ -32,6 +33,7 @@
     private val codec: CallCodec,
     private val client: HttpClient,
     private val clock: MonotonicClock,
+    private val onFirstPiece: (DispatchEffect.Call, MonotonicTime) -> Unit,
     private val onRequestStarted: (TeamName, MonotonicTime) -> Unit,
 ) {
     /**
@@ -122,7 +124,10 @@
             if (n < 0) break
             val complete = events.append(buffer, n)
             if (complete.isEmpty()) continue
-            if (!started) reportStart(call)
+            if (!started) {
+                reportStart(call)
+                onFirstPiece(call, clock.now())
+            }
             started = true
             response.startStream(ResponseHead(head.status, head.headers.withoutHopByHop()))
             response.writeEvents(complete, events.lastEventId)
--- a/node/src/main/kotlin/gypsumcart/node/FleetDuties.kt
+++ b/node/src/main/kotlin/gypsumcart/node/FleetDuties.kt
@@ -94,7 +94,8 @@
 
             is MembershipEffect.DistributeReports -> {
                 rings.usage.put(UsageEvent.ReportsUpdated(effect.reports))
-                rings.orders.put(AutoscalerEvent.LoadMeasured(effect.reports.map { it.load }))
+                val (loads, latencies) = effect.reports.map { it.load to it.latency }.unzip()
+                rings.orders.put(AutoscalerEvent.LoadMeasured(loads, latencies))
             }
         }
     }
@@ -208,7 +209,13 @@
     }
 
     private fun placeOrder(effect: AutoscalerEffect.Order) {
-        log.info("event=back_ends_wanted act={} need={} load={}", effect.command, effect.required, effect.load)
+        log.info(
+            "event=back_ends_wanted act={} need={} load={} load_per_back_end={}",
+            effect.command,
+            effect.required,
+            effect.load,
+            effect.loadPerBackEnd,
+        )
         rings.lease.put(LeaseEvent.CommandRequested(effect.command, wallTime()))
     }
 
--- a/node/src/main/kotlin/gypsumcart/node/Node.kt
+++ b/node/src/main/kotlin/gypsumcart/node/Node.kt
@@ -1,12 +1,15 @@
 package gypsumcart.node
 
 import gypsumcart.core.Address
+import gypsumcart.core.AttemptNumber
 import gypsumcart.core.Incarnation
+import gypsumcart.core.MonotonicTime
 import gypsumcart.core.NodeId
 import gypsumcart.core.ZoneName
 import gypsumcart.core.addressOrNull
 import gypsumcart.core.admission.AdmissionEvent
 import gypsumcart.core.directory.DirectoryEvent
+import gypsumcart.core.dispatch.DispatchEffect
 import gypsumcart.core.leases.LeaseEvent
 import gypsumcart.core.membership.MembershipEvent
 import gypsumcart.core.membership.MembershipSettings
@@ -64,7 +67,7 @@
             quotaWindow = settings.bounds.quotas.window,
         )
     private val calls =
-        BackEndCalls(platform.codec, client, clock) { team, at ->
+        BackEndCalls(platform.codec, client, clock, ::reportFirstPiece) { team, at ->
             rings.usage.offer(UsageEvent.RequestStarted(team, at))
         }
     private val edge =
@@ -186,6 +189,14 @@
         runtime.scope.launch { fleetClock.latestOrNull()?.let { rings.usage.put(it) } }
     }
 
+    /** Reports the latency of a first call; that of a later one says more about the back end that failed before. */
+    private fun reportFirstPiece(call: DispatchEffect.Call, at: MonotonicTime) {
+        if (call.attempt != AttemptNumber.FIRST) return
+        val admitted = call.admitted
+        val fraction = (at - admitted.submission.arrivedAt) / admitted.route.targetLatency
+        rings.routing.offer(RoutingEvent.FirstPieceReceived(admitted.service, fraction))
+    }
+
     private var wasReady = false
 
     private fun checkReadiness() {
--- a/node/src/main/kotlin/gypsumcart/node/PeerCodec.kt
+++ b/node/src/main/kotlin/gypsumcart/node/PeerCodec.kt
@@ -52,6 +52,7 @@
     val until: Long? = null,
     val quota: Map<String, List<Double>>,
     val load: Map<String, Double>,
+    val latency: Map<String, Double> = emptyMap(),
     val lease: WireLease? = null,
 )
 
@@ -118,7 +119,8 @@
                 .filterValues { it != UNUSED }
                 .entries
                 .associate { (team, use) -> team.text to use.toWire() },
-        load = report.load.mapKeys { it.key.text },
+        load = report.load.entries.associate { (service, load) -> service.text to load.roundToTenths() },
+        latency = report.latency.entries.associate { (service, share) -> service.text to share.roundToThousandths() },
         lease = report.lease?.let { WireLease(it.version, it.storedToken?.number) },
     )
 
@@ -126,7 +128,11 @@
     entries.associate { (window, counts) -> window.number to counts.mapKeys { it.key.text } }
 
 /** Rounds up what was spent, so that rounding never makes room for more. */
-private fun QuotaUse.toWire(): List<Double> = listOf(round(demandPerSecond * TENTHS) / TENTHS, ceil(spent))
+private fun QuotaUse.toWire(): List<Double> = listOf(demandPerSecond.roundToTenths(), ceil(spent))
+
+private fun Double.roundToTenths(): Double = round(this * TENTHS) / TENTHS
+
+private fun Double.roundToThousandths(): Double = round(this * THOUSANDTHS) / THOUSANDTHS
 
 private fun WireItem.toItemOrNull(): PeerItem? {
     val clientAddress = addressOrNull(client) ?: return null
@@ -146,6 +152,7 @@
             usageUntil = UnixMillis(until ?: 0),
             quotaUse = quota.entries.associate { (team, use) -> TeamName(team) to QuotaUse(use[0], use[1]) },
             load = load.mapKeys { ServiceName(it.key) },
+            latency = latency.mapKeys { ServiceName(it.key) },
             lease = lease?.let { LeaseRow(key.node, key.incarnation, it.version, it.fence?.let(::FencingToken)) },
         )
     return PeerItem(report, age.milliseconds, hasUsage = usage != null)
@@ -155,6 +162,7 @@
 
 private val UNUSED = QuotaUse(0.0, 0.0)
 private const val TENTHS = 10.0
+private const val THOUSANDTHS = 1_000.0
 
 /** Demand and amount spent. */
 private const val QUOTA_FIELDS = 2
--- a/node/src/main/kotlin/gypsumcart/node/RequestDuties.kt
+++ b/node/src/main/kotlin/gypsumcart/node/RequestDuties.kt
@@ -90,7 +90,10 @@
                     rings.routing.offer(RoutingEvent.Sweep)
                 }
 
-            is RoutingEffect.ReportLoad -> rings.membership.offer(MembershipEvent.LoadMeasured(effect.load))
+            is RoutingEffect.ReportLoad ->
+                rings.membership.offer(
+                    MembershipEvent.LoadMeasured(effect.load, effect.latency),
+                )
         }
     }
 
--- a/node/src/main/kotlin/gypsumcart/node/RowCodecs.kt
+++ b/node/src/main/kotlin/gypsumcart/node/RowCodecs.kt
@@ -31,6 +31,7 @@
     @SerialName("until") val usageUntil: Long,
     val quotaUse: Map<String, QuotaUseRow>,
     val load: Map<String, Double>,
+    val latency: Map<String, Double> = emptyMap(),
 )
 
 @Serializable
@@ -95,6 +96,7 @@
                     team.text to QuotaUseRow(use.demandPerSecond, use.spent)
                 },
             load = load.mapKeys { it.key.text },
+            latency = latency.mapKeys { it.key.text },
         ),
     )
 
@@ -122,6 +124,7 @@
                 TeamName(team) to QuotaUse(use.demandPerSecond, use.spent)
             },
         load = row.load.mapKeys { ServiceName(it.key) },
+        latency = row.latency.mapKeys { ServiceName(it.key) },
         lease = null,
     )
 }
