Bound what is read of one message, whatever its sender sends

Cause: found by reading. The library's parser collects header fields as long as they come, whole bodies, an event of a stream and trailers were collected without a bound; a server in trouble can send bytes without end. Change: heads are read through HeadLimiter (the configuration's limit for clients, 64 KiB for back ends), bodies with readAtMost, events and bodies up to the new settings under responses, trailers up to 64. A read that passes its bound ends the connection and counts as an invalid response.

--- a/core/src/main/kotlin/gypsumcart/core/membership/Membership.kt
+++ b/core/src/main/kotlin/gypsumcart/core/membership/Membership.kt
@@ -73,7 +73,11 @@
             is MembershipEvent.QuotaUseMeasured -> noEffects { ownReport = ownReport.copy(quotaUse = event.use) }
             is MembershipEvent.LoadMeasured ->
                 noEffects { ownReport = ownReport.copy(load = event.load, latency = event.latency) }
-            is MembershipEvent.UsageCounted -> noEffects { changeUsage(event) }
+            is MembershipEvent.UsageCounted ->
+                noEffects {
+                    ownReport = ownReport.copy(usage = event.usage, usageUntil = event.until)
+                    usageChanged = true
+                }
             is MembershipEvent.LeaseWritten -> noEffects { ownReport = ownReport.copy(lease = event.row) }
             is MembershipEvent.MessageReceived -> receiveMessage(event, now)
             is MembershipEvent.ExchangeEnded -> endExchange(event, now)
@@ -86,11 +90,6 @@
         return emptyList()
     }
 
-    private fun changeUsage(event: MembershipEvent.UsageCounted) {
-        ownReport = ownReport.copy(usage = event.usage, usageUntil = event.until)
-        usageChanged = true
-    }
-
     private fun changeAccepting(accepting: Boolean, now: MonotonicTime): List<MembershipEffect> {
         ownReport = ownReport.copy(accepting = accepting)
         renewReport(now)
--- a/core/src/main/kotlin/gypsumcart/core/membership/NodeReport.kt
+++ b/core/src/main/kotlin/gypsumcart/core/membership/NodeReport.kt
@@ -22,8 +22,8 @@
  * @property usageUntil the Unix time, as agreed among the nodes, up to which [usage] is complete
  * @property quotaUse the use of each team's quota through the node
  * @property load the load of the requests waiting or in progress at the node, by service
- * @property latency the time to the first piece of the slowest tenth of requests through the node, as a fraction of their
- * latency target, by service
+ * @property latency the time to the first piece of the slowest tenth of requests through the node, as a fraction of
+ * their latency target, by service
  * @property lease the lease row as last written by the node, or null if it has not written one
  */
 public data class NodeReport(
--- a/core/src/main/kotlin/gypsumcart/core/routing/LatencyWindow.kt
+++ b/core/src/main/kotlin/gypsumcart/core/routing/LatencyWindow.kt
@@ -19,13 +19,15 @@
     fun slowestTenthOrNull(now: MonotonicTime): Double? {
         while (samples.isNotEmpty() && now - samples.first().at > SPAN) samples.removeFirst()
         if (samples.size < MIN_SAMPLES) return null
-        return samples.map { it.fraction }.sorted()[samples.size * 9 / 10]
+        return samples.map { it.fraction }.sorted()[(samples.size * QUANTILE).toInt()]
     }
 
     private companion object {
         /** Long enough for a sufficient number of requests, short enough to follow a loss of back ends. */
         val SPAN: Duration = 3.seconds
 
+        const val QUANTILE = 0.9
+
         /** With fewer requests, a single slow one would decide. */
         const val MIN_SAMPLES = 20
         const val MAX_SAMPLES = 256
--- a/http/src/main/kotlin/gypsumcart/http/ChunkReader.kt
+++ b/http/src/main/kotlin/gypsumcart/http/ChunkReader.kt
@@ -47,9 +47,10 @@
     }
 
     private suspend fun skipTrailers() {
-        do {
-            val trailer = readLine()
-        } while (trailer.isNotEmpty())
+        repeat(MAX_TRAILERS) {
+            if (readLine().isEmpty()) return
+        }
+        throw IOException("more than $MAX_TRAILERS trailers")
     }
 
     private suspend fun readLine(): String =
@@ -63,6 +64,9 @@
         /** The permitted number of hexadecimal digits in a chunk size; eight digits allow chunks up to 4 GiB. */
         val SIZE_DIGITS = 1..8
 
+        /** Trailers are skipped; few servers send any. */
+        const val MAX_TRAILERS = 64
+
         /** Limits the line of a chunk size with its extensions, and the line of a trailer field. */
         const val MAX_LINE_BYTES = 4_096L
     }
--- a/http/src/main/kotlin/gypsumcart/http/EventStreamSplitter.kt
+++ b/http/src/main/kotlin/gypsumcart/http/EventStreamSplitter.kt
@@ -6,14 +6,19 @@
  * Splits the bytes of a `text/event-stream` at the ends of events.
  *
  * Lines may end with LF or CRLF.
+ *
+ * @property maxEventBytes the size above which an incomplete event is not collected any further
  */
-public class EventStreamSplitter {
+public class EventStreamSplitter(private val maxEventBytes: Int = DEFAULT_MAX_EVENT_BYTES) {
     private val pending = ByteArrayOutputStream()
 
     /** The value of the last `id` field in the events returned so far, or null if none had one. */
     public var lastEventId: String? = null
         private set
 
+    /** Whether the buffered event is larger than allowed; the stream is then not to be read any further. */
+    public val isOversized: Boolean get() = pending.size() > maxEventBytes
+
     /** Whether bytes of an incomplete event are buffered. */
     public val hasIncompleteEvent: Boolean get() = pending.size() > 0
 
@@ -34,8 +39,10 @@
         return complete
     }
 
-    private companion object {
-        val EMPTY = ByteArray(0)
+    public companion object {
+        /** Far more than the text of one event, and little for a process that reads many streams. */
+        public const val DEFAULT_MAX_EVENT_BYTES: Int = 262_144
+        private val EMPTY = ByteArray(0)
     }
 }
 
--- a/http/src/main/kotlin/gypsumcart/http/ReadFailure.kt
+++ b/http/src/main/kotlin/gypsumcart/http/ReadFailure.kt
@@ -19,7 +19,7 @@
     /** The sender exceeded a timeout of [MessageLimits]. */
     public data object TooSlow : ReadFailure()
 
-    /** The head exceeds [MessageLimits.maxHeaderBytes]. */
+    /** The head exceeds [MessageLimits.maxHeaderBytes], or the bound for heads of responses. */
     public data object HeaderTooLarge : ReadFailure()
 
     /** The body exceeds [MessageLimits.maxBodyBytes]. */
@@ -39,6 +39,8 @@
         throw e
     } catch (_: EOFException) {
         Err(ReadFailure.Truncated)
+    } catch (_: HeadTooLargeException) {
+        Err(ReadFailure.HeaderTooLarge)
     } catch (_: ParserException) {
         Err(ReadFailure.Malformed)
     } catch (_: IOException) {
--- a/http/src/main/kotlin/gypsumcart/http/RequestReader.kt
+++ b/http/src/main/kotlin/gypsumcart/http/RequestReader.kt
@@ -32,7 +32,7 @@
 }
 
 private suspend fun ByteReadChannel.readHead(limits: MessageLimits): Result<RequestHead, ReadFailure> {
-    val request = parseRequest(this) ?: return Err(ReadFailure.Ended)
+    val request = parseRequest(HeadLimiter(this, limits.maxHeaderBytes)) ?: return Err(ReadFailure.Ended)
     try {
         return validateHead(request, limits)
     } finally {
--- a/http/src/main/kotlin/gypsumcart/http/ResponseReader.kt
+++ b/http/src/main/kotlin/gypsumcart/http/ResponseReader.kt
@@ -8,10 +8,15 @@
 import io.ktor.utils.io.readAvailable
 import kotlinx.io.EOFException
 
-/** Reads the head of a response; informational (1xx) responses are [ReadFailure.Malformed]. */
-internal suspend fun ByteReadChannel.readResponseHead(): Result<ResponseHead, ReadFailure> =
+/**
+ * Reads the head of a response of at most about [maxBytes]; informational (1xx) responses are
+ * [ReadFailure.Malformed].
+ */
+internal suspend fun ByteReadChannel.readResponseHead(
+    maxBytes: Int = MAX_RESPONSE_HEAD_BYTES,
+): Result<ResponseHead, ReadFailure> =
     readCatching {
-        val response = parseResponse(this)
+        val response = parseResponse(HeadLimiter(this, maxBytes))
         if (response == null) {
             Err(ReadFailure.Ended)
         } else {
@@ -85,5 +90,8 @@
 
 private const val FIRST_FINAL_STATUS = 200
 
+/** Four times what common HTTP servers accept in a head. */
+private const val MAX_RESPONSE_HEAD_BYTES = 65_536
+
 /** Status codes whose responses have no body: No Content and Not Modified. */
 private val STATUSES_WITHOUT_BODY = setOf(204, 304)
--- a/http/src/test/kotlin/gypsumcart/http/EventStreamSplitterTest.kt
+++ b/http/src/test/kotlin/gypsumcart/http/EventStreamSplitterTest.kt
@@ -11,6 +11,16 @@
 import strikt.assertions.isTrue
 
 class EventStreamSplitterTest {
+    @Test
+    fun `an event that does not end is reported as too large`() {
+        val splitter = EventStreamSplitter(maxEventBytes = 100)
+        val bytes = ByteArray(60) { 'x'.code.toByte() }
+        splitter.append(bytes, bytes.size)
+        expectThat(splitter.isOversized).isEqualTo(false)
+        splitter.append(bytes, bytes.size)
+        expectThat(splitter.isOversized).isEqualTo(true)
+    }
+
     private fun EventStreamSplitter.append(text: String): String =
         append(text.toByteArray(), text.length).decodeToString()
 
--- a/http/src/test/kotlin/gypsumcart/http/HttpClientTest.kt
+++ b/http/src/test/kotlin/gypsumcart/http/HttpClientTest.kt
@@ -7,10 +7,13 @@
 import org.junit.jupiter.api.Test
 import strikt.api.expectThat
 import strikt.assertions.isEqualTo
+import strikt.assertions.isLessThan
 import java.io.ByteArrayOutputStream
 import java.net.InetAddress
 import java.net.ServerSocket
 import java.net.Socket
+import java.util.concurrent.CompletableFuture
+import java.util.concurrent.TimeUnit
 import java.util.concurrent.atomic.AtomicInteger
 import kotlin.concurrent.thread
 import kotlin.time.Duration.Companion.seconds
@@ -64,6 +67,63 @@
         }
     }
 
+    /** Accepts one connection, sends [start] and then [repeated] without end; returns how many bytes could be sent. */
+    private fun sendWithoutEnd(start: String, repeated: String): CompletableFuture<Long> =
+        CompletableFuture.supplyAsync {
+            listener.accept().use { socket ->
+                socket.getInputStream().read()
+                val output = socket.getOutputStream()
+                val bytes = repeated.repeat(1_000).toByteArray()
+                var sent = 0L
+                try {
+                    output.write(start.toByteArray())
+                    while (sent < ENDLESS_BYTES) {
+                        output.write(bytes)
+                        sent += bytes.size
+                    }
+                } catch (_: java.io.IOException) {
+                    // The client has closed the connection.
+                }
+                sent
+            }
+        }
+
+    @Test
+    fun `a head that does not end is given up`() {
+        val sent = sendWithoutEnd("HTTP/1.1 200 OK\r\n", "X-Filler: 0123456789\r\n")
+        expectThat(get()).isEqualTo("Malformed")
+        expectThat(sent.get(5, TimeUnit.SECONDS)).isLessThan(ENDLESS_BYTES)
+    }
+
+    @Test
+    fun `a line of a head that does not end is given up`() {
+        val sent = sendWithoutEnd("HTTP/1.1 200 OK\r\nX-Filler: ", "0123456789")
+        expectThat(get()).isEqualTo("Malformed")
+        expectThat(sent.get(5, TimeUnit.SECONDS)).isLessThan(ENDLESS_BYTES)
+    }
+
+    @Test
+    fun `a body that does not end is given up at the caller's bound`() {
+        val sent = sendWithoutEnd("HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\n\r\n", "0123456789")
+        val result =
+            runBlocking {
+                client.exchange(
+                    Endpoint(LoopbackServer.HOST, listener.localPort),
+                    OutgoingRequest("GET", "/x", Headers.EMPTY, ByteArray(0)),
+                ) { _, body -> body.readAtMost(100_000) == null }
+            }
+        expectThat(result.fold({ it }, { false })).isEqualTo(true)
+        expectThat(sent.get(5, TimeUnit.SECONDS)).isLessThan(ENDLESS_BYTES)
+    }
+
+    @Test
+    fun `trailers that do not end are given up`() {
+        val start = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\nx\r\n0\r\n"
+        val sent = sendWithoutEnd(start, "X-Filler: 0123456789\r\n")
+        expectThat(get()).isEqualTo("ConnectionLost")
+        expectThat(sent.get(5, TimeUnit.SECONDS)).isLessThan(ENDLESS_BYTES)
+    }
+
     private fun get(): String =
         runBlocking {
             val result: Result<String, ExchangeFailure> =
@@ -134,4 +194,9 @@
         listener.close()
         expectThat(get()).isEqualTo("NotConnected")
     }
+
+    private companion object {
+        /** More than the buffers of both sides hold, and than a bounded reader takes. */
+        const val ENDLESS_BYTES = 200_000_000L
+    }
 }
--- a/node/src/main/kotlin/gypsumcart/node/BackEndCalls.kt
+++ b/node/src/main/kotlin/gypsumcart/node/BackEndCalls.kt
@@ -17,10 +17,10 @@
 import gypsumcart.http.OutgoingRequest
 import gypsumcart.http.ResponseBody
 import gypsumcart.http.ResponseHead
+import gypsumcart.http.readAtMost
 import gypsumcart.http.withoutHopByHop
 import gypsumcart.pipeline.MonotonicClock
 import kotlinx.coroutines.withTimeoutOrNull
-import java.io.ByteArrayOutputStream
 
 /**
  * Makes upstream calls and forwards their responses to clients.
@@ -33,6 +33,7 @@
     private val codec: CallCodec,
     private val client: HttpClient,
     private val clock: MonotonicClock,
+    private val limits: ResponseLimits,
     private val onFirstPiece: (DispatchEffect.Call, MonotonicTime) -> Unit,
     private val onRequestStarted: (TeamName, MonotonicTime) -> Unit,
 ) {
@@ -70,7 +71,8 @@
             ResponseKind.Valid -> forward(call, head, body, response)
 
             is ResponseKind.Declined -> {
-                body.readAll()
+                // The rest of a body beyond the bound is left unread, which closes the connection.
+                body.readAtMost(limits.maxBodyBytes)
                 CallResult.Failed(CallFailure.Declined(kind.status), response.progress)
             }
 
@@ -100,7 +102,9 @@
         response: ForwardedResponse,
     ): CallResult {
         reportStart(call)
-        val bytes = body.readAll()
+        val bytes =
+            body.readAtMost(limits.maxBodyBytes)
+                ?: return CallResult.Failed(CallFailure.InvalidResponse, response.progress)
         val forwardedHead = ResponseHead(head.status, head.headers.withoutHopByHop())
         if (head.status >= FIRST_SERVER_ERROR && call.admitted.route.kind.isRetryable) {
             response.storeFallback(forwardedHead, bytes)
@@ -116,13 +120,14 @@
         body: ResponseBody,
         response: ForwardedResponse,
     ): CallResult {
-        val events = EventStreamSplitter()
+        val events = EventStreamSplitter(limits.maxEventBytes)
         val buffer = ByteArray(EVENT_BUFFER_BYTES)
         var started = false
         while (true) {
             val n = body.read(buffer)
             if (n < 0) break
             val complete = events.append(buffer, n)
+            if (events.isOversized) return CallResult.Failed(CallFailure.InvalidResponse, response.progress)
             if (complete.isEmpty()) continue
             if (!started) {
                 reportStart(call)
@@ -156,22 +161,9 @@
 /** Identifies this instance of the back end among all that start at the same address. */
 internal val BackEnd.peerId: String get() = "${key.id}/${key.incarnation}"
 
-private suspend fun ResponseBody.readAll(): ByteArray {
-    val bytes = ByteArrayOutputStream()
-    val buffer = ByteArray(BODY_BUFFER_BYTES)
-    while (true) {
-        val n = read(buffer)
-        if (n < 0) return bytes.toByteArray()
-        bytes.write(buffer, 0, n)
-    }
-}
-
 private fun ExchangeFailure.toCallFailure(): CallFailure =
     when (this) {
         ExchangeFailure.NotConnected -> CallFailure.ConnectFailed
         ExchangeFailure.ConnectionLost -> CallFailure.Truncated
         ExchangeFailure.Malformed -> CallFailure.InvalidResponse
     }
-
-/** Large enough for most complete response bodies. */
-private const val BODY_BUFFER_BYTES = 4_096
--- a/node/src/main/kotlin/gypsumcart/node/Node.kt
+++ b/node/src/main/kotlin/gypsumcart/node/Node.kt
@@ -67,7 +67,7 @@
             quotaWindow = settings.bounds.quotas.window,
         )
     private val calls =
-        BackEndCalls(platform.codec, client, clock, ::reportFirstPiece) { team, at ->
+        BackEndCalls(platform.codec, client, clock, settings.responses, ::reportFirstPiece) { team, at ->
             rings.usage.offer(UsageEvent.RequestStarted(team, at))
         }
     private val edge =
--- a/node/src/main/kotlin/gypsumcart/node/Settings.kt
+++ b/node/src/main/kotlin/gypsumcart/node/Settings.kt
@@ -8,6 +8,7 @@
 import com.github.michaelbull.result.Result
 import gypsumcart.core.addressOrNull
 import gypsumcart.core.admission.QuotaBounds
+import gypsumcart.http.EventStreamSplitter
 import kotlinx.serialization.SerialName
 import kotlinx.serialization.Serializable
 import kotlinx.serialization.SerializationException
@@ -28,6 +29,7 @@
  * @property peers the address on which the messages of other nodes are received, or empty to use the store alone
  * @property store the address of the store
  * @property metrics the address on which the metrics are served, or empty to serve none
+ * @property responses the largest responses that are accepted from back ends
  * @property cloud the address to which orders and usage reports are sent, or empty if the fleet sends none; the address
  *   of the store then takes its place
  */
@@ -43,6 +45,19 @@
     public val metrics: String = "",
     public val cloud: String = "",
     public val bounds: Bounds,
+    public val responses: ResponseLimits = ResponseLimits(),
+)
+
+/**
+ * Limits what is read of one response of a back end; a call whose response is larger fails as invalid.
+ *
+ * @property maxBodyBytes the size of a response that is not a stream, which is held in memory as a whole
+ * @property maxEventBytes the size of one event of a stream
+ */
+@Serializable
+public data class ResponseLimits(
+    @SerialName("max_body_bytes") public val maxBodyBytes: Int = DEFAULT_MAX_BODY_BYTES,
+    @SerialName("max_event_bytes") public val maxEventBytes: Int = EventStreamSplitter.DEFAULT_MAX_EVENT_BYTES,
 )
 
 /** Holds the operating limits of the fleet; the names state the units of times. */
@@ -128,6 +143,8 @@
         node.isBlank() -> SettingsError.Invalid("node", "is empty")
         bounds.leaseMillis <= 0 -> SettingsError.Invalid("bounds.lease_ms", "is not positive")
         bounds.quotaWindowSeconds <= 0 -> SettingsError.Invalid("bounds.quota_window_s", "is not positive")
+        responses.maxBodyBytes <= 0 -> SettingsError.Invalid("responses.max_body_bytes", "is not positive")
+        responses.maxEventBytes <= 0 -> SettingsError.Invalid("responses.max_event_bytes", "is not positive")
         bounds.contactMillis <= 0 -> SettingsError.Invalid("bounds.contact_ms", "is not positive")
         bounds.drainMillis <= 0 -> SettingsError.Invalid("bounds.drain_ms", "is not positive")
         bounds.usageWindowSeconds <= 0 -> SettingsError.Invalid("bounds.usage_window_s", "is not positive")
@@ -135,6 +152,9 @@
     }
 }
 
+/** Twice the default limit for bodies of requests. */
+private const val DEFAULT_MAX_BODY_BYTES = 8_388_608
+
 /** The values of the smallest deployments, for settings files that do not state them. */
 private const val DEFAULT_CONTACT_MILLIS = 3_000L
 private const val DEFAULT_DRAIN_MILLIS = 2_000L
