Let a timer's callback fail without ending the timer thread

Change: the exception is logged as timer_fault and the next timer runs. Result: the new test in DutiesTest failed without the change.

--- a/pipeline/src/main/kotlin/gypsumcart/pipeline/Timers.kt
+++ b/pipeline/src/main/kotlin/gypsumcart/pipeline/Timers.kt
@@ -1,6 +1,7 @@
 package gypsumcart.pipeline
 
 import gypsumcart.core.MonotonicTime
+import org.slf4j.LoggerFactory
 import java.util.PriorityQueue
 import java.util.concurrent.atomic.AtomicLong
 import kotlin.concurrent.thread
@@ -120,7 +121,16 @@
             if (next.dueTime > now) return
             timersByDueTime.remove()
             rescheduleOrRemove(next, now)
-            next.callback()
+            call(next)
+        }
+    }
+
+    @Suppress("TooGenericExceptionCaught") // One failed callback must not end the thread that calls all others.
+    private fun call(timer: Timer) {
+        try {
+            timer.callback()
+        } catch (e: Exception) {
+            log.error("event=timer_fault timer={}", timer.id, e)
         }
     }
 
@@ -135,6 +145,7 @@
     }
 
     private companion object {
+        private val log = LoggerFactory.getLogger(TimerService::class.java)
         const val DEFAULT_RING_CAPACITY = 65_536
     }
 }
--- a/pipeline/src/test/kotlin/gypsumcart/pipeline/DutiesTest.kt
+++ b/pipeline/src/test/kotlin/gypsumcart/pipeline/DutiesTest.kt
@@ -74,6 +74,17 @@
         expectThat(firstTwo).isEqualTo(listOf("first", "second"))
     }
 
+    @Test
+    fun `timers fire after one whose callback throws`() {
+        val fired = CountDownLatch(1)
+        val timers = TimerService()
+        timers.start()
+        timers.after(5.milliseconds) { error("the callback fails") }
+        timers.after(10.milliseconds) { fired.countDown() }
+        expectThat(fired.await(5, TimeUnit.SECONDS)).isTrue()
+        timers.stop(1.seconds)
+    }
+
     @Test
     fun `a periodic timer fires until it is cancelled`() {
         val threeCalls = CountDownLatch(3)
