Check a command's permit before it is sent, and the age of stored reports

A process that was paused between the decision and the send of a fenced command sent it after its term. A node that starts took every row of the last 52 s for a live node, also those of processes that had ended. Change: a command carries a permit with the end of its term, checked right before the send by both clocks. Rows of reports say when they were written by the store's clock, and a reader counts their age from then.

--- a/core/src/main/kotlin/gypsumcart/core/leases/Lease.kt
+++ b/core/src/main/kotlin/gypsumcart/core/leases/Lease.kt
@@ -91,10 +91,11 @@
     /** Reads the lease row. */
     public data object ReadRow : LeaseEffect()
 
-    /** Executes [command] with [fencingToken], the token of the current term. */
+    /** Executes [command] with [fencingToken], the token of the current term, if [permit] is still valid. */
     public data class Execute(
         public val command: FencedCommand,
         public val fencingToken: FencingToken,
+        public val permit: CommandPermit,
     ) : LeaseEffect()
 
     /** Reports that this node wrote the lease row, which is now [row]. */
@@ -163,7 +164,7 @@
             is LeaseEvent.RowObserved -> observeRow(event.row, now)
             is LeaseEvent.WriteEnded -> endWrite(event.result, now)
             is LeaseEvent.ReadFailed -> emptyList<LeaseEffect>().also { isReading = false }
-            is LeaseEvent.CommandRequested -> execute(event.command, now)
+            is LeaseEvent.CommandRequested -> execute(event, now)
             is LeaseEvent.TokenSuperseded -> abandonToken(event.token)
             is LeaseEvent.Tick -> tick(now)
             is LeaseEvent.Stopping -> emptyList<LeaseEffect>().also { stopping = true }
@@ -200,9 +201,12 @@
         return emptyList()
     }
 
-    private fun execute(command: FencedCommand, now: MonotonicTime): List<LeaseEffect> {
+    private fun execute(event: LeaseEvent.CommandRequested, now: MonotonicTime): List<LeaseEffect> {
         val token = heldTokenOrNull(now) ?: return emptyList()
-        return listOf(LeaseEffect.Execute(command, token))
+        val end = heldUntil ?: return emptyList()
+        return listOf(
+            LeaseEffect.Execute(event.command, token, CommandPermit(end, now, event.wallTime, maxClockJump)),
+        )
     }
 
     /** Stops using [token] for good and reads the row, which shows the holder that has a higher one. */
--- a/core/src/main/kotlin/gypsumcart/core/membership/Membership.kt
+++ b/core/src/main/kotlin/gypsumcart/core/membership/Membership.kt
@@ -123,7 +123,7 @@
         storeAnsweredAt = now
         if (firstReadAt == null) firstReadAt = now
         event.removed.forEach(table::remove)
-        for (report in event.reports) table.putStored(report, now)
+        for (report in event.reports) table.putStored(report, now - (event.ages[report.key] ?: Duration.ZERO))
         // With a link, the next exchange distributes the changes together with those that it brings.
         return if (settings.peerAddress == null) distribute(now) + distributeReports(now) else distributeMembers(now)
     }
--- a/core/src/main/kotlin/gypsumcart/core/membership/MembershipEvents.kt
+++ b/core/src/main/kotlin/gypsumcart/core/membership/MembershipEvents.kt
@@ -7,13 +7,19 @@
 import gypsumcart.core.admission.QuotaPeers
 import gypsumcart.core.admission.QuotaUse
 import gypsumcart.core.leases.LeaseRow
+import kotlin.time.Duration
 
 /** Represents an input of the [Membership] decider. */
 public sealed class MembershipEvent {
-    /** The store returned new reports of nodes, possibly including this one, and the keys of removed reports. */
+    /**
+     * The store returned new reports of nodes, possibly including this one, and the keys of removed reports.
+     *
+     * @property ages the time since each report was written, if known
+     */
     public data class ReportsReceived(
         public val reports: List<NodeReport>,
         public val removed: List<NodeKey>,
+        public val ages: Map<NodeKey, Duration> = emptyMap(),
     ) : MembershipEvent()
 
     /** The store responded without any new report. */
--- a/core/src/main/kotlin/gypsumcart/core/membership/PeerTable.kt
+++ b/core/src/main/kotlin/gypsumcart/core/membership/PeerTable.kt
@@ -49,11 +49,14 @@
         put(report, source = self, heardAt = now, linkedAt = now, usageChanged)
     }
 
-    /** Records a report that came from the store, unless a later one is known; returns whether it was recorded. */
-    fun putStored(report: NodeReport, now: MonotonicTime): Boolean {
+    /**
+     * Records a report that its node wrote to the store at [writtenAt], unless a later one is known; returns whether it
+     * was recorded.
+     */
+    fun putStored(report: NodeReport, writtenAt: MonotonicTime): Boolean {
         if (report.key == self || !isNews(report)) return false
         val linkedAt = entries[report.key]?.linkedAt
-        put(report, source = null, heardAt = now, linkedAt, usageChanged = true)
+        put(report, source = null, heardAt = writtenAt, linkedAt, usageChanged = true)
         return true
     }
 
--- a/core/src/test/kotlin/gypsumcart/core/leases/LeaseTest.kt
+++ b/core/src/test/kotlin/gypsumcart/core/leases/LeaseTest.kt
@@ -36,6 +36,12 @@
     private fun request(millis: Int) =
         lease.decide(LeaseEvent.CommandRequested(command, wallTime(millis)), at(millis.milliseconds))
 
+    private fun execution(millis: Int, termEnd: Int): LeaseEffect {
+        val decidedAt = at(millis.milliseconds)
+        val permit = CommandPermit(at(termEnd.milliseconds), decidedAt, wallTime(millis), 300.milliseconds)
+        return LeaseEffect.Execute(command, FencingToken(7), permit)
+    }
+
     private fun acquire() {
         observe(0, null)
         tick(100)
@@ -47,7 +53,7 @@
         observe(0, null)
         expectThat(tick(100)).contains(LeaseEffect.WriteRow(0, null))
         expectThat(endWrite(110, LeaseWriteResult.Written(7))).contains(LeaseEffect.HoldingChanged(FencingToken(7)))
-        expectThat(request(200)).contains(LeaseEffect.Execute(command, FencingToken(7)))
+        expectThat(request(200)).contains(execution(200, termEnd = 3_100))
     }
 
     @Test
@@ -55,7 +61,7 @@
         acquire()
         expectThat(tick(1_400)).contains(LeaseEffect.WriteRow(7, FencingToken(7)))
         endWrite(1_410, LeaseWriteResult.Written(9))
-        expectThat(request(2_000)).contains(LeaseEffect.Execute(command, FencingToken(7)))
+        expectThat(request(2_000)).contains(execution(2_000, termEnd = 4_400))
     }
 
     @Test
@@ -84,7 +90,7 @@
         expectThat(request(1_300)).none { isA<LeaseEffect.Execute>() }
         tick(1_400)
         endWrite(1_410, LeaseWriteResult.Written(8))
-        expectThat(request(1_500)).contains(LeaseEffect.Execute(command, FencingToken(7)))
+        expectThat(request(1_500)).contains(execution(1_500, termEnd = 4_400))
     }
 
     @Test
--- a/core/src/test/kotlin/gypsumcart/core/membership/MembershipTest.kt
+++ b/core/src/test/kotlin/gypsumcart/core/membership/MembershipTest.kt
@@ -91,6 +91,14 @@
         expectThat(members(tick(4.5))).containsExactly("n2")
     }
 
+    @Test
+    fun `a node that ended before this one started is not a member`() {
+        val ended = report("n1")
+        val ages = mapOf(ended.key to 20.seconds)
+        val event = MembershipEvent.ReportsReceived(listOf(ended, report("n2")), emptyList(), ages)
+        expectThat(members(membership.decide(event, at(30.seconds)))).containsExactly("n2")
+    }
+
     @Test
     fun `no node is removed while the store does not answer`() {
         receive(1.0, report("n1"), report("n2"))
--- a/node/src/main/kotlin/gypsumcart/node/FleetDuties.kt
+++ b/node/src/main/kotlin/gypsumcart/node/FleetDuties.kt
@@ -48,7 +48,7 @@
     private val scope: CoroutineScope,
     private val peerLink: PeerLink,
     private val readPace: FleetReadPace,
-    clock: MonotonicClock,
+    private val clock: MonotonicClock,
     private val identity: MembershipSettings,
     bounds: Bounds,
 ) {
@@ -108,7 +108,13 @@
     }
 
     private suspend fun publishReport(effect: MembershipEffect.Publish) {
-        val written = rows.put(Tables.FLEET, effect.report.toRowKey(), effect.report.encode(), expected = null)
+        val written =
+            rows.put(
+                Tables.FLEET,
+                effect.report.toRowKey(),
+                effect.report.encode(storeMillis()),
+                expected = null,
+            )
         written.mapBoth(
             { rings.admission.offer(AdmissionEvent.UsePublished(effect.report.quotaUse)) },
             {
@@ -118,6 +124,10 @@
         )
     }
 
+    /** Returns what the store's clock shows now, or null before the first response. */
+    private fun storeMillis(): Long? =
+        rows.clockOrNull()?.let { it.millis + (clock.now() - it.at).inWholeMilliseconds }
+
     private suspend fun removeReports(effect: MembershipEffect.RemoveReports) {
         val removed = rows.remove(Tables.FLEET, effect.nodes.map { it.toRowKey() })
         removed.mapError { log.info("event=reports_kept count={} cause={}", effect.nodes.size, it.toLogValue()) }
@@ -134,7 +144,7 @@
             is LeaseEffect.WriteRow ->
                 scope.launch { rings.lease.put(LeaseEvent.WriteEnded(writeLease(effect), wallTime())) }
             LeaseEffect.ReadRow -> scope.launch { rings.lease.put(readLease()) }
-            is LeaseEffect.Execute -> scope.launch { executeCommand(effect.command, effect.fencingToken) }
+            is LeaseEffect.Execute -> scope.launch { executeCommand(effect) }
             is LeaseEffect.RowWritten -> rings.membership.offer(MembershipEvent.LeaseWritten(effect.row))
             is LeaseEffect.HoldingChanged -> changeHolding(effect.fencingToken)
         }
@@ -159,8 +169,15 @@
             { LeaseEvent.ReadFailed(wallTime()) },
         )
 
-    private suspend fun executeCommand(command: FencedCommand, token: FencingToken) {
-        val result = platform.commandExecutor.execute(command, token)
+    private suspend fun executeCommand(effect: LeaseEffect.Execute) {
+        val command = effect.command
+        val token = effect.fencingToken
+        val result =
+            if (effect.permit.isValid(clock.now(), wallTime())) {
+                platform.commandExecutor.execute(command, token)
+            } else {
+                CommandResult.REFUSED
+            }
         metrics.countCommand(command, result)
         log.info("event=duty_act act={} fence={} result={}", command, token, result)
         when (command) {
--- a/node/src/main/kotlin/gypsumcart/node/FleetListener.kt
+++ b/node/src/main/kotlin/gypsumcart/node/FleetListener.kt
@@ -2,11 +2,18 @@
 
 import gypsumcart.core.leases.LeaseEvent
 import gypsumcart.core.membership.MembershipEvent
+import gypsumcart.core.membership.NodeKey
+import gypsumcart.core.membership.key
 import gypsumcart.core.replicas.AutoscalerEvent
 import org.slf4j.LoggerFactory
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
 
 /** Passes the rows of [Tables.FLEET] on to the duties that process them. */
-internal class FleetListener(private val rings: Rings) : TableListener {
+internal class FleetListener(
+    private val rings: Rings,
+    private val storeClock: () -> StoreClock?,
+) : TableListener {
     override fun onSnapshot(rows: List<Row>) {
         if (rows.none { it.key == LEASE_KEY }) rings.lease.put(LeaseEvent.RowObserved(null, wallTime()))
         onChanged(rows, emptyList())
@@ -15,10 +22,24 @@
     override fun onChanged(written: List<Row>, removed: List<RowKey>) {
         val reportRows = written.filter { it.key.isNodeReport }
         val reports = reportRows.mapNotNull { row -> row.toReportOrNull() ?: row.logUnreadable() }
-        rings.membership.put(MembershipEvent.ReportsReceived(reports, removed.mapNotNull { it.toNodeKeyOrNull() }))
+        rings.membership.put(
+            MembershipEvent.ReportsReceived(
+                reports.map { it.report },
+                removed.mapNotNull { it.toNodeKeyOrNull() },
+                agesOf(reports),
+            ),
+        )
         written.filterNot { it.key.isNodeReport }.forEach(::forward)
     }
 
+    /** Ages count from the response that the rows came with, whose reading of the store's clock is the latest. */
+    private fun agesOf(reports: List<StoredReport>): Map<NodeKey, Duration> {
+        val now = storeClock()?.millis ?: return emptyMap()
+        return reports
+            .mapNotNull { stored -> stored.writtenMillis?.let { stored.report.key to (now - it).milliseconds } }
+            .associate { (key, age) -> key to age.coerceAtLeast(Duration.ZERO) }
+    }
+
     override fun onUnchanged(): Unit = rings.membership.put(MembershipEvent.StoreAnswered)
 
     private fun forward(row: Row) {
--- a/node/src/main/kotlin/gypsumcart/node/Node.kt
+++ b/node/src/main/kotlin/gypsumcart/node/Node.kt
@@ -162,7 +162,9 @@
     private fun followTables() {
         runtime.scope.launch { platform.followConfigurations(rings.configuration::put) }
         runtime.scope.launch { platform.followBackEnds(rings.backEnds::put) }
-        runtime.scope.launch { platform.rowStore.follow(Tables.FLEET, readPace, FleetListener(rings)) }
+        runtime.scope.launch {
+            platform.rowStore.follow(Tables.FLEET, readPace, FleetListener(rings, platform.rowStore::clockOrNull))
+        }
     }
 
     private fun startTimers() {
--- a/node/src/main/kotlin/gypsumcart/node/RowCodecs.kt
+++ b/node/src/main/kotlin/gypsumcart/node/RowCodecs.kt
@@ -32,6 +32,7 @@
     val quotaUse: Map<String, QuotaUseRow>,
     val load: Map<String, Double>,
     val latency: Map<String, Double> = emptyMap(),
+    @SerialName("written") val writtenMillis: Long? = null,
 )
 
 @Serializable
@@ -80,7 +81,8 @@
 
 internal fun NodeReport.toRowKey(): RowKey = key.toRowKey()
 
-internal fun NodeReport.encode(): ByteArray =
+/** Returns the value of the report's row, written when the store's clock shows [writtenMillis]. */
+internal fun NodeReport.encode(writtenMillis: Long?): ByteArray =
     encode(
         ReportRow.serializer(),
         ReportRow(
@@ -97,36 +99,42 @@
                 },
             load = load.mapKeys { it.key.text },
             latency = latency.mapKeys { it.key.text },
+            writtenMillis = writtenMillis,
         ),
     )
 
+/** Holds a report of the store, with the time of the store's clock at which it was written, if it says so. */
+internal class StoredReport(val report: NodeReport, val writtenMillis: Long?)
+
 /**
  * Returns the report in the row, or null if this version can't decode the key or the value.
  *
  * It has no lease, which has a row of its own.
  */
-internal fun Row.toReportOrNull(): NodeReport? {
+internal fun Row.toReportOrNull(): StoredReport? {
     val nodeKey = key.toNodeKeyOrNull() ?: return null
     val row = decodeOrNull(ReportRow.serializer(), value) ?: return null
     val address: Address = addressOrNull(row.clientAddress) ?: return null
-    return NodeReport(
-        node = nodeKey.node,
-        incarnation = nodeKey.incarnation,
-        clientAddress = address,
-        peerAddress = row.peerAddress?.let(::addressOrNull),
-        zone = ZoneName(row.zone),
-        accepting = row.accepting,
-        heartbeat = row.heartbeat,
-        usage = row.usage.entries.associate { (window, counts) -> WindowNumber(window) to counts.toTeamCounts() },
-        usageUntil = UnixMillis(row.usageUntil),
-        quotaUse =
-            row.quotaUse.entries.associate { (team, use) ->
-                TeamName(team) to QuotaUse(use.demandPerSecond, use.spent)
-            },
-        load = row.load.mapKeys { ServiceName(it.key) },
-        latency = row.latency.mapKeys { ServiceName(it.key) },
-        lease = null,
-    )
+    val report =
+        NodeReport(
+            node = nodeKey.node,
+            incarnation = nodeKey.incarnation,
+            clientAddress = address,
+            peerAddress = row.peerAddress?.let(::addressOrNull),
+            zone = ZoneName(row.zone),
+            accepting = row.accepting,
+            heartbeat = row.heartbeat,
+            usage = row.usage.entries.associate { (window, counts) -> WindowNumber(window) to counts.toTeamCounts() },
+            usageUntil = UnixMillis(row.usageUntil),
+            quotaUse =
+                row.quotaUse.entries.associate { (team, use) ->
+                    TeamName(team) to QuotaUse(use.demandPerSecond, use.spent)
+                },
+            load = row.load.mapKeys { ServiceName(it.key) },
+            latency = row.latency.mapKeys { ServiceName(it.key) },
+            lease = null,
+        )
+    return StoredReport(report, row.writtenMillis)
 }
 
 internal fun encodeLease(holder: NodeId, incarnation: Incarnation, token: FencingToken?): ByteArray =
