Take the ports of stand-in servers from below those of outgoing connections

The fleet asked for a free port, released it and bound it later; outgoing connections of the same process, of which nodes of earlier tests make many, get their ports from the same range. Inferred from the code and the exception; the connection that took the port was not seen. Change: ports from 12,000 to 31,999 in turn, each tried before use. Result: the new test fails with ports of the old kind, which start at 32,768.

--- a/standins/src/main/kotlin/gypsumcart/standins/StandInFleet.kt
+++ b/standins/src/main/kotlin/gypsumcart/standins/StandInFleet.kt
@@ -12,7 +12,10 @@
 import gypsumcart.node.NodeSettings
 import gypsumcart.platform.HttpPlatform
 import kotlinx.coroutines.runBlocking
+import java.net.BindException
 import java.net.ServerSocket
+import java.util.concurrent.atomic.AtomicInteger
+import kotlin.random.Random
 import kotlin.time.Duration.Companion.seconds
 
 /** Runs nodes on the loopback interface in one process, with test doubles for the store and the back ends. */
@@ -81,10 +84,31 @@
         return address
     }
 
-    private fun freeAddress(): String = "127.0.0.1:${ServerSocket(0).use { it.localPort }}"
+    /** Returns an address that nothing listens on and that no outgoing connection can take before it is used. */
+    private fun freeAddress(): String {
+        val port = generateSequence { nextPort() }.take(LISTENING_PORTS.count()).first(::isFree)
+        return "127.0.0.1:$port"
+    }
+
+    private fun nextPort(): Int =
+        LISTENING_PORTS.first + Math.floorMod(portCounter.getAndIncrement(), LISTENING_PORTS.count())
+
+    private fun isFree(port: Int): Boolean =
+        try {
+            ServerSocket(port).close()
+            true
+        } catch (_: BindException) {
+            false
+        }
 
     private companion object {
         const val MAX_BYTES = 1_000_000
+
+        /** Below the ports that the system gives to outgoing connections. */
+        val LISTENING_PORTS = 12_000..31_999
+
+        /** Starts anywhere, so that several processes seldom look at the same ports. */
+        val portCounter = AtomicInteger(Random.nextInt(LISTENING_PORTS.count()))
         val BOUNDS =
             Bounds(
                 graceSeconds = 8.0,
--- a/standins/src/test/kotlin/gypsumcart/standins/EndToEndTest.kt
+++ b/standins/src/test/kotlin/gypsumcart/standins/EndToEndTest.kt
@@ -77,6 +77,15 @@
         }
     }
 
+    @Test
+    fun `the addresses of a node are not among those that outgoing connections get`() {
+        val settings = runningNode.settings
+        val addresses = with(settings) { listOf(clients, readiness, directory, metrics, peers, store) }
+        val ports = addresses.map { it.substringAfter(':').toInt() }
+        expectThat(ports.filter { it >= 32_768 }).isEmpty()
+        expectThat(ports.distinct()).hasSize(addresses.size)
+    }
+
     @Test
     fun `a request runs once and the client receives the back end's response`() {
         val response = send("/confirms/1?seat=2")
