Log the prompt parts of calls that a back end cuts

On-call engineers could see that calls were cut, but not what they had in common: the line of a call names neither the parts of its prompt nor whether the response had started. event=call_cut adds both, for calls of prompts that end with the loss of the connection. At most 16 parts of 64 characters are logged, as clients choose them. No decision has changed.

--- a/node/src/main/kotlin/gypsumcart/node/ClientEdge.kt
+++ b/node/src/main/kotlin/gypsumcart/node/ClientEdge.kt
@@ -1,12 +1,14 @@
 package gypsumcart.node
 
 import gypsumcart.core.AttemptNumber
+import gypsumcart.core.CallFailure
 import gypsumcart.core.Outcome
 import gypsumcart.core.RefusalReason
 import gypsumcart.core.Submission
 import gypsumcart.core.Ticket
 import gypsumcart.core.admission.AdmissionEvent
 import gypsumcart.core.dispatch.CallResult
+import gypsumcart.core.dispatch.DeliveryProgress
 import gypsumcart.core.dispatch.DispatchEffect
 import gypsumcart.core.dispatch.DispatchEvent
 import gypsumcart.core.routing.RoutingEvent
@@ -168,6 +170,20 @@
             result.toLogValue(),
             elapsed.inWholeMilliseconds,
         )
+        if (result is CallResult.Failed && result.failure == CallFailure.Truncated) logCut(submission, call, result)
+    }
+
+    /** Logs what may explain that a back end closed the connection in the middle of a call. */
+    private fun logCut(submission: Submission, call: DispatchEffect.Call, result: CallResult.Failed) {
+        val parts = submission.prompt?.parts ?: return
+        log.info(
+            "event=call_cut request={} back_end={} incarnation={} started={} parts={}",
+            submission.requestId,
+            call.backEnd.id,
+            call.backEnd.incarnation,
+            result.progress != DeliveryProgress.None,
+            parts.take(MAX_LOGGED_PARTS).joinToString(",") { it.id.text.take(MAX_LOGGED_PART_CHARS) },
+        )
     }
 
     private companion object {
@@ -176,6 +192,10 @@
         /** A request has at most one outstanding command; a conclusion queues behind it and never overtakes it. */
         const val MAX_QUEUED_COMMANDS = 2
 
+        /** Bounds the log line of a call, since clients choose the parts of their prompts. */
+        const val MAX_LOGGED_PARTS = 16
+        const val MAX_LOGGED_PART_CHARS = 64
+
         /** Short, because another node can accept the request at once. */
         val REFUSED_RETRY_AFTER: Duration = 50.milliseconds
     }
