Quarantine prompt parts that crash back ends

Cause: an engine that begins to answer a prompt with a certain part crashes. Nothing connected a crash with the prompts that were being answered, so each new request with the part went to the next back end: a request's fault that was charged to back ends. event=call_cut shows the part in every crash and in no response that started; retries and overload are ruled out.

Change: routing records the shared parts of the requests that a crash cut before their start. A part that was at three independent crashes without a response in between is quarantined: its requests are refused at once with 503 and the time of the next trial, which one node makes, rarer each time it fails. Parts of sound requests are cleared by their responses; a bystander's part is explained by the one that was at more crashes; parts that can't be told apart are refused only together. Nodes share the evidence over the link and, for those that it doesn't reach, through the store at once. A request that was cut on two back ends, or whose part was at two crashes, is not sent to another. Parts on record are bounded.

--- a/core/src/main/kotlin/gypsumcart/core/Outcomes.kt
+++ b/core/src/main/kotlin/gypsumcart/core/Outcomes.kt
@@ -31,6 +31,9 @@
     /** The filter named [filter] is at its capacity. */
     public data class Overloaded(public val filter: String) : RefusalReason()
 
+    /** Requests with [part] in their prompts crash the back ends that run them. */
+    public data class Quarantined(public val part: PromptPartId) : RefusalReason()
+
     /** The node is shutting down and forwards no more requests. */
     public data object Stopping : RefusalReason()
 
--- a/core/src/main/kotlin/gypsumcart/core/dispatch/Dispatch.kt
+++ b/core/src/main/kotlin/gypsumcart/core/dispatch/Dispatch.kt
@@ -105,6 +105,9 @@
 
         /** The number of calls on which a back end may have run the request. */
         var possibleRuns = 0
+
+        /** The number of back ends that closed the connection before they started to respond. */
+        var unstartedCuts = 0
         var lastEventId: String? = null
     }
 
@@ -152,6 +155,7 @@
     private fun retryOrConclude(request: RequestState, result: CallResult.Failed, now: MonotonicTime): DispatchEffect {
         val outcome = outcomeOf(request, result)
         if (result.failure.mayHaveRun) request.possibleRuns++
+        if (result.failure == CallFailure.Truncated && result.progress == DeliveryProgress.None) request.unstartedCuts++
         if (!mayRetry(request, result) || now >= request.admitted.deadline) {
             requests -= request.admitted.ticket
             return DispatchEffect.Conclude(request.admitted, outcome)
@@ -172,6 +176,7 @@
         if (request.attempt.number >= request.admitted.route.maxAttempts + EXTRA_DECLINED_ATTEMPTS) return false
         if (!result.failure.mayHaveRun && result.progress == DeliveryProgress.None) return true
         if (request.possibleRuns >= request.admitted.route.maxAttempts) return false
+        if (request.admitted.submission.prompt != null && request.unstartedCuts >= MAX_UNSTARTED_CUTS) return false
         return when (result.progress) {
             DeliveryProgress.None -> request.admitted.route.kind.isRetryable
             is DeliveryProgress.Started -> mayResume(request, result.progress)
@@ -187,11 +192,21 @@
         when (result) {
             is CallResult.Answered -> HealthSignal.HEALTHY
             CallResult.ClientGone -> HealthSignal.UNKNOWN
-            is CallResult.Failed ->
-                if (result.failure is CallFailure.ServerError) HealthSignal.UNKNOWN else HealthSignal.FAILING
+            is CallResult.Failed -> healthSignalOf(result.failure)
+        }
+
+    private fun healthSignalOf(failure: CallFailure): HealthSignal =
+        when (failure) {
+            is CallFailure.ServerError -> HealthSignal.UNKNOWN
+            CallFailure.Truncated -> HealthSignal.DISCONNECTED
+            CallFailure.ConnectFailed, is CallFailure.Declined, CallFailure.WrongInstance -> HealthSignal.FAILING
+            CallFailure.TimedOut, CallFailure.InvalidResponse -> HealthSignal.FAILING
         }
 
     private companion object {
+        /** A prompt whose request was cut before its start on two back ends in a row probably crashed both. */
+        const val MAX_UNSTARTED_CUTS = 2
+
         /** Declined attempts that are allowed in addition to the route's `maxAttempts` before a request is given up. */
         const val EXTRA_DECLINED_ATTEMPTS = 1
 
--- a/core/src/main/kotlin/gypsumcart/core/membership/Membership.kt
+++ b/core/src/main/kotlin/gypsumcart/core/membership/Membership.kt
@@ -5,8 +5,8 @@
 import gypsumcart.core.Incarnation
 import gypsumcart.core.MonotonicTime
 import gypsumcart.core.NodeId
-import gypsumcart.core.UnixMillis
 import gypsumcart.core.ZoneName
+import gypsumcart.core.routing.CrashEvidence
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.seconds
 
@@ -46,39 +46,20 @@
     private var storeReadRequestedAt: MonotonicTime? = null
     private var linked = false
     private var lastLinkedAt = MonotonicTime(0)
-    private var usageChanged = false
     private var distributedPosition = TablePosition.START
-    private var ownReport =
-        NodeReport(
-            node = settings.node,
-            incarnation = settings.incarnation,
-            clientAddress = settings.clientAddress,
-            peerAddress = settings.peerAddress,
-            zone = settings.zone,
-            accepting = false,
-            heartbeat = 0,
-            usage = emptyMap(),
-            usageUntil = UnixMillis(0),
-            quotaUse = emptyMap(),
-            load = emptyMap(),
-            latency = emptyMap(),
-            lease = null,
-        )
+    private val own = OwnReport(settings, table)
 
     override fun decide(event: MembershipEvent, now: MonotonicTime): List<MembershipEffect> =
         when (event) {
             is MembershipEvent.ReportsReceived -> receiveReports(event, now)
             MembershipEvent.StoreAnswered -> noEffects { storeAnsweredAt = now }
             is MembershipEvent.AcceptingChanged -> changeAccepting(event.accepting, now)
-            is MembershipEvent.QuotaUseMeasured -> noEffects { ownReport = ownReport.copy(quotaUse = event.use) }
+            is MembershipEvent.QuotaUseMeasured -> noEffects { own.update { it.copy(quotaUse = event.use) } }
             is MembershipEvent.LoadMeasured ->
-                noEffects { ownReport = ownReport.copy(load = event.load, latency = event.latency) }
-            is MembershipEvent.UsageCounted ->
-                noEffects {
-                    ownReport = ownReport.copy(usage = event.usage, usageUntil = event.until)
-                    usageChanged = true
-                }
-            is MembershipEvent.LeaseWritten -> noEffects { ownReport = ownReport.copy(lease = event.row) }
+                noEffects { own.update { it.copy(load = event.load, latency = event.latency) } }
+            is MembershipEvent.CrashEvidenceUpdated -> updateCrashEvidence(event.evidence, now)
+            is MembershipEvent.UsageCounted -> noEffects { own.updateUsage(event.usage, event.until) }
+            is MembershipEvent.LeaseWritten -> noEffects { own.update { it.copy(lease = event.row) } }
             is MembershipEvent.MessageReceived -> receiveMessage(event, now)
             is MembershipEvent.ExchangeEnded -> endExchange(event, now)
             MembershipEvent.ExchangeDue -> exchange(now)
@@ -91,41 +72,49 @@
     }
 
     private fun changeAccepting(accepting: Boolean, now: MonotonicTime): List<MembershipEffect> {
-        ownReport = ownReport.copy(accepting = accepting)
-        renewReport(now)
+        own.update { it.copy(accepting = accepting) }
+        own.renew(now)
         return listOf(publish(now)) + distribute(now) + sendMessages(now)
     }
 
     private fun report(now: MonotonicTime): List<MembershipEffect> {
-        renewReport(now)
-        val shared = if (linked) listOf(MembershipEffect.ShareQuotaUse(ownReport.quotaUse)) else emptyList()
-        val published = if (isPublishDue(now)) listOf(publish(now)) else emptyList()
+        own.renew(now)
+        val shared = if (linked) listOf(MembershipEffect.ShareQuotaUse(own.report.quotaUse)) else emptyList()
+        val period = if (linked) LINKED_PUBLISH_PERIOD else PUBLISH_PERIOD
+        val published = if (isPublishDue(now, period)) listOf(publish(now)) else emptyList()
         return shared + published + distribute(now) + distributeReports(now) + removeExpired(now)
     }
 
-    private fun renewReport(now: MonotonicTime) {
-        ownReport = ownReport.copy(heartbeat = ownReport.heartbeat + 1)
-        table.putOwn(ownReport, now, usageChanged)
-        usageChanged = false
+    /** Shares a crash with the next exchange, and through the store for nodes that the link doesn't reach. */
+    private fun updateCrashEvidence(evidence: List<CrashEvidence>, now: MonotonicTime): List<MembershipEffect> {
+        if (!own.updateCrashEvidence(evidence, now)) return emptyList()
+        own.renew(now)
+        return if (isPublishDue(now, PUBLISH_PERIOD)) listOf(publish(now)) else emptyList()
     }
 
-    private fun isPublishDue(now: MonotonicTime): Boolean {
-        val period = if (linked) LINKED_PUBLISH_PERIOD else PUBLISH_PERIOD
-        return publishedAt?.let { now - it >= period - PERIOD_TOLERANCE } ?: true
-    }
+    private fun isPublishDue(now: MonotonicTime, period: Duration): Boolean =
+        publishedAt?.let { now - it >= period - PERIOD_TOLERANCE } ?: true
 
     private fun publish(now: MonotonicTime): MembershipEffect {
         publishedAt = now
-        return MembershipEffect.Publish(ownReport)
+        return MembershipEffect.Publish(own.report)
     }
 
     private fun receiveReports(event: MembershipEvent.ReportsReceived, now: MonotonicTime): List<MembershipEffect> {
         storeAnsweredAt = now
         if (firstReadAt == null) firstReadAt = now
         event.removed.forEach(table::remove)
-        for (report in event.reports) table.putStored(report, now - (event.ages[report.key] ?: Duration.ZERO))
+        val observed =
+            event.reports.mapNotNull { report ->
+                val writtenAt = now - (event.ages[report.key] ?: Duration.ZERO)
+                table.putStored(report, writtenAt)
+                // What a node knew of crashes is of use also after it has gone.
+                report.observedEvidenceOrNull(writtenAt)
+            }
         // With a link, the next exchange distributes the changes together with those that it brings.
-        return if (settings.peerAddress == null) distribute(now) + distributeReports(now) else distributeMembers(now)
+        val distributed =
+            if (settings.peerAddress == null) distribute(now) + distributeReports(now) else distributeMembers(now)
+        return observed + distributed
     }
 
     /** Applies a message of a node that the store or another node has named; refuses that of any other node. */
@@ -146,11 +135,16 @@
         return applyItems(response, now)
     }
 
-    /** Records the reports in [message] and returns the lease rows that they show. */
+    /** Records the reports in [message] and returns the lease rows and the evidence of crashes that they show. */
     private fun applyItems(message: PeerMessage, now: MonotonicTime): List<MembershipEffect> =
         message.items
             .filter { table.putLinked(it, message.sender, now) }
-            .mapNotNull { item -> item.report.lease?.let(MembershipEffect::ObserveLease) }
+            .flatMap { (report, age) ->
+                listOfNotNull(
+                    report.lease?.let(MembershipEffect::ObserveLease),
+                    report.observedEvidenceOrNull(now - age),
+                )
+            }
 
     private fun exchange(now: MonotonicTime): List<MembershipEffect> {
         if (settings.peerAddress == null) return emptyList()
@@ -215,10 +209,11 @@
 
     private fun distributeMembers(now: MonotonicTime): List<MembershipEffect> {
         val live = livePeers(now)
-        val members = (live + ownReport).filter { it.accepting }.distinctBy { it.node }.map(NodeReport::toMember)
+        val members = (live + own.report).filter { it.accepting }.distinctBy { it.node }.map(NodeReport::toMember)
+        val others = live.map { it.node }.distinct()
         return listOf(
             MembershipEffect.UpdateMembers(members.sortedBy { it.node }),
-            MembershipEffect.UpdateNodeCount(live.distinctBy { it.node }.size + 1),
+            MembershipEffect.UpdateNodeCount(others.size + 1, rank = others.count { it < settings.node }),
         )
     }
 
@@ -236,7 +231,7 @@
                         it.report.copy(load = emptyMap(), latency = emptyMap())
                     }
                 }.toList()
-        return listOf(MembershipEffect.DistributeReports(reports + ownReport))
+        return listOf(MembershipEffect.DistributeReports(reports + own.report))
     }
 
     private fun livePeers(now: MonotonicTime): List<NodeReport> =
@@ -305,3 +300,6 @@
 internal val LINKED_PUBLISH_PERIOD: Duration = 5.seconds
 
 private val NodeReport.target: PeerTarget? get() = peerAddress?.let { PeerTarget(key, it, zone) }
+
+private fun NodeReport.observedEvidenceOrNull(asOf: MonotonicTime): MembershipEffect? =
+    crashEvidence.takeIf { it.isNotEmpty() }?.let { MembershipEffect.ObserveCrashEvidence(it, asOf) }
--- a/core/src/main/kotlin/gypsumcart/core/membership/MembershipEvents.kt
+++ b/core/src/main/kotlin/gypsumcart/core/membership/MembershipEvents.kt
@@ -1,5 +1,6 @@
 package gypsumcart.core.membership
 
+import gypsumcart.core.MonotonicTime
 import gypsumcart.core.ServiceName
 import gypsumcart.core.TeamName
 import gypsumcart.core.UnixMillis
@@ -7,6 +8,7 @@
 import gypsumcart.core.admission.QuotaPeers
 import gypsumcart.core.admission.QuotaUse
 import gypsumcart.core.leases.LeaseRow
+import gypsumcart.core.routing.CrashEvidence
 import kotlin.time.Duration
 
 /** Represents an input of the [Membership] decider. */
@@ -37,6 +39,9 @@
         public val latency: Map<ServiceName, Double>,
     ) : MembershipEvent()
 
+    /** What this node knows of crashes was updated; the ages in [evidence] count from now. */
+    public data class CrashEvidenceUpdated(public val evidence: List<CrashEvidence>) : MembershipEvent()
+
     /** The requests that started to run through this node were counted; the counts are complete up to [until]. */
     public data class UsageCounted(
         public val usage: Map<WindowNumber, Map<TeamName, Int>>,
@@ -76,8 +81,14 @@
     /** Replaces the nodes from which clients choose one to connect to. */
     public data class UpdateMembers(public val members: List<Member>) : MembershipEffect()
 
-    /** Updates the number of live nodes, this one included. */
-    public data class UpdateNodeCount(public val nodeCount: Int) : MembershipEffect()
+    /** Updates the number of live nodes, this one included; [rank] of them have a lower id than this one. */
+    public data class UpdateNodeCount(public val nodeCount: Int, public val rank: Int) : MembershipEffect()
+
+    /** Passes on another node's [evidence] of crashes, whose ages count from [asOf]. */
+    public data class ObserveCrashEvidence(
+        public val evidence: List<CrashEvidence>,
+        public val asOf: MonotonicTime,
+    ) : MembershipEffect()
 
     /** Updates the nodes among which the admission filter divides quotas. */
     public data class UpdateQuotaPeers(public val peers: QuotaPeers) : MembershipEffect()
--- /dev/null
+++ b/core/src/main/kotlin/gypsumcart/core/membership/OwnReport.kt
@@ -0,0 +1,61 @@
+package gypsumcart.core.membership
+
+import gypsumcart.core.MonotonicTime
+import gypsumcart.core.TeamName
+import gypsumcart.core.UnixMillis
+import gypsumcart.core.WindowNumber
+import gypsumcart.core.routing.CrashEvidence
+
+/** Collects what this node reports to the others, and records it in [table] with each renewal. */
+internal class OwnReport(settings: MembershipSettings, private val table: PeerTable) {
+    private var usageChanged = false
+    private var crashEvidence = emptyList<CrashEvidence>()
+    private var crashEvidenceAt = MonotonicTime(0)
+
+    var report =
+        NodeReport(
+            node = settings.node,
+            incarnation = settings.incarnation,
+            clientAddress = settings.clientAddress,
+            peerAddress = settings.peerAddress,
+            zone = settings.zone,
+            accepting = false,
+            heartbeat = 0,
+            usage = emptyMap(),
+            usageUntil = UnixMillis(0),
+            quotaUse = emptyMap(),
+            load = emptyMap(),
+            latency = emptyMap(),
+            lease = null,
+        )
+        private set
+
+    /** Changes what the next renewal reports. */
+    fun update(change: (NodeReport) -> NodeReport) {
+        report = change(report)
+    }
+
+    fun updateUsage(usage: Map<WindowNumber, Map<TeamName, Int>>, until: UnixMillis) {
+        report = report.copy(usage = usage, usageUntil = until)
+        usageChanged = true
+    }
+
+    /** Replaces the evidence of crashes; returns whether it names other parts or crashes than before. */
+    fun updateCrashEvidence(evidence: List<CrashEvidence>, now: MonotonicTime): Boolean {
+        val changed = evidence.map { it.part to it.crashes.keys } != crashEvidence.map { it.part to it.crashes.keys }
+        crashEvidence = evidence
+        crashEvidenceAt = now
+        return changed
+    }
+
+    /** Numbers the report anew and records it. */
+    fun renew(now: MonotonicTime) {
+        report =
+            report.copy(
+                heartbeat = report.heartbeat + 1,
+                crashEvidence = crashEvidence.map { it.olderBy(now - crashEvidenceAt) },
+            )
+        table.putOwn(report, now, usageChanged)
+        usageChanged = false
+    }
+}
--- a/core/src/main/kotlin/gypsumcart/core/routing/Candidates.kt
+++ b/core/src/main/kotlin/gypsumcart/core/routing/Candidates.kt
@@ -5,6 +5,7 @@
 import gypsumcart.core.BackEndId
 import gypsumcart.core.Incarnation
 import gypsumcart.core.MonotonicTime
+import gypsumcart.core.Prompt
 import gypsumcart.core.PromptPartId
 import gypsumcart.core.Ticket
 import kotlin.time.Duration
@@ -24,13 +25,25 @@
     /** Counts as a failure of the back end. */
     FAILING,
 
+    /** The connection closed before the end of the response; counts as a failure of the back end. */
+    DISCONNECTED,
+
     /** Leaves the failure count and an ejection as they are. */
     UNKNOWN,
 }
 
+/**
+ * Represents a call to a back end that has not ended.
+ *
+ * @property started whether the first piece of the response has arrived
+ */
+internal class InFlightCall(val prompt: Prompt?, val cost: Double) {
+    var started = false
+}
+
 /** Tracks the in-flight calls and the outlier ejection of one back-end instance, as seen by this node. */
 internal class Candidate(var backEnd: BackEnd) {
-    private val inFlightCosts = HashMap<Ticket, Double>()
+    private val calls = HashMap<Ticket, InFlightCall>()
     private var consecutiveFailures = 0
     private var ejectedUntil: MonotonicTime? = null
 
@@ -39,28 +52,33 @@
         private set
 
     /** The number of in-flight calls of this node to the instance. */
-    val inFlightCalls: Int get() = inFlightCosts.size
+    val inFlightCalls: Int get() = calls.size
 
     fun isEjected(now: MonotonicTime): Boolean = ejectedUntil?.let { now < it } ?: false
 
-    fun startCall(ticket: Ticket, cost: Double) {
-        inFlightCosts[ticket] = cost
+    fun startCall(ticket: Ticket, prompt: Prompt?, cost: Double) {
+        calls[ticket] = InFlightCall(prompt, cost)
         load += cost
     }
 
-    fun endCall(ticket: Ticket, health: HealthSignal, now: MonotonicTime) {
-        inFlightCosts.remove(ticket)?.let { load -= it }
-        if (inFlightCosts.isEmpty()) load = 0.0
+    fun callOrNull(ticket: Ticket): InFlightCall? = calls[ticket]
+
+    /** Ends a call and returns it, or null if it has ended before. */
+    fun endCall(ticket: Ticket, health: HealthSignal, now: MonotonicTime): InFlightCall? {
+        val call = calls.remove(ticket)
+        call?.let { load -= it.cost }
+        if (calls.isEmpty()) load = 0.0
         when (health) {
             HealthSignal.HEALTHY -> {
                 consecutiveFailures = 0
                 ejectedUntil = null
             }
 
-            HealthSignal.FAILING -> recordFailure(now)
+            HealthSignal.FAILING, HealthSignal.DISCONNECTED -> recordFailure(now)
 
             HealthSignal.UNKNOWN -> Unit
         }
+        return call
     }
 
     private fun recordFailure(now: MonotonicTime) {
@@ -96,7 +114,8 @@
         ?: leastLoaded(admitted.ticket)
 }
 
-private fun List<Candidate>.leastLoaded(ticket: Ticket): Candidate {
+/** Returns the least loaded candidate; a different one of several for each [ticket]. */
+internal fun List<Candidate>.leastLoaded(ticket: Ticket): Candidate {
     val offset = Math.floorMod(ticket.number, size.toLong()).toInt()
     return indices.map { this[(it + offset) % size] }.minBy { it.load }
 }
--- a/core/src/main/kotlin/gypsumcart/core/routing/LatencyWindow.kt
+++ b/core/src/main/kotlin/gypsumcart/core/routing/LatencyWindow.kt
@@ -1,6 +1,7 @@
 package gypsumcart.core.routing
 
 import gypsumcart.core.MonotonicTime
+import gypsumcart.core.ServiceName
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.seconds
 
@@ -33,3 +34,15 @@
         const val MAX_SAMPLES = 256
     }
 }
+
+/** Keeps a [LatencyWindow] for each service. */
+internal class LatencyWindows {
+    private val windows = HashMap<ServiceName, LatencyWindow>()
+
+    fun add(service: ServiceName, fraction: Double, now: MonotonicTime): Unit =
+        windows.getOrPut(service, ::LatencyWindow).add(fraction, now)
+
+    /** Returns the latency of the slowest tenth of requests of each service that had enough of them. */
+    fun slowestTenths(now: MonotonicTime): Map<ServiceName, Double> =
+        windows.mapNotNull { (service, window) -> window.slowestTenthOrNull(now)?.let { service to it } }.toMap()
+}
--- a/core/src/main/kotlin/gypsumcart/core/routing/RetryBudget.kt
+++ b/core/src/main/kotlin/gypsumcart/core/routing/RetryBudget.kt
@@ -1,6 +1,7 @@
 package gypsumcart.core.routing
 
 import gypsumcart.core.MonotonicTime
+import gypsumcart.core.ServiceName
 import kotlin.time.Duration
 
 /**
@@ -47,3 +48,16 @@
         const val USABLE_FRACTION = 0.8
     }
 }
+
+/** Keeps a [RetryBudget] for each service. */
+internal class RetryBudgets(private val limits: RetryLimits) {
+    private val budgets = HashMap<ServiceName, RetryBudget>()
+
+    fun countRequest(service: ServiceName, now: MonotonicTime): Unit = budgetOf(service).countRequest(now)
+
+    /** Takes one retry from this node's share for [service], or returns false if the share is used up. */
+    fun tryAcquireRetry(service: ServiceName, nodeCount: Int, now: MonotonicTime): Boolean =
+        budgetOf(service).tryAcquireRetry(nodeCount, now)
+
+    private fun budgetOf(service: ServiceName): RetryBudget = budgets.getOrPut(service) { RetryBudget(limits) }
+}
--- a/core/src/main/kotlin/gypsumcart/core/routing/Routing.kt
+++ b/core/src/main/kotlin/gypsumcart/core/routing/Routing.kt
@@ -6,6 +6,7 @@
 import gypsumcart.core.Decider
 import gypsumcart.core.MonotonicTime
 import gypsumcart.core.Outcome
+import gypsumcart.core.Prompt
 import gypsumcart.core.RefusalReason
 import gypsumcart.core.ServiceName
 import gypsumcart.core.Ticket
@@ -13,95 +14,23 @@
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.seconds
 
-/** Represents an input of the [Routing] decider. */
-public sealed class RoutingEvent {
-    /** The directory lists [backEnds], those of all services. */
-    public data class BackEndsListed(public val backEnds: List<BackEnd>) : RoutingEvent()
-
-    /** A request was admitted and needs its first call. */
-    public data class RequestAdmitted(public val admitted: AdmittedRequest) : RoutingEvent()
-
-    /**
-     * A request needs another call, to an instance that is not in [excluded].
-     *
-     * @property fallbackOutcome the outcome of the request if no further call can be made
-     */
-    public data class RetryRequested(
-        public val admitted: AdmittedRequest,
-        public val attempt: AttemptNumber,
-        public val excluded: Set<InstanceKey>,
-        public val fallbackOutcome: Outcome,
-    ) : RoutingEvent()
-
-    /** The call to [instance] for the request with [ticket] ended. */
-    public data class CallReleased(
-        public val ticket: Ticket,
-        public val instance: InstanceKey,
-        public val health: HealthSignal,
-    ) : RoutingEvent()
-
-    /** The first piece of a response of [service] arrived after [fraction] of the request's latency target. */
-    public data class FirstPieceReceived(public val service: ServiceName, public val fraction: Double) : RoutingEvent()
-
-    /** The client of the request with [ticket] disconnected, so that the request no longer waits for a back end. */
-    public data class RequestCancelled(public val ticket: Ticket) : RoutingEvent()
-
-    /** The number of live nodes, including this one, that share the retry budget and the batch slots was updated. */
-    public data class NodeCountUpdated(public val nodeCount: Int) : RoutingEvent()
-
-    /** The time given by [RoutingEffect.SweepAt], at which requests that have waited too long are ended. */
-    public data object Sweep : RoutingEvent()
-
-    /** A timer tick, on which this node's load is reported. */
-    public data object ReportDue : RoutingEvent()
-}
-
-/** Represents an output of the [Routing] decider. */
-public sealed class RoutingEffect {
-    /**
-     * Assigns a call to [backEnd].
-     *
-     * @property candidates the number of back ends from which it was chosen
-     */
-    public data class Assign(
-        public val admitted: AdmittedRequest,
-        public val attempt: AttemptNumber,
-        public val backEnd: BackEnd,
-        public val candidates: Int,
-    ) : RoutingEffect()
-
-    /** Ends a request without a further call and passes [outcome] to the client. */
-    public data class Conclude(public val admitted: AdmittedRequest, public val outcome: Outcome) : RoutingEffect()
-
-    /** Requests a [RoutingEvent.Sweep] at [time], when a request that started to wait will have waited too long. */
-    public data class SweepAt(public val time: MonotonicTime) : RoutingEffect()
-
-    /**
-     * Reports the load of this node by service.
-     *
-     * @property load the cost of in-flight calls plus the number of waiting requests
-     * @property latency the time to the first piece of the slowest tenth of requests, as a fraction of their target
-     */
-    public data class ReportLoad(
-        public val load: Map<ServiceName, Double>,
-        public val latency: Map<ServiceName, Double>,
-    ) : RoutingEffect()
-}
-
 /**
  * Chooses the back end for each call.
  *
  * A request for which no back end is available waits for one for a part of its latency target.
  */
-public class Routing(private val retryLimits: RetryLimits) : Decider<RoutingEvent, RoutingEffect> {
-    private class WaitingRequest(val admitted: AdmittedRequest, val deadline: MonotonicTime)
+public class Routing(retryLimits: RetryLimits) : Decider<RoutingEvent, RoutingEffect> {
+    private data class WaitingRequest(val admitted: AdmittedRequest, val deadline: MonotonicTime)
 
     private val candidates = HashMap<InstanceKey, Candidate>()
     private val candidatesByService = HashMap<ServiceName, List<Candidate>>()
     private val waiting = LinkedHashMap<Ticket, WaitingRequest>()
-    private val retryBudgets = HashMap<ServiceName, RetryBudget>()
-    private val latencies = HashMap<ServiceName, LatencyWindow>()
+    private val retryBudgets = RetryBudgets(retryLimits)
+    private val latencies = LatencyWindows()
+    private val quarantine = Quarantine()
+    private var evidenceShared = false
     private var nodeCount = 1
+    private var rank = 0
 
     override fun decide(event: RoutingEvent, now: MonotonicTime): List<RoutingEffect> =
         when (event) {
@@ -109,12 +38,17 @@
             is RoutingEvent.RequestAdmitted -> assignOrWait(event.admitted, now)
             is RoutingEvent.RetryRequested -> listOf(retryOrConclude(event, now))
             is RoutingEvent.CallReleased -> releaseCall(event, now)
-            is RoutingEvent.FirstPieceReceived ->
-                noEffects { latencies.getOrPut(event.service, ::LatencyWindow).add(event.fraction, now) }
+            is RoutingEvent.FirstPieceReceived -> startResponse(event, now)
             is RoutingEvent.RequestCancelled -> noEffects { waiting -= event.ticket }
-            is RoutingEvent.NodeCountUpdated -> noEffects { nodeCount = event.nodeCount }
+            is RoutingEvent.NodeCountUpdated ->
+                noEffects {
+                    nodeCount = event.nodeCount
+                    rank = event.rank
+                }
+            is RoutingEvent.CrashEvidenceReceived ->
+                apply(quarantine.merge(event.evidence, event.asOf, now), now)
             RoutingEvent.Sweep -> expireWaiting(now)
-            RoutingEvent.ReportDue -> listOf(RoutingEffect.ReportLoad(loadByService(), latencyByService(now)))
+            RoutingEvent.ReportDue -> report(now)
         }
 
     private inline fun noEffects(change: () -> Unit): List<RoutingEffect> {
@@ -135,9 +69,24 @@
     }
 
     private fun assignOrWait(admitted: AdmittedRequest, now: MonotonicTime): List<RoutingEffect> {
-        retryBudgetOf(admitted.service).countRequest(now)
+        retryBudgets.countRequest(admitted.service, now)
+        return when (val verdict = quarantine.verdictOn(admitted.submission.prompt, runsTrials, now)) {
+            QuarantineVerdict.Allowed -> assignOrEnqueue(admitted, isTrial = false, now)
+            QuarantineVerdict.Trial -> assignOrEnqueue(admitted, isTrial = true, now)
+            is QuarantineVerdict.Refused -> listOf(RoutingEffect.Conclude(admitted, verdict.toOutcome()))
+        }
+    }
+
+    /** Whether this node, of all live ones, tries whether a quarantined part still crashes back ends. */
+    private val runsTrials: Boolean get() = rank == 0
+
+    private fun assignOrEnqueue(
+        admitted: AdmittedRequest,
+        isTrial: Boolean,
+        now: MonotonicTime,
+    ): List<RoutingEffect> {
         if (waiting.isEmpty() || !isAtCapacity(admitted)) {
-            val assigned = assignOrNull(admitted, AttemptNumber.FIRST, emptySet(), now)
+            val assigned = assignOrNull(admitted, AttemptNumber.FIRST, emptySet(), now, isTrial)
             if (assigned != null) return listOf(assigned)
         }
         val limit = admitted.submission.arrivedAt + admitted.route.targetLatency / MAX_WAIT_DIVISOR
@@ -147,13 +96,28 @@
     }
 
     private fun retryOrConclude(event: RoutingEvent.RetryRequested, now: MonotonicTime): RoutingEffect {
-        val conclusion = RoutingEffect.Conclude(event.admitted, event.fallbackOutcome)
-        if (now >= event.admitted.deadline) return conclusion
-        if (candidatesByService[event.admitted.service].orEmpty().none { isAvailable(it, event.excluded) }) {
-            return conclusion
+        val admitted = event.admitted
+        val outcome = finalOutcomeOrNull(event, now)
+        if (outcome != null) return RoutingEffect.Conclude(admitted, outcome)
+        return assignOrNull(admitted, event.attempt, event.excluded, now)
+            ?: RoutingEffect.Conclude(admitted, event.fallbackOutcome)
+    }
+
+    /** Returns the outcome of a request that can't be retried, or null if it can be. */
+    private fun finalOutcomeOrNull(event: RoutingEvent.RetryRequested, now: MonotonicTime): Outcome? {
+        val admitted = event.admitted
+        val prompt = admitted.submission.prompt
+        val outcome = event.fallbackOutcome
+        val mayHaveRun = outcome is Outcome.Failed
+        val verdict = quarantine.verdictOn(prompt, runsTrials = false, now)
+        return when {
+            now >= admitted.deadline -> outcome
+            verdict is QuarantineVerdict.Refused -> if (mayHaveRun) outcome else verdict.toOutcome()
+            mayHaveRun && quarantine.forbidsRetry(prompt) -> outcome
+            candidatesByService[admitted.service].orEmpty().none { isAvailable(it, event.excluded) } -> outcome
+            !retryBudgets.tryAcquireRetry(admitted.service, nodeCount, now) -> outcome
+            else -> null
         }
-        if (!retryBudgetOf(event.admitted.service).tryAcquireRetry(nodeCount, now)) return conclusion
-        return assignOrNull(event.admitted, event.attempt, event.excluded, now) ?: conclusion
     }
 
     private fun assignOrNull(
@@ -161,13 +125,14 @@
         attempt: AttemptNumber,
         excluded: Set<InstanceKey>,
         now: MonotonicTime,
+        isTrial: Boolean = false,
     ): RoutingEffect? {
         val available = candidatesByService[admitted.service].orEmpty().filter { isAvailable(it, excluded) }
         if (available.isEmpty() || attempt == AttemptNumber.FIRST && isAtCapacity(admitted)) return null
         val eligible = available.filterNot { it.isEjected(now) }.ifEmpty { available }
         val cost = costOf(admitted)
-        val chosen = eligible.choose(admitted, cost)
-        chosen.startCall(admitted.ticket, cost)
+        val chosen = if (isTrial) eligible.leastLoaded(admitted.ticket) else eligible.choose(admitted, cost)
+        chosen.startCall(admitted.ticket, admitted.submission.prompt, cost)
         return RoutingEffect.Assign(admitted, attempt, chosen.backEnd, eligible.size)
     }
 
@@ -188,8 +153,66 @@
     }
 
     private fun releaseCall(event: RoutingEvent.CallReleased, now: MonotonicTime): List<RoutingEffect> {
-        candidates[event.instance]?.endCall(event.ticket, event.health, now)
-        return if (waiting.isEmpty()) emptyList() else assignWaiting(now)
+        val candidate = candidates[event.instance]
+        val call = candidate?.endCall(event.ticket, event.health, now)
+        val learned = if (call == null) emptyList() else learnFrom(call, candidate.backEnd, event.health, now)
+        return if (waiting.isEmpty()) learned else learned + assignWaiting(now)
+    }
+
+    /** Records what the end of a call says about its prompt; a back end that drains is expected to end connections. */
+    private fun learnFrom(
+        call: InFlightCall,
+        backEnd: BackEnd,
+        health: HealthSignal,
+        now: MonotonicTime,
+    ): List<RoutingEffect> {
+        val prompt = call.prompt
+        if (prompt == null || call.started) return emptyList()
+        return when (health) {
+            HealthSignal.HEALTHY -> apply(quarantine.recordAnswer(prompt, backEnd.key, now), now)
+            HealthSignal.DISCONNECTED ->
+                if (backEnd.draining) emptyList() else learnFromCut(prompt, backEnd.key, now)
+            HealthSignal.FAILING, HealthSignal.UNKNOWN -> emptyList()
+        }
+    }
+
+    private fun learnFromCut(prompt: Prompt, instance: InstanceKey, now: MonotonicTime): List<RoutingEffect> {
+        val changes = quarantine.recordCut(prompt, instance, now)
+        return apply(changes, now) + listOf(shareEvidence(now))
+    }
+
+    private fun startResponse(event: RoutingEvent.FirstPieceReceived, now: MonotonicTime): List<RoutingEffect> {
+        event.fraction?.let { latencies.add(event.service, it, now) }
+        val call = candidates[event.instance]?.callOrNull(event.ticket) ?: return emptyList()
+        call.started = true
+        val prompt = call.prompt ?: return emptyList()
+        return apply(quarantine.recordAnswer(prompt, event.instance, now), now)
+    }
+
+    /** Refuses the waiting requests whose prompts have just been quarantined, and passes the changes on. */
+    private fun apply(changes: List<QuarantineChange>, now: MonotonicTime): List<RoutingEffect> {
+        if (changes.isEmpty()) return emptyList()
+        val refused =
+            waiting.values.mapNotNull { (admitted) ->
+                val verdict = quarantine.verdictOn(admitted.submission.prompt, runsTrials = false, now)
+                (verdict as? QuarantineVerdict.Refused)?.let { RoutingEffect.Conclude(admitted, it.toOutcome()) }
+            }
+        refused.forEach { waiting -= it.admitted.ticket }
+        return changes.map(RoutingEffect::QuarantineChanged) + refused + shareEvidence(now)
+    }
+
+    private fun shareEvidence(now: MonotonicTime): RoutingEffect {
+        val evidence = quarantine.evidence(now)
+        evidenceShared = evidence.isNotEmpty()
+        return RoutingEffect.ShareCrashEvidence(evidence)
+    }
+
+    private fun report(now: MonotonicTime): List<RoutingEffect> {
+        val expired = apply(quarantine.expire(now), now)
+        val hadEvidence = evidenceShared
+        val shared = shareEvidence(now)
+        val load = RoutingEffect.ReportLoad(loadByService(), latencies.slowestTenths(now))
+        return if (hadEvidence || evidenceShared) expired + shared + load else expired + load
     }
 
     private fun expireWaiting(now: MonotonicTime): List<RoutingEffect> {
@@ -216,14 +239,6 @@
             serviceCandidates.sumOf { it.load } + waiting.values.count { it.admitted.service == service }
         }
 
-    private fun latencyByService(now: MonotonicTime): Map<ServiceName, Double> =
-        latencies
-            .mapNotNull { (service, window) -> window.slowestTenthOrNull(now)?.let { service to it } }
-            .toMap()
-
-    private fun retryBudgetOf(service: ServiceName): RetryBudget =
-        retryBudgets.getOrPut(service) { RetryBudget(retryLimits) }
-
     private fun costOf(admitted: AdmittedRequest): Double =
         1 + (admitted.submission.prompt?.tokens ?: 0).toDouble() / TOKENS_PER_COST_UNIT
 
@@ -241,3 +256,6 @@
         const val TOKENS_PER_COST_UNIT = 4_096
     }
 }
+
+private fun QuarantineVerdict.Refused.toOutcome(): Outcome =
+    Outcome.NotRun(RefusalReason.Quarantined(part), retryAfter)
--- /dev/null
+++ b/core/src/main/kotlin/gypsumcart/core/routing/RoutingEvents.kt
@@ -0,0 +1,110 @@
+package gypsumcart.core.routing
+
+import gypsumcart.core.AdmittedRequest
+import gypsumcart.core.AttemptNumber
+import gypsumcart.core.BackEnd
+import gypsumcart.core.MonotonicTime
+import gypsumcart.core.Outcome
+import gypsumcart.core.ServiceName
+import gypsumcart.core.Ticket
+
+/** Represents an input of the [Routing] decider. */
+public sealed class RoutingEvent {
+    /** The directory lists [backEnds], those of all services. */
+    public data class BackEndsListed(public val backEnds: List<BackEnd>) : RoutingEvent()
+
+    /** A request was admitted and needs its first call. */
+    public data class RequestAdmitted(public val admitted: AdmittedRequest) : RoutingEvent()
+
+    /**
+     * A request needs another call, to an instance that is not in [excluded].
+     *
+     * @property fallbackOutcome the outcome of the request if no further call can be made
+     */
+    public data class RetryRequested(
+        public val admitted: AdmittedRequest,
+        public val attempt: AttemptNumber,
+        public val excluded: Set<InstanceKey>,
+        public val fallbackOutcome: Outcome,
+    ) : RoutingEvent()
+
+    /** The call to [instance] for the request with [ticket] ended. */
+    public data class CallReleased(
+        public val ticket: Ticket,
+        public val instance: InstanceKey,
+        public val health: HealthSignal,
+    ) : RoutingEvent()
+
+    /**
+     * The first piece of a response to the request with [ticket] arrived from [instance].
+     *
+     * @property fraction the time since the request's arrival as a fraction of its latency target, or null if an
+     *   earlier call for it failed
+     */
+    public data class FirstPieceReceived(
+        public val ticket: Ticket,
+        public val service: ServiceName,
+        public val instance: InstanceKey,
+        public val fraction: Double?,
+    ) : RoutingEvent()
+
+    /** The client of the request with [ticket] disconnected, so that the request no longer waits for a back end. */
+    public data class RequestCancelled(public val ticket: Ticket) : RoutingEvent()
+
+    /**
+     * The number of live nodes, including this one, that share the retry budget and the batch slots was updated.
+     *
+     * @property rank the number of live nodes whose id is lower than that of this one
+     */
+    public data class NodeCountUpdated(public val nodeCount: Int, public val rank: Int = 0) : RoutingEvent()
+
+    /** Another node reported [evidence] of crashes, whose ages count from [asOf]. */
+    public data class CrashEvidenceReceived(
+        public val evidence: List<CrashEvidence>,
+        public val asOf: MonotonicTime,
+    ) : RoutingEvent()
+
+    /** The time given by [RoutingEffect.SweepAt], at which requests that have waited too long are ended. */
+    public data object Sweep : RoutingEvent()
+
+    /** A timer tick, on which this node's load is reported. */
+    public data object ReportDue : RoutingEvent()
+}
+
+/** Represents an output of the [Routing] decider. */
+public sealed class RoutingEffect {
+    /**
+     * Assigns a call to [backEnd].
+     *
+     * @property candidates the number of back ends from which it was chosen
+     */
+    public data class Assign(
+        public val admitted: AdmittedRequest,
+        public val attempt: AttemptNumber,
+        public val backEnd: BackEnd,
+        public val candidates: Int,
+    ) : RoutingEffect()
+
+    /** Ends a request without a further call and passes [outcome] to the client. */
+    public data class Conclude(public val admitted: AdmittedRequest, public val outcome: Outcome) : RoutingEffect()
+
+    /** Requests a [RoutingEvent.Sweep] at [time], when a request that started to wait will have waited too long. */
+    public data class SweepAt(public val time: MonotonicTime) : RoutingEffect()
+
+    /**
+     * Reports the load of this node by service.
+     *
+     * @property load the cost of in-flight calls plus the number of waiting requests
+     * @property latency the time to the first piece of the slowest tenth of requests, as a fraction of their target
+     */
+    public data class ReportLoad(
+        public val load: Map<ServiceName, Double>,
+        public val latency: Map<ServiceName, Double>,
+    ) : RoutingEffect()
+
+    /** Shares what this node knows of crashes with the other nodes. */
+    public data class ShareCrashEvidence(public val evidence: List<CrashEvidence>) : RoutingEffect()
+
+    /** Reports that a prompt part was quarantined, or no longer is. */
+    public data class QuarantineChanged(public val change: QuarantineChange) : RoutingEffect()
+}
--- a/node/src/main/kotlin/gypsumcart/node/FleetDuties.kt
+++ b/node/src/main/kotlin/gypsumcart/node/FleetDuties.kt
@@ -72,7 +72,12 @@
             is MembershipEffect.Publish -> scope.launch { publishReport(effect) }
             is MembershipEffect.RemoveReports -> scope.launch { removeReports(effect) }
             is MembershipEffect.UpdateMembers -> updateMembers(effect)
-            is MembershipEffect.UpdateNodeCount -> rings.routing.put(RoutingEvent.NodeCountUpdated(effect.nodeCount))
+            is MembershipEffect.UpdateNodeCount ->
+                rings.routing.put(RoutingEvent.NodeCountUpdated(effect.nodeCount, effect.rank))
+
+            is MembershipEffect.ObserveCrashEvidence ->
+                rings.routing.put(RoutingEvent.CrashEvidenceReceived(effect.evidence, effect.asOf))
+
             is MembershipEffect.UpdateQuotaPeers ->
                 rings.admission.put(
                     AdmissionEvent.PeersUpdated(effect.peers),
--- a/node/src/main/kotlin/gypsumcart/node/LogValues.kt
+++ b/node/src/main/kotlin/gypsumcart/node/LogValues.kt
@@ -14,6 +14,7 @@
         RefusalReason.NoRequestId -> "no_request_id"
         RefusalReason.QuotaExceeded -> "quota"
         is RefusalReason.Overloaded -> "overloaded_$filter"
+        is RefusalReason.Quarantined -> "quarantined"
         RefusalReason.Stopping -> "stopping"
         RefusalReason.NoBackEnd -> "no_back_end"
         RefusalReason.Declined -> "declined"
--- a/node/src/main/kotlin/gypsumcart/node/Node.kt
+++ b/node/src/main/kotlin/gypsumcart/node/Node.kt
@@ -16,6 +16,7 @@
 import gypsumcart.core.membership.nearestFirst
 import gypsumcart.core.replicas.AutoscalerEvent
 import gypsumcart.core.routing.RoutingEvent
+import gypsumcart.core.routing.key
 import gypsumcart.core.usage.UsageEvent
 import gypsumcart.http.HttpClient
 import gypsumcart.http.HttpServer
@@ -191,12 +192,18 @@
         runtime.scope.launch { fleetClock.latestOrNull()?.let { rings.usage.put(it) } }
     }
 
-    /** Reports the latency of a first call; that of a later one says more about the back end that failed before. */
+    /** Reports the start of a response; the latency of a later call says more about the back end that failed before. */
     private fun reportFirstPiece(call: DispatchEffect.Call, at: MonotonicTime) {
-        if (call.attempt != AttemptNumber.FIRST) return
         val admitted = call.admitted
         val fraction = (at - admitted.submission.arrivedAt) / admitted.route.targetLatency
-        rings.routing.offer(RoutingEvent.FirstPieceReceived(admitted.service, fraction))
+        rings.routing.offer(
+            RoutingEvent.FirstPieceReceived(
+                admitted.ticket,
+                admitted.service,
+                call.backEnd.key,
+                fraction.takeIf { call.attempt == AttemptNumber.FIRST },
+            ),
+        )
     }
 
     private var wasReady = false
--- a/node/src/main/kotlin/gypsumcart/node/NodeState.kt
+++ b/node/src/main/kotlin/gypsumcart/node/NodeState.kt
@@ -1,6 +1,7 @@
 package gypsumcart.node
 
 import gypsumcart.core.Configuration
+import gypsumcart.core.PromptPartId
 import gypsumcart.core.membership.Member
 
 /**
@@ -29,6 +30,10 @@
     @Volatile
     var drainingBackEnds = 0
 
+    /** The prompt parts that crash back ends, requests with which are refused. */
+    @Volatile
+    var quarantinedParts: Set<PromptPartId> = emptySet()
+
     /** Whether this node holds the lease and so acts for the whole fleet. */
     @Volatile
     var leaseHeld = false
--- a/node/src/main/kotlin/gypsumcart/node/RequestDuties.kt
+++ b/node/src/main/kotlin/gypsumcart/node/RequestDuties.kt
@@ -1,5 +1,7 @@
 package gypsumcart.node
 
+import gypsumcart.core.Outcome
+import gypsumcart.core.RefusalReason
 import gypsumcart.core.admission.Admission
 import gypsumcart.core.admission.AdmissionEffect
 import gypsumcart.core.admission.AdmissionEvent
@@ -13,6 +15,7 @@
 import gypsumcart.core.dispatch.DispatchEvent
 import gypsumcart.core.membership.MembershipEvent
 import gypsumcart.core.replicas.AutoscalerEvent
+import gypsumcart.core.routing.QuarantineChange
 import gypsumcart.core.routing.RetryLimits
 import gypsumcart.core.routing.Routing
 import gypsumcart.core.routing.RoutingEffect
@@ -81,6 +84,7 @@
             }
 
             is RoutingEffect.Conclude -> {
+                logQuarantined(effect)
                 rings.dispatch.put(DispatchEvent.Concluded(effect.admitted.ticket))
                 edge.deliver(effect.admitted.ticket, EdgeCommand.Conclude(effect.outcome))
             }
@@ -94,6 +98,41 @@
                 rings.membership.offer(
                     MembershipEvent.LoadMeasured(effect.load, effect.latency),
                 )
+
+            is RoutingEffect.ShareCrashEvidence ->
+                rings.membership.offer(MembershipEvent.CrashEvidenceUpdated(effect.evidence))
+
+            is RoutingEffect.QuarantineChanged -> recordQuarantine(effect.change)
+        }
+    }
+
+    private fun logQuarantined(effect: RoutingEffect.Conclude) {
+        val outcome = effect.outcome as? Outcome.NotRun ?: return
+        val reason = outcome.reason as? RefusalReason.Quarantined ?: return
+        log.info(
+            "event=refused request={} reason={} part={} retry_after_ms={}",
+            effect.admitted.submission.requestId,
+            reason.toLogValue(),
+            reason.part,
+            outcome.retryAfter?.inWholeMilliseconds,
+        )
+    }
+
+    private fun recordQuarantine(change: QuarantineChange) {
+        when (change) {
+            is QuarantineChange.Started -> {
+                state.quarantinedParts += change.part
+                log.warn(
+                    "event=quarantine_started part={} crashes={}",
+                    change.part,
+                    change.crashes.joinToString(",") { "${it.id}/${it.incarnation}" },
+                )
+            }
+
+            is QuarantineChange.Ended -> {
+                state.quarantinedParts -= change.part
+                log.warn("event=quarantine_ended part={} cause={}", change.part, change.cause.name.lowercase())
+            }
         }
     }
 
--- a/standins/src/main/kotlin/gypsumcart/standins/StandInFleet.kt
+++ b/standins/src/main/kotlin/gypsumcart/standins/StandInFleet.kt
@@ -43,13 +43,17 @@
         register(service, backEnd, "ready")
     }
 
-    /** Writes the registry row of a started back end with [state], `ready` or `draining`. */
-    public fun register(service: String, backEnd: StandInBackEnd, state: String) {
+    /**
+     * Writes the registry row of a started back end with [state], `ready` or `draining`.
+     *
+     * Another value of [born] stands for another start of the back end.
+     */
+    public fun register(service: String, backEnd: StandInBackEnd, state: String, born: Int = 1) {
         val address = backEndAddresses.getValue(backEnd.id)
         store.put(
             "servers",
             backEnd.id,
-            """{"service":"$service","address":"$address","zone":"a","batchSlots":6,"state":"$state","born":1}""",
+            """{"service":"$service","address":"$address","zone":"a","batchSlots":6,"state":"$state","born":$born}""",
         )
     }
 
--- a/standins/src/test/kotlin/gypsumcart/standins/EndToEndTest.kt
+++ b/standins/src/test/kotlin/gypsumcart/standins/EndToEndTest.kt
@@ -298,6 +298,25 @@
         awaitCondition { get(lateNode.settings.readiness, "/readiness").startsWith("HTTP/1.1 200") }
     }
 
+    // Guards against requests with one part of a prompt crashing back end after back end (BUDGET in the tainted day).
+    @Test
+    fun `a prompt part that was at three crashes is refused with the time of the next trial`() {
+        val prompt = "X-Token-Counts: 30,5\r\nX-Prompt-Prefix: aa:10,bad:10,own:10\r\n"
+        repeat(3) { round ->
+            firstBackEnd.injectFaults(BackEndFault.LoseResponse)
+            secondBackEnd.injectFaults(BackEndFault.LoseResponse)
+            expectThat(send("/stream-once/1", "r-$round", prompt)).startsWith("HTTP/1.1 502")
+            listOf(firstBackEnd, secondBackEnd).forEach { fleet.register("bookings", it, "ready", born = round + 2) }
+            Thread.sleep(800)
+        }
+        val executed = executedRequests().size
+        expectThat(send("/stream-once/1", "r-refused", prompt))
+            .startsWith("HTTP/1.1 503")
+            .contains(Regex("Retry-After: 2\\d\\."))
+        expectThat(executedRequests()).hasSize(executed)
+        expectThat(get(runningNode.settings.metrics, "/metrics")).contains("gypsumcart_quarantined_parts 2.0")
+    }
+
     @Test
     fun `the metrics of a node are served as text`() {
         send("/confirms/1")
