Take a stream without framing that ends before an event is complete for cut

Callers saw the same bytes as before; what changes is what the node learns. Cause: an answer may have neither a length nor chunks and end with its connection, so a crash of the back end looks like an end. A stream that ended inside an event or before its first counted as an invalid response, which says nothing about a crash. It counts as cut now, which is what the quarantine of prompt parts goes by.

Evidence: EndToEndTest, over a socket. The test of a stream that ends before its first event failed before; a whole one and one that ends inside an event were already told apart for the client and stay so.

--- a/http/src/main/kotlin/gypsumcart/http/HttpClient.kt
+++ b/http/src/main/kotlin/gypsumcart/http/HttpClient.kt
@@ -57,6 +57,9 @@
     internal var isComplete = false
         private set
 
+    /** Whether the body has neither a length nor chunks, so that only the end of the connection ends it. */
+    public val endsWithConnection: Boolean get() = source is BodySource.UntilClose
+
     /**
      * Reads some bytes into [buffer] and returns their number, or -1 at the end of a complete body.
      *
--- a/node/src/main/kotlin/gypsumcart/node/BackEndCalls.kt
+++ b/node/src/main/kotlin/gypsumcart/node/BackEndCalls.kt
@@ -137,9 +137,9 @@
             response.startStream(ResponseHead(head.status, head.headers.withoutHopByHop()))
             response.writeEvents(complete, events.lastEventId)
         }
-        if (!started || events.hasIncompleteEvent) {
-            return CallResult.Failed(CallFailure.InvalidResponse, response.progress)
-        }
+        val isCut = events.hasIncompleteEvent || !started && body.endsWithConnection
+        if (isCut) return CallResult.Failed(CallFailure.Truncated, response.progress)
+        if (!started) return CallResult.Failed(CallFailure.InvalidResponse, response.progress)
         response.endStream()
         return CallResult.Answered(head.status)
     }
--- a/standins/src/test/kotlin/gypsumcart/standins/EndToEndTest.kt
+++ b/standins/src/test/kotlin/gypsumcart/standins/EndToEndTest.kt
@@ -11,6 +11,7 @@
 import strikt.assertions.isNull
 import strikt.assertions.isTrue
 import strikt.assertions.startsWith
+import java.net.ServerSocket
 import java.net.Socket
 import java.net.SocketTimeoutException
 import java.util.concurrent.atomic.AtomicBoolean
@@ -298,6 +299,59 @@
         awaitCondition { get(lateNode.settings.readiness, "/readiness").startsWith("HTTP/1.1 200") }
     }
 
+    /** Starts a back end that responds to each request with [events], without framing, and closes the connection. */
+    private fun startUnframedBackEnd(events: String): ServerSocket {
+        val server = ServerSocket(0)
+        thread(isDaemon = true) {
+            while (!server.isClosed) {
+                val socket = runCatching { server.accept() }.getOrNull() ?: break
+                socket.use {
+                    val request = generateSequence { it.getInputStream().bufferedReader().readLine() }.first()
+                    check(request.startsWith("POST"))
+                    it.getOutputStream().write(
+                        "HTTP/1.1 200 OK\r\nX-Attempt-Id: r-1\r\nX-Response-Signature: s\r\n\r\n$events".toByteArray(),
+                    )
+                    it.shutdownOutput()
+                    it.getInputStream().readAllBytes()
+                }
+            }
+        }
+        fleet.configure(version = 2, listOf(ConfiguredRoute("/unframed/", "streaming", "unframed", maxAttempts = 1)))
+        val address = "127.0.0.1:${server.localPort}"
+        fleet.store.put(
+            "servers",
+            "u-1",
+            """{"service":"unframed","address":"$address","zone":"a","batchSlots":6,"state":"ready","born":1}""",
+        )
+        awaitCondition { !send("/unframed/1").startsWith("HTTP/1.1 404") }
+        awaitCondition { !send("/unframed/1").startsWith("HTTP/1.1 503") }
+        return server
+    }
+
+    @Test
+    fun `a stream without framing that ends after an event is complete`() {
+        startUnframedBackEnd("id: 1\ndata: 1\n\n").use {
+            expectThat(send("/unframed/1")).startsWith("HTTP/1.1 200").endsWith("0\r\n\r\n")
+        }
+    }
+
+    // Guards against taking the crash of a back end for the end of its response, where no framing tells them apart.
+    @Test
+    fun `a stream without framing that ends inside an event has been cut`() {
+        startUnframedBackEnd("id: 1\ndata: 1\n\nid: 2\nda").use {
+            val response = send("/unframed/1")
+            expectThat(response).startsWith("HTTP/1.1 200")
+            expectThat(response.endsWith("0\r\n\r\n")).isEqualTo(false)
+        }
+    }
+
+    @Test
+    fun `a stream without framing that ends before its first event counts as cut`() {
+        startUnframedBackEnd("").use { expectThat(send("/unframed/1")).startsWith("HTTP/1.1 502") }
+        val metrics = get(runningNode.settings.metrics, "/metrics")
+        expectThat(metrics).contains("gypsumcart_calls_seconds_count{result=\"cut\",service=\"unframed\"}")
+    }
+
     // Guards against requests with one part of a prompt crashing back end after back end (BUDGET in the tainted day).
     @Test
     fun `a prompt part that was at three crashes is refused with the time of the next trial`() {
