--- a/node/src/main/kotlin/gypsumcart/node/BackEndCalls.kt
+++ b/node/src/main/kotlin/gypsumcart/node/BackEndCalls.kt
@@ -33,7 +33,8 @@
     private val codec: CallCodec,
     private val client: HttpClient,
     private val clock: MonotonicClock,
-    private val limits: ResponseLimits,
+    private val limits: StatedLimits,
+    private val responseLimits: ResponseLimits,
     private val onFirstPiece: (DispatchEffect.Call, MonotonicTime) -> Unit,
     private val onRequestStarted: (TeamName, MonotonicTime) -> Unit,
 ) {
@@ -66,13 +67,14 @@
         body: ResponseBody,
         response: ForwardedResponse,
     ): CallResult {
+        limits.observe(call.backEnd, codec.limitStatementOrNull(head))
         val id = checkNotNull(call.admitted.submission.requestId) { "a call was made for a request without an id" }
         return when (val kind = codec.classify(head, id)) {
             ResponseKind.Valid -> forward(call, head, body, response)
 
             is ResponseKind.Declined -> {
                 // The rest of a body beyond the bound is left unread, which closes the connection.
-                body.readAtMost(limits.maxBodyBytes)
+                body.readAtMost(responseLimits.maxBodyBytes)
                 CallResult.Failed(CallFailure.Declined(kind.status), response.progress)
             }
 
@@ -103,7 +105,7 @@
     ): CallResult {
         reportStart(call)
         val bytes =
-            body.readAtMost(limits.maxBodyBytes)
+            body.readAtMost(responseLimits.maxBodyBytes)
                 ?: return CallResult.Failed(CallFailure.InvalidResponse, response.progress)
         val forwardedHead = ResponseHead(head.status, head.headers.withoutHopByHop())
         if (head.status >= FIRST_SERVER_ERROR && call.admitted.route.kind.isRetryable) {
@@ -120,7 +122,7 @@
         body: ResponseBody,
         response: ForwardedResponse,
     ): CallResult {
-        val events = EventStreamSplitter(limits.maxEventBytes)
+        val events = EventStreamSplitter(responseLimits.maxEventBytes)
         val buffer = ByteArray(EVENT_BUFFER_BYTES)
         var started = false
         while (true) {
--- a/node/src/main/kotlin/gypsumcart/node/Node.kt
+++ b/node/src/main/kotlin/gypsumcart/node/Node.kt
@@ -68,7 +68,14 @@
             quotaWindow = settings.bounds.quotas.window,
         )
     private val calls =
-        BackEndCalls(platform.codec, client, clock, settings.responses, ::reportFirstPiece) { team, at ->
+        BackEndCalls(
+            platform.codec,
+            client,
+            clock,
+            StatedLimits(),
+            settings.responses,
+            ::reportFirstPiece,
+        ) { team, at ->
             rings.usage.offer(UsageEvent.RequestStarted(team, at))
         }
     private val edge =
--- a/node/src/main/kotlin/gypsumcart/node/Ports.kt
+++ b/node/src/main/kotlin/gypsumcart/node/Ports.kt
@@ -14,6 +14,7 @@
 import gypsumcart.core.dispatch.DispatchEffect
 import gypsumcart.core.leases.CommandResult
 import gypsumcart.core.leases.FencedCommand
+import gypsumcart.core.routing.LimitStatement
 import gypsumcart.http.Headers
 import gypsumcart.http.HttpRequest
 import gypsumcart.http.RequestHandler
@@ -160,6 +161,9 @@
     /** Returns the kind of a response with [head] to the request with [id]. */
     public fun classify(head: ResponseHead, id: RequestId): ResponseKind
 
+    /** Returns what a response with [head] says about the rate of requests, or null if that is unreadable. */
+    public fun limitStatementOrNull(head: ResponseHead): LimitStatement?
+
     /** Returns the head of the response to a request that ended with [outcome], without a back end's response. */
     public fun outcomeHead(outcome: Outcome, id: RequestId?): ResponseHead
 }
