Keep the request rates that back ends state, all nodes together

Cause: the field was not read, so routing went by prompt affinity and load alone. event=limit_stated shows the calls to such a back end unchanged by the statement, all of them first attempts. No node alone passed a limit: a bound that each keeps by itself would have changed nothing.

Change: the nodes share what they hear. A limit is divided among a few nodes, about one for each request a second, since 38 nodes with one request each would exceed a limit of three; the others use other back ends. Each part is a token bucket that starts empty, so parts that move between nodes never add up to more. All calls pass it, retries and resumed streams too. A request waits if the next call comes in time, else it is refused at once with the time at which a call is free for it. A limit ends with two responses that omit it, a second after the last that named it; a back end that accepts nothing is still asked every two seconds. Malformed and negative values say nothing.

Evidence: SharedLimitTest, 4 and 38 nodes with a link and a store in virtual time. EndToEndTest covers two nodes over sockets.

--- a/core/src/main/kotlin/gypsumcart/core/Outcomes.kt
+++ b/core/src/main/kotlin/gypsumcart/core/Outcomes.kt
@@ -34,6 +34,9 @@
     /** Requests with [part] in their prompts crash the back ends that run them. */
     public data class Quarantined(public val part: PromptPartId) : RefusalReason()
 
+    /** The limits that the back ends of the service have stated are used up. */
+    public data object BackEndsLimited : RefusalReason()
+
     /** The node is shutting down and forwards no more requests. */
     public data object Stopping : RefusalReason()
 
--- a/core/src/main/kotlin/gypsumcart/core/membership/Membership.kt
+++ b/core/src/main/kotlin/gypsumcart/core/membership/Membership.kt
@@ -6,7 +6,7 @@
 import gypsumcart.core.MonotonicTime
 import gypsumcart.core.NodeId
 import gypsumcart.core.ZoneName
-import gypsumcart.core.routing.CrashEvidence
+import gypsumcart.core.routing.RoutingFindings
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.seconds
 
@@ -57,7 +57,7 @@
             is MembershipEvent.QuotaUseMeasured -> noEffects { own.update { it.copy(quotaUse = event.use) } }
             is MembershipEvent.LoadMeasured ->
                 noEffects { own.update { it.copy(load = event.load, latency = event.latency) } }
-            is MembershipEvent.CrashEvidenceUpdated -> updateCrashEvidence(event.evidence, now)
+            is MembershipEvent.FindingsUpdated -> updateFindings(event.findings, now)
             is MembershipEvent.UsageCounted -> noEffects { own.updateUsage(event.usage, event.until) }
             is MembershipEvent.LeaseWritten -> noEffects { own.update { it.copy(lease = event.row) } }
             is MembershipEvent.MessageReceived -> receiveMessage(event, now)
@@ -85,9 +85,9 @@
         return shared + published + distribute(now) + distributeReports(now) + removeExpired(now)
     }
 
-    /** Shares a crash with the next exchange, and through the store for nodes that the link doesn't reach. */
-    private fun updateCrashEvidence(evidence: List<CrashEvidence>, now: MonotonicTime): List<MembershipEffect> {
-        if (!own.updateCrashEvidence(evidence, now)) return emptyList()
+    /** Shares what is new with the next exchange, and through the store for nodes that the link doesn't reach. */
+    private fun updateFindings(findings: RoutingFindings, now: MonotonicTime): List<MembershipEffect> {
+        if (!own.updateFindings(findings, now)) return emptyList()
         own.renew(now)
         return if (isPublishDue(now, PUBLISH_PERIOD)) listOf(publish(now)) else emptyList()
     }
@@ -108,8 +108,8 @@
             event.reports.mapNotNull { report ->
                 val writtenAt = now - (event.ages[report.key] ?: Duration.ZERO)
                 table.putStored(report, writtenAt)
-                // What a node knew of crashes is of use also after it has gone.
-                report.observedEvidenceOrNull(writtenAt)
+                // What a node found out is of use also after it has gone.
+                report.observedFindingsOrNull(writtenAt)
             }
         // With a link, the next exchange distributes the changes together with those that it brings.
         val distributed =
@@ -135,14 +135,14 @@
         return applyItems(response, now)
     }
 
-    /** Records the reports in [message] and returns the lease rows and the evidence of crashes that they show. */
+    /** Records the reports in [message] and returns the lease rows and the findings that they show. */
     private fun applyItems(message: PeerMessage, now: MonotonicTime): List<MembershipEffect> =
         message.items
             .filter { table.putLinked(it, message.sender, now) }
             .flatMap { (report, age) ->
                 listOfNotNull(
                     report.lease?.let(MembershipEffect::ObserveLease),
-                    report.observedEvidenceOrNull(now - age),
+                    report.observedFindingsOrNull(now - age),
                 )
             }
 
@@ -301,5 +301,5 @@
 
 private val NodeReport.target: PeerTarget? get() = peerAddress?.let { PeerTarget(key, it, zone) }
 
-private fun NodeReport.observedEvidenceOrNull(asOf: MonotonicTime): MembershipEffect? =
-    crashEvidence.takeIf { it.isNotEmpty() }?.let { MembershipEffect.ObserveCrashEvidence(it, asOf) }
+private fun NodeReport.observedFindingsOrNull(asOf: MonotonicTime): MembershipEffect? =
+    findings.takeUnless { it.isEmpty }?.let { MembershipEffect.ObserveFindings(it, asOf) }
--- a/core/src/main/kotlin/gypsumcart/core/membership/MembershipEvents.kt
+++ b/core/src/main/kotlin/gypsumcart/core/membership/MembershipEvents.kt
@@ -8,7 +8,7 @@
 import gypsumcart.core.admission.QuotaPeers
 import gypsumcart.core.admission.QuotaUse
 import gypsumcart.core.leases.LeaseRow
-import gypsumcart.core.routing.CrashEvidence
+import gypsumcart.core.routing.RoutingFindings
 import kotlin.time.Duration
 
 /** Represents an input of the [Membership] decider. */
@@ -39,8 +39,8 @@
         public val latency: Map<ServiceName, Double>,
     ) : MembershipEvent()
 
-    /** What this node knows of crashes was updated; the ages in [evidence] count from now. */
-    public data class CrashEvidenceUpdated(public val evidence: List<CrashEvidence>) : MembershipEvent()
+    /** What this node has found out about back ends was updated; the ages in [findings] count from now. */
+    public data class FindingsUpdated(public val findings: RoutingFindings) : MembershipEvent()
 
     /** The requests that started to run through this node were counted; the counts are complete up to [until]. */
     public data class UsageCounted(
@@ -84,9 +84,9 @@
     /** Updates the number of live nodes, this one included; [rank] of them have a lower id than this one. */
     public data class UpdateNodeCount(public val nodeCount: Int, public val rank: Int) : MembershipEffect()
 
-    /** Passes on another node's [evidence] of crashes, whose ages count from [asOf]. */
-    public data class ObserveCrashEvidence(
-        public val evidence: List<CrashEvidence>,
+    /** Passes on another node's [findings], whose ages count from [asOf]. */
+    public data class ObserveFindings(
+        public val findings: RoutingFindings,
         public val asOf: MonotonicTime,
     ) : MembershipEffect()
 
--- a/core/src/main/kotlin/gypsumcart/core/membership/NodeReport.kt
+++ b/core/src/main/kotlin/gypsumcart/core/membership/NodeReport.kt
@@ -10,7 +10,7 @@
 import gypsumcart.core.ZoneName
 import gypsumcart.core.admission.QuotaUse
 import gypsumcart.core.leases.LeaseRow
-import gypsumcart.core.routing.CrashEvidence
+import gypsumcart.core.routing.RoutingFindings
 
 /**
  * Describes the state that one node shares with the others, through the peer link and, less often, the store.
@@ -25,8 +25,7 @@
  * @property load the load of the requests waiting or in progress at the node, by service
  * @property latency the time to the first piece of the slowest tenth of requests through the node, as a fraction of
  * their latency target, by service
- * @property crashEvidence what the node knows of prompt parts that were present at crashes of back ends; the ages count
- * from the time of the report
+ * @property findings what the node has found out about back ends; the ages count from the time of the report
  * @property lease the lease row as last written by the node, or null if it has not written one
  */
 public data class NodeReport(
@@ -43,7 +42,7 @@
     public val load: Map<ServiceName, Double>,
     public val latency: Map<ServiceName, Double>,
     public val lease: LeaseRow?,
-    public val crashEvidence: List<CrashEvidence> = emptyList(),
+    public val findings: RoutingFindings = RoutingFindings.NONE,
 )
 
 /** Identifies one incarnation of a node. */
--- a/core/src/main/kotlin/gypsumcart/core/membership/OwnReport.kt
+++ b/core/src/main/kotlin/gypsumcart/core/membership/OwnReport.kt
@@ -4,13 +4,13 @@
 import gypsumcart.core.TeamName
 import gypsumcart.core.UnixMillis
 import gypsumcart.core.WindowNumber
-import gypsumcart.core.routing.CrashEvidence
+import gypsumcart.core.routing.RoutingFindings
 
 /** Collects what this node reports to the others, and records it in [table] with each renewal. */
 internal class OwnReport(settings: MembershipSettings, private val table: PeerTable) {
     private var usageChanged = false
-    private var crashEvidence = emptyList<CrashEvidence>()
-    private var crashEvidenceAt = MonotonicTime(0)
+    private var findings = RoutingFindings.NONE
+    private var findingsAt = MonotonicTime(0)
 
     var report =
         NodeReport(
@@ -40,11 +40,11 @@
         usageChanged = true
     }
 
-    /** Replaces the evidence of crashes; returns whether it names other parts or crashes than before. */
-    fun updateCrashEvidence(evidence: List<CrashEvidence>, now: MonotonicTime): Boolean {
-        val changed = evidence.map { it.part to it.crashes.keys } != crashEvidence.map { it.part to it.crashes.keys }
-        crashEvidence = evidence
-        crashEvidenceAt = now
+    /** Replaces the findings; returns whether they say something else than before. */
+    fun updateFindings(findings: RoutingFindings, now: MonotonicTime): Boolean {
+        val changed = !findings.hasContentOf(this.findings)
+        this.findings = findings
+        findingsAt = now
         return changed
     }
 
@@ -53,7 +53,7 @@
         report =
             report.copy(
                 heartbeat = report.heartbeat + 1,
-                crashEvidence = crashEvidence.map { it.olderBy(now - crashEvidenceAt) },
+                findings = findings.olderBy(now - findingsAt),
             )
         table.putOwn(report, now, usageChanged)
         usageChanged = false
--- a/core/src/main/kotlin/gypsumcart/core/routing/Candidates.kt
+++ b/core/src/main/kotlin/gypsumcart/core/routing/Candidates.kt
@@ -47,6 +47,8 @@
     private var consecutiveFailures = 0
     private var ejectedUntil: MonotonicTime? = null
 
+    val limiter = CallLimiter()
+
     /** The total cost of the in-flight calls of this node to the instance. */
     var load = 0.0
         private set
@@ -54,9 +56,14 @@
     /** The number of in-flight calls of this node to the instance. */
     val inFlightCalls: Int get() = calls.size
 
+    /** Returns whether a call may be made now that is not to go to [excluded] instances. */
+    fun isAvailable(excluded: Set<InstanceKey>, place: NodePlace, now: MonotonicTime): Boolean =
+        !backEnd.draining && backEnd.key !in excluded && limiter.isOpen(place, now)
+
     fun isEjected(now: MonotonicTime): Boolean = ejectedUntil?.let { now < it } ?: false
 
     fun startCall(ticket: Ticket, prompt: Prompt?, cost: Double) {
+        limiter.take()
         calls[ticket] = InFlightCall(prompt, cost)
         load += cost
     }
@@ -114,6 +121,13 @@
         ?: leastLoaded(admitted.ticket)
 }
 
+/** Spreads the nodes that share limits evenly over the candidates of one service. */
+internal fun List<Candidate>.spreadLimits(): Unit =
+    forEachIndexed { i, candidate -> candidate.limiter.position = i.toDouble() / size }
+
+/** Returns the limiters of the candidates that accept new requests. */
+internal fun List<Candidate>.limiters(): List<CallLimiter> = filterNot { it.backEnd.draining }.map { it.limiter }
+
 /** Returns the least loaded candidate; a different one of several for each [ticket]. */
 internal fun List<Candidate>.leastLoaded(ticket: Ticket): Candidate {
     val offset = Math.floorMod(ticket.number, size.toLong()).toInt()
--- a/core/src/main/kotlin/gypsumcart/core/routing/Routing.kt
+++ b/core/src/main/kotlin/gypsumcart/core/routing/Routing.kt
@@ -6,7 +6,6 @@
 import gypsumcart.core.Decider
 import gypsumcart.core.MonotonicTime
 import gypsumcart.core.Outcome
-import gypsumcart.core.Prompt
 import gypsumcart.core.RefusalReason
 import gypsumcart.core.ServiceName
 import gypsumcart.core.Ticket
@@ -28,9 +27,9 @@
     private val retryBudgets = RetryBudgets(retryLimits)
     private val latencies = LatencyWindows()
     private val quarantine = Quarantine()
-    private var evidenceShared = false
-    private var nodeCount = 1
-    private var rank = 0
+    private val returnTimes = ReturnTimes()
+    private var sharedFindings = RoutingFindings.NONE
+    private var place = NodePlace(nodeCount = 1, rank = 0)
 
     override fun decide(event: RoutingEvent, now: MonotonicTime): List<RoutingEffect> =
         when (event) {
@@ -41,13 +40,10 @@
             is RoutingEvent.FirstPieceReceived -> startResponse(event, now)
             is RoutingEvent.RequestCancelled -> noEffects { waiting -= event.ticket }
             is RoutingEvent.NodeCountUpdated ->
-                noEffects {
-                    nodeCount = event.nodeCount
-                    rank = event.rank
-                }
-            is RoutingEvent.CrashEvidenceReceived ->
-                apply(quarantine.merge(event.evidence, event.asOf, now), now)
-            RoutingEvent.Sweep -> expireWaiting(now)
+                noEffects { place = NodePlace(event.nodeCount.coerceAtLeast(1), event.rank) }
+            is RoutingEvent.FindingsReceived -> learn(event.findings, event.asOf, now)
+            is RoutingEvent.LimitStated -> hearLimit(event, now)
+            RoutingEvent.Sweep -> assignWaiting(now) + expireWaiting(now)
             RoutingEvent.ReportDue -> report(now)
         }
 
@@ -64,6 +60,7 @@
             .map { backEnd -> candidates.getOrPut(backEnd.key) { Candidate(backEnd) }.also { it.backEnd = backEnd } }
             .sortedBy { it.backEnd.id }
             .groupByTo(HashMap()) { it.backEnd.service }
+            .onEach { (_, ofService) -> ofService.spreadLimits() }
             .let(candidatesByService::putAll)
         return assignWaiting(now)
     }
@@ -78,21 +75,48 @@
     }
 
     /** Whether this node, of all live ones, tries whether a quarantined part still crashes back ends. */
-    private val runsTrials: Boolean get() = rank == 0
+    private val runsTrials: Boolean get() = place.rank == 0
 
     private fun assignOrEnqueue(
         admitted: AdmittedRequest,
         isTrial: Boolean,
         now: MonotonicTime,
     ): List<RoutingEffect> {
+        val limiters = candidatesByService[admitted.service].orEmpty().limiters()
+        // Requests that wait for a limit go before new ones.
+        val earlier = if (waiting.isEmpty() || limiters.none { it.isLimited }) emptyList() else assignWaiting(now)
         if (waiting.isEmpty() || !isAtCapacity(admitted)) {
             val assigned = assignOrNull(admitted, AttemptNumber.FIRST, emptySet(), now, isTrial)
-            if (assigned != null) return listOf(assigned)
+            if (assigned != null) return earlier + assigned
         }
         val limit = admitted.submission.arrivedAt + admitted.route.targetLatency / MAX_WAIT_DIVISOR
         val request = WaitingRequest(admitted, minOf(limit, admitted.deadline))
+        if (limiters.areUsedUp(place, now)) return earlier + awaitLimit(request, limiters, now)
+        waiting[admitted.ticket] = request
+        return earlier + RoutingEffect.SweepAt(request.deadline)
+    }
+
+    /** Lets a request wait for the next call that the limits allow, or refuses it at once if that comes too late. */
+    private fun awaitLimit(
+        request: WaitingRequest,
+        limiters: List<CallLimiter>,
+        now: MonotonicTime,
+    ): List<RoutingEffect> {
+        val admitted = request.admitted
+        val nextCallAt = limiters.nextCallAtOrNull(place, now)
+        val ahead = waiting.values.count { it.admitted.service == admitted.service }
+        val expectedAt = nextCallAt?.let { it + (ahead / limiters.rateOf(place)).seconds }
+        if (nextCallAt == null || expectedAt == null || expectedAt >= request.deadline) {
+            return listOf(RoutingEffect.Conclude(admitted, limitedOutcome(admitted.service, limiters, now)))
+        }
         waiting[admitted.ticket] = request
-        return listOf(RoutingEffect.SweepAt(request.deadline))
+        return listOf(RoutingEffect.SweepAt(nextCallAt), RoutingEffect.SweepAt(request.deadline))
+    }
+
+    private fun limitedOutcome(service: ServiceName, limiters: List<CallLimiter>, now: MonotonicTime): Outcome {
+        val nextCallAt = limiters.nextCallAtOrNull(place, now)
+        val retryAfter = returnTimes.next(service, nextCallAt, limiters.rateOf(place), now)
+        return Outcome.NotRun(RefusalReason.BackEndsLimited, retryAfter)
     }
 
     private fun retryOrConclude(event: RoutingEvent.RetryRequested, now: MonotonicTime): RoutingEffect {
@@ -109,13 +133,14 @@
         val prompt = admitted.submission.prompt
         val outcome = event.fallbackOutcome
         val mayHaveRun = outcome is Outcome.Failed
+        val others = candidatesByService[admitted.service].orEmpty()
         val verdict = quarantine.verdictOn(prompt, runsTrials = false, now)
         return when {
             now >= admitted.deadline -> outcome
             verdict is QuarantineVerdict.Refused -> if (mayHaveRun) outcome else verdict.toOutcome()
             mayHaveRun && quarantine.forbidsRetry(prompt) -> outcome
-            candidatesByService[admitted.service].orEmpty().none { isAvailable(it, event.excluded) } -> outcome
-            !retryBudgets.tryAcquireRetry(admitted.service, nodeCount, now) -> outcome
+            others.none { it.isAvailable(event.excluded, place, now) } -> outcome
+            !retryBudgets.tryAcquireRetry(admitted.service, place.nodeCount, now) -> outcome
             else -> null
         }
     }
@@ -127,7 +152,7 @@
         now: MonotonicTime,
         isTrial: Boolean = false,
     ): RoutingEffect? {
-        val available = candidatesByService[admitted.service].orEmpty().filter { isAvailable(it, excluded) }
+        val available = candidatesByService[admitted.service].orEmpty().filter { it.isAvailable(excluded, place, now) }
         if (available.isEmpty() || attempt == AttemptNumber.FIRST && isAtCapacity(admitted)) return null
         val eligible = available.filterNot { it.isEjected(now) }.ifEmpty { available }
         val cost = costOf(admitted)
@@ -136,9 +161,6 @@
         return RoutingEffect.Assign(admitted, attempt, chosen.backEnd, eligible.size)
     }
 
-    private fun isAvailable(candidate: Candidate, excluded: Set<InstanceKey>): Boolean =
-        !candidate.backEnd.draining && candidate.backEnd.key !in excluded
-
     /**
      * Returns whether this node uses its whole share of the batch slots of the engines that serve [admitted].
      *
@@ -149,7 +171,7 @@
         if (admitted.submission.prompt == null) return false
         val serviceCandidates = candidatesByService[admitted.service].orEmpty()
         val slots = serviceCandidates.filterNot { it.backEnd.draining }.sumOf { it.backEnd.slots }
-        return serviceCandidates.sumOf { it.inFlightCalls } >= ceil(slots * MAX_SLOT_UTILIZATION / nodeCount)
+        return serviceCandidates.sumOf { it.inFlightCalls } >= ceil(slots * MAX_SLOT_UTILIZATION / place.nodeCount)
     }
 
     private fun releaseCall(event: RoutingEvent.CallReleased, now: MonotonicTime): List<RoutingEffect> {
@@ -171,16 +193,15 @@
         return when (health) {
             HealthSignal.HEALTHY -> apply(quarantine.recordAnswer(prompt, backEnd.key, now), now)
             HealthSignal.DISCONNECTED ->
-                if (backEnd.draining) emptyList() else learnFromCut(prompt, backEnd.key, now)
+                if (backEnd.draining) {
+                    emptyList()
+                } else {
+                    apply(quarantine.recordCut(prompt, backEnd.key, now), now) + shareFindings(now)
+                }
             HealthSignal.FAILING, HealthSignal.UNKNOWN -> emptyList()
         }
     }
 
-    private fun learnFromCut(prompt: Prompt, instance: InstanceKey, now: MonotonicTime): List<RoutingEffect> {
-        val changes = quarantine.recordCut(prompt, instance, now)
-        return apply(changes, now) + listOf(shareEvidence(now))
-    }
-
     private fun startResponse(event: RoutingEvent.FirstPieceReceived, now: MonotonicTime): List<RoutingEffect> {
         event.fraction?.let { latencies.add(event.service, it, now) }
         val call = candidates[event.instance]?.callOrNull(event.ticket) ?: return emptyList()
@@ -198,31 +219,60 @@
                 (verdict as? QuarantineVerdict.Refused)?.let { RoutingEffect.Conclude(admitted, it.toOutcome()) }
             }
         refused.forEach { waiting -= it.admitted.ticket }
-        return changes.map(RoutingEffect::QuarantineChanged) + refused + shareEvidence(now)
+        return changes.map(RoutingEffect::QuarantineChanged) + refused + shareFindings(now)
     }
 
-    private fun shareEvidence(now: MonotonicTime): RoutingEffect {
-        val evidence = quarantine.evidence(now)
-        evidenceShared = evidence.isNotEmpty()
-        return RoutingEffect.ShareCrashEvidence(evidence)
+    private fun learn(findings: RoutingFindings, asOf: MonotonicTime, now: MonotonicTime): List<RoutingEffect> {
+        val changed =
+            findings.limits.filter { (instance, statement, age) ->
+                candidates[instance]?.limiter?.learn(statement, asOf - age, now) ?: false
+            }
+        val quarantined = apply(quarantine.merge(findings.crashEvidence, asOf, now), now)
+        return quarantined + changed.flatMap { limitChanged(it.instance, now) }
+    }
+
+    private fun hearLimit(event: RoutingEvent.LimitStated, now: MonotonicTime): List<RoutingEffect> {
+        val changed = candidates[event.instance]?.limiter?.hear(event.statement, now) ?: false
+        return if (changed) limitChanged(event.instance, now) + shareFindings(now) else emptyList()
+    }
+
+    private fun limitChanged(instance: InstanceKey, now: MonotonicTime): List<RoutingEffect> {
+        val changed = RoutingEffect.LimitChanged(instance, candidates[instance]?.limiter?.requestsPerSecond)
+        return listOf(changed) + assignWaiting(now)
+    }
+
+    /** Shares the findings if there are any, or if the last ones are to be withdrawn. */
+    private fun shareFindings(now: MonotonicTime): List<RoutingEffect> {
+        val limits = candidates.values.mapNotNull { it.limiter.reportOrNull(it.backEnd.key, now) }
+        val findings = RoutingFindings(quarantine.evidence(now), limits.sortedBy { it.age }.take(MAX_SHARED_LIMITS))
+        if (findings.isEmpty && sharedFindings.isEmpty) return emptyList()
+        sharedFindings = findings
+        return listOf(RoutingEffect.ShareFindings(findings))
     }
 
     private fun report(now: MonotonicTime): List<RoutingEffect> {
-        val expired = apply(quarantine.expire(now), now)
-        val hadEvidence = evidenceShared
-        val shared = shareEvidence(now)
-        val load = RoutingEffect.ReportLoad(loadByService(), latencies.slowestTenths(now))
-        return if (hadEvidence || evidenceShared) expired + shared + load else expired + load
+        val load =
+            candidatesByService.mapValues { (service, ofService) ->
+                ofService.sumOf { it.load } + waiting.values.count { it.admitted.service == service }
+            }
+        return apply(quarantine.expire(now), now) + shareFindings(now) +
+            RoutingEffect.ReportLoad(load, latencies.slowestTenths(now))
     }
 
     private fun expireWaiting(now: MonotonicTime): List<RoutingEffect> {
         val expired = waiting.values.filter { now >= it.deadline }
         expired.forEach { waiting -= it.admitted.ticket }
-        return expired.map { RoutingEffect.Conclude(it.admitted, Outcome.NotRun(refusalReasonOf(it), RETRY_AFTER)) }
+        return expired.map { RoutingEffect.Conclude(it.admitted, expiryOutcomeOf(it.admitted, now)) }
     }
 
-    private fun refusalReasonOf(request: WaitingRequest): RefusalReason =
-        if (isAtCapacity(request.admitted)) RefusalReason.Overloaded("routing") else RefusalReason.NoBackEnd
+    private fun expiryOutcomeOf(admitted: AdmittedRequest, now: MonotonicTime): Outcome {
+        val limiters = candidatesByService[admitted.service].orEmpty().limiters()
+        return when {
+            limiters.areUsedUp(place, now) -> limitedOutcome(admitted.service, limiters, now)
+            isAtCapacity(admitted) -> Outcome.NotRun(RefusalReason.Overloaded("routing"), RETRY_AFTER)
+            else -> Outcome.NotRun(RefusalReason.NoBackEnd, RETRY_AFTER)
+        }
+    }
 
     /** Assigns back ends to waiting requests, the most urgent first. */
     private fun assignWaiting(now: MonotonicTime): List<RoutingEffect> {
@@ -234,11 +284,6 @@
         return assigned
     }
 
-    private fun loadByService(): Map<ServiceName, Double> =
-        candidatesByService.mapValues { (service, serviceCandidates) ->
-            serviceCandidates.sumOf { it.load } + waiting.values.count { it.admitted.service == service }
-        }
-
     private fun costOf(admitted: AdmittedRequest): Double =
         1 + (admitted.submission.prompt?.tokens ?: 0).toDouble() / TOKENS_PER_COST_UNIT
 
@@ -249,6 +294,9 @@
         /** About the time until the directory lists a new back end or running requests have freed batch slots. */
         val RETRY_AFTER: Duration = 1.seconds
 
+        /** Bounds the size of a report to other nodes. */
+        const val MAX_SHARED_LIMITS = 256
+
         /** The fraction of their batch slots that engines can use and still meet the latency targets. */
         const val MAX_SLOT_UTILIZATION = 0.45
 
--- a/core/src/main/kotlin/gypsumcart/core/routing/RoutingEvents.kt
+++ b/core/src/main/kotlin/gypsumcart/core/routing/RoutingEvents.kt
@@ -58,12 +58,18 @@
      */
     public data class NodeCountUpdated(public val nodeCount: Int, public val rank: Int = 0) : RoutingEvent()
 
-    /** Another node reported [evidence] of crashes, whose ages count from [asOf]. */
-    public data class CrashEvidenceReceived(
-        public val evidence: List<CrashEvidence>,
+    /** Another node reported [findings], whose ages count from [asOf]. */
+    public data class FindingsReceived(
+        public val findings: RoutingFindings,
         public val asOf: MonotonicTime,
     ) : RoutingEvent()
 
+    /** A response of [instance] to this node stated [statement]. */
+    public data class LimitStated(
+        public val instance: InstanceKey,
+        public val statement: LimitStatement,
+    ) : RoutingEvent()
+
     /** The time given by [RoutingEffect.SweepAt], at which requests that have waited too long are ended. */
     public data object Sweep : RoutingEvent()
 
@@ -102,8 +108,14 @@
         public val latency: Map<ServiceName, Double>,
     ) : RoutingEffect()
 
-    /** Shares what this node knows of crashes with the other nodes. */
-    public data class ShareCrashEvidence(public val evidence: List<CrashEvidence>) : RoutingEffect()
+    /** Shares what this node has found out about back ends with the other nodes. */
+    public data class ShareFindings(public val findings: RoutingFindings) : RoutingEffect()
+
+    /** Reports that [instance] limits its requests to [requestsPerSecond], or no longer does if null. */
+    public data class LimitChanged(
+        public val instance: InstanceKey,
+        public val requestsPerSecond: Double?,
+    ) : RoutingEffect()
 
     /** Reports that a prompt part was quarantined, or no longer is. */
     public data class QuarantineChanged(public val change: QuarantineChange) : RoutingEffect()
--- /dev/null
+++ b/core/src/main/kotlin/gypsumcart/core/routing/RoutingFindings.kt
@@ -0,0 +1,40 @@
+package gypsumcart.core.routing
+
+import kotlin.time.Duration
+
+/**
+ * Describes what the routing of one node has found out about back ends, for the other nodes.
+ *
+ * @property limits the latest statements that the node itself has heard
+ */
+public data class RoutingFindings(
+    public val crashEvidence: List<CrashEvidence> = emptyList(),
+    public val limits: List<LimitReport> = emptyList(),
+) {
+    /** Whether there is nothing to tell. */
+    public val isEmpty: Boolean get() = crashEvidence.isEmpty() && limits.isEmpty()
+
+    /** Returns the same findings as seen [elapsed] later. */
+    public fun olderBy(elapsed: Duration): RoutingFindings =
+        RoutingFindings(
+            crashEvidence.map { it.olderBy(elapsed) },
+            limits.map { it.copy(age = it.age + elapsed) },
+        )
+
+    /** Returns whether the findings say the same, except for ages. */
+    public fun hasContentOf(other: RoutingFindings): Boolean =
+        crashEvidence.map { it.part to it.crashes.keys } == other.crashEvidence.map { it.part to it.crashes.keys } &&
+            limits.associate { it.instance to it.statement } == other.limits.associate { it.instance to it.statement }
+
+    public companion object {
+        /** No findings. */
+        public val NONE: RoutingFindings = RoutingFindings()
+    }
+}
+
+/** Describes what [instance] stated [age] ago. */
+public data class LimitReport(
+    public val instance: InstanceKey,
+    public val statement: LimitStatement,
+    public val age: Duration,
+)
--- a/core/src/test/kotlin/gypsumcart/core/routing/ServingFleet.kt
+++ b/core/src/test/kotlin/gypsumcart/core/routing/ServingFleet.kt
@@ -2,6 +2,7 @@
 
 import gypsumcart.core.AdmittedRequest
 import gypsumcart.core.BackEnd
+import gypsumcart.core.BackEndId
 import gypsumcart.core.CallFailure
 import gypsumcart.core.CallKind
 import gypsumcart.core.Incarnation
@@ -57,6 +58,12 @@
     val crashTimes = ArrayList<Duration>()
     var isDeadly: (Prompt) -> Boolean = { false }
 
+    /** The limit that an engine states in its responses, or null if it states none. */
+    var limitOf: (BackEndId) -> Double? = { null }
+
+    /** The engines that received calls, with the node and the time since the start. */
+    val calledEngines = ArrayList<Triple<Duration, BackEndId, NodeId>>()
+
     init {
         fleet.start()
         fleet.nodes.forEach { addServer(it) }
@@ -107,6 +114,7 @@
         private val routing = Routing(RetryLimits(0.2, 50, 10.seconds))
         private val dispatch = Dispatch()
         val quarantined = HashSet<String>()
+        val limited = HashSet<InstanceKey>()
 
         init {
             node.onEffect = ::observe
@@ -121,6 +129,10 @@
             fleet.schedule(500.milliseconds, ::tick)
         }
 
+        private fun sweep() {
+            if (node.running) route(RoutingEvent.Sweep)
+        }
+
         fun list(): Unit = route(RoutingEvent.BackEndsListed(backEnds))
 
         fun route(event: RoutingEvent): Unit = routing.decide(event, at(fleet.now)).forEach(::execute)
@@ -145,8 +157,8 @@
             when (effect) {
                 is MembershipEffect.UpdateNodeCount ->
                     route(RoutingEvent.NodeCountUpdated(effect.nodeCount, effect.rank))
-                is MembershipEffect.ObserveCrashEvidence ->
-                    route(RoutingEvent.CrashEvidenceReceived(effect.evidence, effect.asOf))
+                is MembershipEffect.ObserveFindings ->
+                    route(RoutingEvent.FindingsReceived(effect.findings, effect.asOf))
                 else -> Unit
             }
         }
@@ -161,14 +173,17 @@
                     dispatch.decide(DispatchEvent.Concluded(effect.admitted.ticket), at(fleet.now))
                     conclude(effect.admitted, effect.outcome)
                 }
-                is RoutingEffect.ShareCrashEvidence ->
-                    node.decide(MembershipEvent.CrashEvidenceUpdated(effect.evidence))
+                is RoutingEffect.ShareFindings -> node.decide(MembershipEvent.FindingsUpdated(effect.findings))
                 is RoutingEffect.QuarantineChanged ->
                     when (val change = effect.change) {
                         is QuarantineChange.Started -> quarantined += change.part.text
                         is QuarantineChange.Ended -> quarantined -= change.part.text
                     }
-                is RoutingEffect.SweepAt, is RoutingEffect.ReportLoad -> Unit
+                is RoutingEffect.SweepAt ->
+                    fleet.schedule((effect.time - at(fleet.now)).coerceAtLeast(Duration.ZERO)) { sweep() }
+                is RoutingEffect.LimitChanged ->
+                    if (effect.requestsPerSecond == null) limited -= effect.instance else limited += effect.instance
+                is RoutingEffect.ReportLoad -> Unit
             }
         }
 
@@ -185,10 +200,18 @@
             }
             val prompt = checkNotNull(effect.admitted.submission.prompt)
             received += fleet.now to prompt
+            calledEngines += Triple(fleet.now, instance.id, node.id)
             calls[instance to number] = Call(this, effect)
             fleet.schedule(START_TIME) { if (instance to number in calls) start(effect, prompt) }
         }
 
+        private fun stateLimit(instance: InstanceKey) {
+            val limit = limitOf(instance.id)
+            if (limit == null && instance !in limited) return
+            val statement = limit?.let(LimitStatement::Limited) ?: LimitStatement.Unlimited
+            route(RoutingEvent.LimitStated(instance, statement))
+        }
+
         private fun start(effect: DispatchEffect.Call, prompt: Prompt) {
             val instance = effect.backEnd.key
             if (isDeadly(prompt)) {
@@ -196,6 +219,7 @@
                 return
             }
             val admitted = effect.admitted
+            stateLimit(instance)
             route(RoutingEvent.FirstPieceReceived(admitted.ticket, admitted.service, instance, 0.1))
             fleet.schedule(START_TIME) {
                 if (calls.remove(instance to admitted.ticket.number) != null) {
--- a/node/src/main/kotlin/gypsumcart/node/FleetDuties.kt
+++ b/node/src/main/kotlin/gypsumcart/node/FleetDuties.kt
@@ -75,8 +75,8 @@
             is MembershipEffect.UpdateNodeCount ->
                 rings.routing.put(RoutingEvent.NodeCountUpdated(effect.nodeCount, effect.rank))
 
-            is MembershipEffect.ObserveCrashEvidence ->
-                rings.routing.put(RoutingEvent.CrashEvidenceReceived(effect.evidence, effect.asOf))
+            is MembershipEffect.ObserveFindings ->
+                rings.routing.put(RoutingEvent.FindingsReceived(effect.findings, effect.asOf))
 
             is MembershipEffect.UpdateQuotaPeers ->
                 rings.admission.put(
--- a/node/src/main/kotlin/gypsumcart/node/LogValues.kt
+++ b/node/src/main/kotlin/gypsumcart/node/LogValues.kt
@@ -15,6 +15,7 @@
         RefusalReason.QuotaExceeded -> "quota"
         is RefusalReason.Overloaded -> "overloaded_$filter"
         is RefusalReason.Quarantined -> "quarantined"
+        RefusalReason.BackEndsLimited -> "limited"
         RefusalReason.Stopping -> "stopping"
         RefusalReason.NoBackEnd -> "no_back_end"
         RefusalReason.Declined -> "declined"
--- a/node/src/main/kotlin/gypsumcart/node/Node.kt
+++ b/node/src/main/kotlin/gypsumcart/node/Node.kt
@@ -67,12 +67,16 @@
             heartbeatTimeout = HEARTBEAT_TIMEOUT,
             quotaWindow = settings.bounds.quotas.window,
         )
+    private val statedLimits =
+        StatedLimits(state) { instance, statement ->
+            rings.routing.offer(RoutingEvent.LimitStated(instance, statement))
+        }
     private val calls =
         BackEndCalls(
             platform.codec,
             client,
             clock,
-            StatedLimits(),
+            statedLimits,
             settings.responses,
             ::reportFirstPiece,
         ) { team, at ->
--- a/node/src/main/kotlin/gypsumcart/node/NodeState.kt
+++ b/node/src/main/kotlin/gypsumcart/node/NodeState.kt
@@ -3,6 +3,7 @@
 import gypsumcart.core.Configuration
 import gypsumcart.core.PromptPartId
 import gypsumcart.core.membership.Member
+import gypsumcart.core.routing.InstanceKey
 
 /**
  * Holds the state of a node that its duties write and other threads read.
@@ -34,6 +35,10 @@
     @Volatile
     var quarantinedParts: Set<PromptPartId> = emptySet()
 
+    /** The back ends that limit the rate of their requests. */
+    @Volatile
+    var limitedBackEnds: Set<InstanceKey> = emptySet()
+
     /** Whether this node holds the lease and so acts for the whole fleet. */
     @Volatile
     var leaseHeld = false
--- a/node/src/main/kotlin/gypsumcart/node/PeerCodec.kt
+++ b/node/src/main/kotlin/gypsumcart/node/PeerCodec.kt
@@ -54,7 +54,7 @@
     val load: Map<String, Double>,
     val latency: Map<String, Double> = emptyMap(),
     val lease: WireLease? = null,
-    val crashes: List<WireCrashEvidence> = emptyList(),
+    val findings: WireFindings? = null,
 )
 
 @Serializable
@@ -123,7 +123,7 @@
         load = report.load.entries.associate { (service, load) -> service.text to load.roundToTenths() },
         latency = report.latency.entries.associate { (service, share) -> service.text to share.roundToThousandths() },
         lease = report.lease?.let { WireLease(it.version, it.storedToken?.number) },
-        crashes = report.crashEvidence.map { it.toWire() },
+        findings = report.findings.toWireOrNull(),
     )
 
 private fun Map<WindowNumber, Map<TeamName, Int>>.toWire(): Map<Long, Map<String, Int>> =
@@ -156,7 +156,7 @@
             load = load.mapKeys { ServiceName(it.key) },
             latency = latency.mapKeys { ServiceName(it.key) },
             lease = lease?.let { LeaseRow(key.node, key.incarnation, it.version, it.fence?.let(::FencingToken)) },
-            crashEvidence = crashes.map { it.toEvidence() },
+            findings = findings.toFindings(),
         )
     return PeerItem(report, age.milliseconds, hasUsage = usage != null)
 }
--- a/node/src/main/kotlin/gypsumcart/node/RequestDuties.kt
+++ b/node/src/main/kotlin/gypsumcart/node/RequestDuties.kt
@@ -20,6 +20,7 @@
 import gypsumcart.core.routing.Routing
 import gypsumcart.core.routing.RoutingEffect
 import gypsumcart.core.routing.RoutingEvent
+import gypsumcart.core.routing.key
 import gypsumcart.pipeline.Duty
 import gypsumcart.pipeline.MonotonicClock
 import gypsumcart.pipeline.Timers
@@ -99,8 +100,10 @@
                     MembershipEvent.LoadMeasured(effect.load, effect.latency),
                 )
 
-            is RoutingEffect.ShareCrashEvidence ->
-                rings.membership.offer(MembershipEvent.CrashEvidenceUpdated(effect.evidence))
+            is RoutingEffect.ShareFindings ->
+                rings.membership.offer(MembershipEvent.FindingsUpdated(effect.findings))
+
+            is RoutingEffect.LimitChanged -> recordLimit(effect)
 
             is RoutingEffect.QuarantineChanged -> recordQuarantine(effect.change)
         }
@@ -118,6 +121,20 @@
         )
     }
 
+    private fun recordLimit(effect: RoutingEffect.LimitChanged) {
+        if (effect.requestsPerSecond == null) {
+            state.limitedBackEnds -= effect.instance
+        } else {
+            state.limitedBackEnds += effect.instance
+        }
+        log.info(
+            "event=limit_changed back_end={} incarnation={} limit={}",
+            effect.instance.id,
+            effect.instance.incarnation,
+            effect.requestsPerSecond ?: "none",
+        )
+    }
+
     private fun recordQuarantine(change: QuarantineChange) {
         when (change) {
             is QuarantineChange.Started -> {
@@ -180,6 +197,7 @@
             is DirectoryEffect.Publish -> {
                 state.backEndsListed = true
                 state.drainingBackEnds = effect.backEnds.count { it.draining }
+                state.limitedBackEnds = state.limitedBackEnds intersect effect.backEnds.mapTo(HashSet()) { it.key }
                 state.activeBackEnds = effect.backEnds.size - state.drainingBackEnds
                 log.info(
                     "event=back_ends_listed count={} leaving={}",
--- a/node/src/main/kotlin/gypsumcart/node/RowCodecs.kt
+++ b/node/src/main/kotlin/gypsumcart/node/RowCodecs.kt
@@ -33,7 +33,7 @@
     val load: Map<String, Double>,
     val latency: Map<String, Double> = emptyMap(),
     @SerialName("written") val writtenMillis: Long? = null,
-    val crashes: List<WireCrashEvidence> = emptyList(),
+    val findings: WireFindings? = null,
 )
 
 @Serializable
@@ -101,7 +101,7 @@
             load = load.mapKeys { it.key.text },
             latency = latency.mapKeys { it.key.text },
             writtenMillis = writtenMillis,
-            crashes = crashEvidence.map { it.toWire() },
+            findings = findings.toWireOrNull(),
         ),
     )
 
@@ -135,7 +135,7 @@
             load = row.load.mapKeys { ServiceName(it.key) },
             latency = row.latency.mapKeys { ServiceName(it.key) },
             lease = null,
-            crashEvidence = row.crashes.map { it.toEvidence() },
+            findings = row.findings.toFindings(),
         )
     return StoredReport(report, row.writtenMillis)
 }
--- a/node/src/main/kotlin/gypsumcart/node/StatedLimits.kt
+++ b/node/src/main/kotlin/gypsumcart/node/StatedLimits.kt
@@ -6,8 +6,16 @@
 import gypsumcart.core.routing.key
 import org.slf4j.LoggerFactory
 
-/** Follows the request rates that back ends state in their responses; used on the thread of the edge only. */
-internal class StatedLimits {
+/**
+ * Follows the request rates that back ends state in their responses; used on the thread of the edge only.
+ *
+ * @property onStatement called with each limit, and with each statement of a back end whose limit is in force that it
+ *   has none
+ */
+internal class StatedLimits(
+    private val state: NodeState,
+    private val onStatement: (InstanceKey, LimitStatement) -> Unit,
+) {
     /** The back ends that stated a limit in their last response through this node; the eldest entries yield. */
     private val limited =
         object : LinkedHashMap<InstanceKey, LimitStatement.Limited>() {
@@ -23,6 +31,8 @@
             LimitStatement.Unlimited -> limited -= backEnd.key
             null -> Unit
         }
+        val concernsRouting = statement is LimitStatement.Limited || backEnd.key in state.limitedBackEnds
+        if (statement != null && concernsRouting) onStatement(backEnd.key, statement)
         val isNews = statement != previous && (previous != null || statement != LimitStatement.Unlimited)
         if (isNews) {
             log.info(
--- a/standins/src/main/kotlin/gypsumcart/standins/StandInBackEnd.kt
+++ b/standins/src/main/kotlin/gypsumcart/standins/StandInBackEnd.kt
@@ -54,6 +54,10 @@
     private val cancelled = CopyOnWriteArrayList<String>()
     private val faults = ConcurrentLinkedDeque<BackEndFault>()
 
+    /** The value of the `Server-Limit` field in all responses, or null if they have none. */
+    @Volatile
+    public var requestLimit: String? = null
+
     /** The requests that were run, in the order in which they started. */
     public val executedRequests: List<ExecutedRequest> get() = executed
 
@@ -141,7 +145,13 @@
     }
 
     private fun responseHeaders(requestId: String): Headers =
-        Headers(listOf(HeaderField("X-Attempt-Id", requestId), HeaderField("X-Response-Signature", "signed-$id")))
+        Headers(
+            listOfNotNull(
+                HeaderField("X-Attempt-Id", requestId),
+                HeaderField("X-Response-Signature", "signed-$id"),
+                requestLimit?.let { HeaderField("Server-Limit", it) },
+            ),
+        )
 
     private companion object {
         const val OK = 200
--- a/standins/src/test/kotlin/gypsumcart/standins/EndToEndTest.kt
+++ b/standins/src/test/kotlin/gypsumcart/standins/EndToEndTest.kt
@@ -8,6 +8,7 @@
 import strikt.assertions.hasSize
 import strikt.assertions.isEmpty
 import strikt.assertions.isEqualTo
+import strikt.assertions.isLessThanOrEqualTo
 import strikt.assertions.isNull
 import strikt.assertions.isTrue
 import strikt.assertions.startsWith
@@ -371,6 +372,25 @@
         expectThat(get(runningNode.settings.metrics, "/metrics")).contains("gypsumcart_quarantined_parts 2.0")
     }
 
+    // Guards against nodes that exceed the stated limit of a back end together (LIMIT in the capped day).
+    @Test
+    fun `a back end that states a limit gets no more, and other nodes hear of it`() {
+        val otherNode = fleet.startNode("node-2")
+        awaitCondition { get(otherNode.settings.readiness, "/readiness").startsWith("HTTP/1.1 200") }
+        firstBackEnd.requestLimit = "2"
+        repeat(40) {
+            expectThat(send("/checks/$it", "r-$it")).startsWith("HTTP/1.1 200")
+            Thread.sleep(50)
+        }
+        expectThat(firstBackEnd.executedRequests.size).isLessThanOrEqualTo(8)
+        awaitCondition { "gypsumcart_limited_back_ends 1.0" in get(otherNode.settings.metrics, "/metrics") }
+        firstBackEnd.requestLimit = null
+        awaitCondition {
+            send("/checks/1", "r-again")
+            "gypsumcart_limited_back_ends 0.0" in get(otherNode.settings.metrics, "/metrics")
+        }
+    }
+
     @Test
     fun `the metrics of a node are served as text`() {
         send("/confirms/1")
