Write large bodies in pieces that the socket takes

Cause: each write to a socket copies all that remains of the body to a buffer outside the heap, though the socket takes a part of it, on the one thread of all connections; 64 MiB in the test. Writes are bounded to 128 KiB now.

--- a/http/src/main/kotlin/gypsumcart/http/TcpSockets.kt
+++ b/http/src/main/kotlin/gypsumcart/http/TcpSockets.kt
@@ -119,7 +119,9 @@
             while (!pending.exhausted()) length += pending.readAtMostTo(bytes, length, bytes.size)
             val buffer = ByteBuffer.wrap(bytes)
             try {
-                while (buffer.hasRemaining()) {
+                while (buffer.position() < length) {
+                    // Each write copies all that remains up to the limit, though the socket takes only a part of it.
+                    buffer.limit(minOf(buffer.position() + MAX_WRITE_BYTES, length))
                     if (channel.write(buffer) == 0) interest.awaitWritable()
                 }
             } catch (e: IOException) {
@@ -139,6 +141,9 @@
     }
 }
 
+/** About what a socket takes at once. */
+private const val MAX_WRITE_BYTES = 131_072
+
 private fun Buffer.append(bytes: ByteBuffer) {
     val copy = ByteArray(bytes.remaining())
     bytes.get(copy)
