Order back ends for the capacity that stated limits take away

Callers saw late answers and refusals while most engines limited their requests: a back end that accepts a third of its usual requests counted like any other when orders were made.

Change: each node compares the limits with the requests a second that each back end would get, and reports what is missing as a number of back ends; the lease holder orders as many in addition, up to the initial number, and learns the load that one carries from those that are left.

Evidence: AutoscalerTest and SharedLimitTest.

--- a/core/src/main/kotlin/gypsumcart/core/membership/Membership.kt
+++ b/core/src/main/kotlin/gypsumcart/core/membership/Membership.kt
@@ -56,7 +56,11 @@
             is MembershipEvent.AcceptingChanged -> changeAccepting(event.accepting, now)
             is MembershipEvent.QuotaUseMeasured -> noEffects { own.update { it.copy(quotaUse = event.use) } }
             is MembershipEvent.LoadMeasured ->
-                noEffects { own.update { it.copy(load = event.load, latency = event.latency) } }
+                noEffects {
+                    own.update {
+                        it.copy(load = event.load, latency = event.latency, lostCapacity = event.lostCapacity)
+                    }
+                }
             is MembershipEvent.FindingsUpdated -> updateFindings(event.findings, now)
             is MembershipEvent.UsageCounted -> noEffects { own.updateUsage(event.usage, event.until) }
             is MembershipEvent.LeaseWritten -> noEffects { own.update { it.copy(lease = event.row) } }
--- a/core/src/main/kotlin/gypsumcart/core/membership/MembershipEvents.kt
+++ b/core/src/main/kotlin/gypsumcart/core/membership/MembershipEvents.kt
@@ -33,10 +33,11 @@
     /** The use of each team's quota through this node was measured. */
     public data class QuotaUseMeasured(public val use: Map<TeamName, QuotaUse>) : MembershipEvent()
 
-    /** The load of each service on this node, and the latency of its requests, were measured. */
+    /** The load of each service on this node, the latency of its requests and the capacity it lost were measured. */
     public data class LoadMeasured(
         public val load: Map<ServiceName, Double>,
         public val latency: Map<ServiceName, Double>,
+        public val lostCapacity: Map<ServiceName, Double> = emptyMap(),
     ) : MembershipEvent()
 
     /** What this node has found out about back ends was updated; the ages in [findings] count from now. */
--- a/core/src/main/kotlin/gypsumcart/core/membership/NodeReport.kt
+++ b/core/src/main/kotlin/gypsumcart/core/membership/NodeReport.kt
@@ -26,6 +26,8 @@
  * @property latency the time to the first piece of the slowest tenth of requests through the node, as a fraction of
  * their latency target, by service
  * @property findings what the node has found out about back ends; the ages count from the time of the report
+ * @property lostCapacity the capacity that limits of back ends take away as the node sees it, as a number of back ends
+ * by service
  * @property lease the lease row as last written by the node, or null if it has not written one
  */
 public data class NodeReport(
@@ -42,6 +44,7 @@
     public val load: Map<ServiceName, Double>,
     public val latency: Map<ServiceName, Double>,
     public val lease: LeaseRow?,
+    public val lostCapacity: Map<ServiceName, Double> = emptyMap(),
     public val findings: RoutingFindings = RoutingFindings.NONE,
 )
 
--- a/core/src/main/kotlin/gypsumcart/core/replicas/Autoscaler.kt
+++ b/core/src/main/kotlin/gypsumcart/core/replicas/Autoscaler.kt
@@ -31,10 +31,13 @@
      * @property loads the load by service, one map for each node
      * @property latencies the time to the first piece of the slowest tenth of requests by service, as a fraction of
      * their latency target, one map for each node
+     * @property lostCapacity the capacity that limits of back ends take away, as a number of back ends by service, one
+     * map for each node
      */
     public data class LoadMeasured(
         public val loads: List<Map<ServiceName, Double>>,
         public val latencies: List<Map<ServiceName, Double>> = emptyList(),
+        public val lostCapacity: List<Map<ServiceName, Double>> = emptyList(),
     ) : AutoscalerEvent()
 
     /** The store contains [counts], the number of back ends that each service had when the fleet began to scale it. */
@@ -92,6 +95,7 @@
     /** The number of back ends that each service required at the last check. */
     private val requiredCounts = HashMap<ServiceName, Int>()
     private val peakLoads = HashMap<ServiceName, PeakLoad>()
+    private val lostCapacities = HashMap<ServiceName, Double>()
     private val capacities = HashMap<ServiceName, EngineCapacity>()
     private var services: List<Service> = emptyList()
     private var backEnds: List<BackEnd> = emptyList()
@@ -137,9 +141,12 @@
         for (service in services) {
             val total = event.loads.sumOf { it[service.name] ?: 0.0 }
             peakLoads.getOrPut(service.name, ::PeakLoad).add(total, now)
+            val lost = event.lostCapacity.mapNotNull { it[service.name] }
+            lostCapacities[service.name] = if (lost.isEmpty()) 0.0 else lost.average()
             val latencies = event.latencies.mapNotNull { it[service.name] }
-            val serving = backEnds.count { it.service == service.name && !it.draining }
-            if (latencies.isNotEmpty() && serving > 0) {
+            val present = backEnds.count { it.service == service.name && !it.draining }
+            val serving = present - lostCapacities.getValue(service.name)
+            if (latencies.isNotEmpty() && serving >= 1) {
                 capacityOf(service).observe(total / serving, latencies.average(), now)
             }
         }
@@ -191,7 +198,8 @@
     }
 
     /**
-     * Returns how many back ends [load] requires, within limits relative to the [initial] number.
+     * Returns how many back ends [load] requires, within limits relative to the [initial] number, and in addition as
+     * many as make up for the capacity that limits take away.
      *
      * The number rises at once with the load, but falls only when the load is clearly lower, as each change costs boots
      * and drains.
@@ -202,7 +210,7 @@
         val limits = ceil(initial * MIN_FRACTION).toInt()..ceil(initial * MAX_GROWTH).toInt()
         val required = (requiredCounts[service] ?: lower).coerceIn(lower, upper).coerceIn(limits)
         requiredCounts[service] = required
-        return required
+        return required + ceil(lostCapacities[service] ?: 0.0).toInt().coerceIn(0, initial)
     }
 
     /** Returns how many spot back ends to order in each zone, so that those of all zones but one carry the load. */
--- a/core/src/main/kotlin/gypsumcart/core/routing/CallLimiter.kt
+++ b/core/src/main/kotlin/gypsumcart/core/routing/CallLimiter.kt
@@ -147,6 +147,14 @@
 internal fun List<CallLimiter>.areUsedUp(place: NodePlace, now: MonotonicTime): Boolean =
     isNotEmpty() && none { it.isOpen(place, now) }
 
+/**
+ * Returns the capacity that the limits of several back ends take away, as a number of back ends.
+ *
+ * @param usualRate the requests a second that each would get if none had a limit
+ */
+internal fun List<CallLimiter>.lostCapacity(usualRate: Double): Double =
+    if (usualRate <= 0) 0.0 else sumOf { 1 - ((it.requestsPerSecond ?: usualRate) / usualRate).coerceAtMost(1.0) }
+
 /** Returns when this node may next call one of several back ends, or null if other nodes have their limits. */
 internal fun List<CallLimiter>.nextCallAtOrNull(place: NodePlace, now: MonotonicTime): MonotonicTime? =
     mapNotNull { it.nextCallAtOrNull(place, now) }.minOrNull()
--- a/core/src/main/kotlin/gypsumcart/core/routing/Candidates.kt
+++ b/core/src/main/kotlin/gypsumcart/core/routing/Candidates.kt
@@ -7,6 +7,7 @@
 import gypsumcart.core.MonotonicTime
 import gypsumcart.core.Prompt
 import gypsumcart.core.PromptPartId
+import gypsumcart.core.ServiceName
 import gypsumcart.core.Ticket
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.seconds
@@ -128,6 +129,15 @@
 /** Returns the limiters of the candidates that accept new requests. */
 internal fun List<Candidate>.limiters(): List<CallLimiter> = filterNot { it.backEnd.draining }.map { it.limiter }
 
+/** Returns the capacity that limits take away, by service, given the requests a second for a service on all nodes. */
+internal fun Map<ServiceName, List<Candidate>>.lostCapacity(
+    requestRate: (ServiceName) -> Double,
+): Map<ServiceName, Double> =
+    mapValues { (service, candidates) ->
+        val limiters = candidates.limiters()
+        if (limiters.isEmpty()) 0.0 else limiters.lostCapacity(requestRate(service) / limiters.size)
+    }.filterValues { it > 0 }
+
 /** Returns the least loaded candidate; a different one of several for each [ticket]. */
 internal fun List<Candidate>.leastLoaded(ticket: Ticket): Candidate {
     val offset = Math.floorMod(ticket.number, size.toLong()).toInt()
--- a/core/src/main/kotlin/gypsumcart/core/routing/RetryBudget.kt
+++ b/core/src/main/kotlin/gypsumcart/core/routing/RetryBudget.kt
@@ -3,6 +3,7 @@
 import gypsumcart.core.MonotonicTime
 import gypsumcart.core.ServiceName
 import kotlin.time.Duration
+import kotlin.time.DurationUnit
 
 /**
  * Limits the retries of all nodes together; a retry is any call for a request after its first.
@@ -29,6 +30,12 @@
         requests.addLast(now)
     }
 
+    /** Returns the requests a second over the window. */
+    fun requestRate(now: MonotonicTime): Double {
+        removeExpired(requests, now)
+        return requests.size / limits.window.toDouble(DurationUnit.SECONDS)
+    }
+
     /** Takes one retry from this node's share among [nodeCount] nodes, or returns false if the share is used up. */
     fun tryAcquireRetry(nodeCount: Int, now: MonotonicTime): Boolean {
         removeExpired(requests, now)
@@ -59,5 +66,8 @@
     fun tryAcquireRetry(service: ServiceName, nodeCount: Int, now: MonotonicTime): Boolean =
         budgetOf(service).tryAcquireRetry(nodeCount, now)
 
+    /** Returns the requests a second for [service] through this node. */
+    fun requestRate(service: ServiceName, now: MonotonicTime): Double = budgetOf(service).requestRate(now)
+
     private fun budgetOf(service: ServiceName): RetryBudget = budgets.getOrPut(service) { RetryBudget(limits) }
 }
--- a/core/src/main/kotlin/gypsumcart/core/routing/Routing.kt
+++ b/core/src/main/kotlin/gypsumcart/core/routing/Routing.kt
@@ -255,8 +255,10 @@
             candidatesByService.mapValues { (service, ofService) ->
                 ofService.sumOf { it.load } + waiting.values.count { it.admitted.service == service }
             }
+        // The other nodes are assumed to have as many requests as this one.
+        val lost = candidatesByService.lostCapacity { retryBudgets.requestRate(it, now) * place.nodeCount }
         return apply(quarantine.expire(now), now) + shareFindings(now) +
-            RoutingEffect.ReportLoad(load, latencies.slowestTenths(now))
+            RoutingEffect.ReportLoad(load, latencies.slowestTenths(now), lost)
     }
 
     private fun expireWaiting(now: MonotonicTime): List<RoutingEffect> {
--- a/core/src/main/kotlin/gypsumcart/core/routing/RoutingEvents.kt
+++ b/core/src/main/kotlin/gypsumcart/core/routing/RoutingEvents.kt
@@ -102,10 +102,12 @@
      *
      * @property load the cost of in-flight calls plus the number of waiting requests
      * @property latency the time to the first piece of the slowest tenth of requests, as a fraction of their target
+     * @property lostCapacity the capacity that limits of back ends take away, as a number of back ends
      */
     public data class ReportLoad(
         public val load: Map<ServiceName, Double>,
         public val latency: Map<ServiceName, Double>,
+        public val lostCapacity: Map<ServiceName, Double>,
     ) : RoutingEffect()
 
     /** Shares what this node has found out about back ends with the other nodes. */
--- a/core/src/test/kotlin/gypsumcart/core/replicas/AutoscalerTest.kt
+++ b/core/src/test/kotlin/gypsumcart/core/replicas/AutoscalerTest.kt
@@ -116,6 +116,18 @@
         expectThat(tick(3).filter { it.spot }.map { it.count }.toSet()).isEqualTo(setOf(4))
     }
 
+    // Guards against orders that count a back end in need like any other (capped day).
+    @Test
+    fun `more back ends are ordered while limits take capacity away`() {
+        start(spot(perZone = 4), required = 8)
+        val lost = listOf(mapOf(MODEL to 3.0), mapOf(MODEL to 4.0))
+        val loads = listOf(mapOf(MODEL to 112.0))
+        autoscaler.decide(AutoscalerEvent.LoadMeasured(loads, lostCapacity = lost), at(5.seconds))
+        expectThat(tick(5)).contains(List(3) { order(it, 6, spot = true) })
+        autoscaler.decide(AutoscalerEvent.LoadMeasured(loads), at(20.seconds))
+        expectThat(tick(20)).contains(order(0, 4, spot = true))
+    }
+
     @Test
     fun `on-demand replacements that are still booting are not ordered again in another zone`() {
         start(onDemand(3), required = 8)
--- a/core/src/test/kotlin/gypsumcart/core/routing/SharedLimitTest.kt
+++ b/core/src/test/kotlin/gypsumcart/core/routing/SharedLimitTest.kt
@@ -168,6 +168,17 @@
         }
     }
 
+    @Test
+    fun `a limit of half of what a back end would get takes half a back end away, a higher one nothing`() {
+        val limiters = List(4) { CallLimiter() }
+        expectThat(limiters.lostCapacity(usualRate = 6.0)).isEqualTo(0.0)
+        limiters[0].hear(LimitStatement.Limited(3.0), at(1.seconds))
+        limiters[1].hear(LimitStatement.Limited(0.0), at(1.seconds))
+        limiters[2].hear(LimitStatement.Limited(50.0), at(1.seconds))
+        expectThat(limiters.lostCapacity(usualRate = 6.0)).isEqualTo(1.5)
+        expectThat(limiters.lostCapacity(usualRate = 0.0)).isEqualTo(0.0)
+    }
+
     @Test
     fun `one response that omits the limit does not end it`() {
         val limiter = CallLimiter()
--- a/node/src/main/kotlin/gypsumcart/node/FleetDuties.kt
+++ b/node/src/main/kotlin/gypsumcart/node/FleetDuties.kt
@@ -100,7 +100,8 @@
             is MembershipEffect.DistributeReports -> {
                 rings.usage.put(UsageEvent.ReportsUpdated(effect.reports))
                 val (loads, latencies) = effect.reports.map { it.load to it.latency }.unzip()
-                rings.orders.put(AutoscalerEvent.LoadMeasured(loads, latencies))
+                val lost = effect.reports.map { it.lostCapacity }
+                rings.orders.put(AutoscalerEvent.LoadMeasured(loads, latencies, lost))
             }
         }
     }
--- a/node/src/main/kotlin/gypsumcart/node/PeerCodec.kt
+++ b/node/src/main/kotlin/gypsumcart/node/PeerCodec.kt
@@ -54,6 +54,7 @@
     val load: Map<String, Double>,
     val latency: Map<String, Double> = emptyMap(),
     val lease: WireLease? = null,
+    val lost: Map<String, Double> = emptyMap(),
     val findings: WireFindings? = null,
 )
 
@@ -123,6 +124,7 @@
         load = report.load.entries.associate { (service, load) -> service.text to load.roundToTenths() },
         latency = report.latency.entries.associate { (service, share) -> service.text to share.roundToThousandths() },
         lease = report.lease?.let { WireLease(it.version, it.storedToken?.number) },
+        lost = report.lostCapacity.entries.associate { (service, lost) -> service.text to lost.roundToTenths() },
         findings = report.findings.toWireOrNull(),
     )
 
@@ -156,6 +158,7 @@
             load = load.mapKeys { ServiceName(it.key) },
             latency = latency.mapKeys { ServiceName(it.key) },
             lease = lease?.let { LeaseRow(key.node, key.incarnation, it.version, it.fence?.let(::FencingToken)) },
+            lostCapacity = lost.mapKeys { ServiceName(it.key) },
             findings = findings.toFindings(),
         )
     return PeerItem(report, age.milliseconds, hasUsage = usage != null)
--- a/node/src/main/kotlin/gypsumcart/node/RequestDuties.kt
+++ b/node/src/main/kotlin/gypsumcart/node/RequestDuties.kt
@@ -97,7 +97,7 @@
 
             is RoutingEffect.ReportLoad ->
                 rings.membership.offer(
-                    MembershipEvent.LoadMeasured(effect.load, effect.latency),
+                    MembershipEvent.LoadMeasured(effect.load, effect.latency, effect.lostCapacity),
                 )
 
             is RoutingEffect.ShareFindings ->
--- a/node/src/main/kotlin/gypsumcart/node/RowCodecs.kt
+++ b/node/src/main/kotlin/gypsumcart/node/RowCodecs.kt
@@ -33,6 +33,7 @@
     val load: Map<String, Double>,
     val latency: Map<String, Double> = emptyMap(),
     @SerialName("written") val writtenMillis: Long? = null,
+    val lost: Map<String, Double> = emptyMap(),
     val findings: WireFindings? = null,
 )
 
@@ -101,6 +102,7 @@
             load = load.mapKeys { it.key.text },
             latency = latency.mapKeys { it.key.text },
             writtenMillis = writtenMillis,
+            lost = lostCapacity.mapKeys { it.key.text },
             findings = findings.toWireOrNull(),
         ),
     )
@@ -135,6 +137,7 @@
             load = row.load.mapKeys { ServiceName(it.key) },
             latency = row.latency.mapKeys { ServiceName(it.key) },
             lease = null,
+            lostCapacity = row.lost.mapKeys { ServiceName(it.key) },
             findings = row.findings.toFindings(),
         )
     return StoredReport(report, row.writtenMillis)
