--- a/cli/src/test/kotlin/gypsumcart/cli/explain/ExplainCommandTest.kt
+++ b/cli/src/test/kotlin/gypsumcart/cli/explain/ExplainCommandTest.kt
@@ -50,6 +50,21 @@
             .isEqualTo(listOf("2400 event=node_started node=node-1", "500 event=back_ends_listed count=1 leaving=0"))
     }
 
+    @Test
+    fun `the node state names each prompt part that was quarantined`() {
+        val lines =
+            """
+            time=2026-06-17T06:23:00.100 level=WARN logger=RequestDuties event=quarantine_started part=aa crashes=i-1/1
+            time=2026-06-17T06:23:00.200 level=WARN logger=RequestDuties event=quarantine_started part=bb crashes=i-2/1
+            time=2026-06-17T06:23:00.300 level=INFO logger=RequestDuties event=refused request=r-1 reason=quarantined part=aa
+            """.trimIndent().lines().mapNotNull {
+                logLineOrNull(it, "node-1")
+            }
+        expectThat(
+            lines.nodeStateAtEnd(lines.toTraces().single()).map { it.line["part"] },
+        ).isEqualTo(listOf("aa", "bb"))
+    }
+
     @Test
     fun `the word before the time is the source of the line`() {
         val line =
