--- a/core/src/main/kotlin/gypsumcart/core/routing/Quarantine.kt
+++ b/core/src/main/kotlin/gypsumcart/core/routing/Quarantine.kt
@@ -33,7 +33,7 @@
  */
 internal class Quarantine {
     private val records = HashMap<PromptPartId, CrashRecord>()
-    private val struckInstances = HashMap<InstanceKey, MonotonicTime>()
+    private val crashedInstances = HashMap<InstanceKey, MonotonicTime>()
     private val soundInstances = HashMap<InstanceKey, MonotonicTime>()
     private var quarantined: Map<PromptPartId, CrashRecord> = emptyMap()
 
@@ -46,7 +46,7 @@
     /** Records that a response to [prompt] by [instance] started. */
     fun recordAnswer(prompt: Prompt, instance: InstanceKey, now: MonotonicTime): List<QuarantineChange> {
         if (records.isEmpty()) return emptyList()
-        val alive = removeStrike(instance, now)
+        val alive = withdrawCrash(instance, now)
         val refuted = prompt.suspectParts().count { records[it]?.addAnswer(now, isHere = true) ?: false }
         return if (alive || refuted > 0) update(now, QuarantineEnd.ANSWERED) else emptyList()
     }
@@ -65,7 +65,7 @@
 
     /** Removes what is no longer relevant. */
     fun expire(now: MonotonicTime): List<QuarantineChange> {
-        struckInstances.values.removeIf { now - it > STRIKE_DOUBT }
+        crashedInstances.values.removeIf { now - it > MIN_ABSENCE }
         soundInstances.values.removeIf { now - it > SHARING_TIME }
         return if (records.values.removeIf { it.isExpired(now) }) update(now, QuarantineEnd.EXPIRED) else emptyList()
     }
@@ -112,7 +112,7 @@
     private fun addCrash(part: PromptPartId, instance: InstanceKey, at: MonotonicTime): Boolean {
         if (soundInstances[instance]?.let { at <= it } ?: false) return false
         val record = records[part] ?: createRecord(part)
-        struckInstances.putIfAbsent(instance, at)
+        crashedInstances.putIfAbsent(instance, at)
         return record.addCrash(instance, at)
     }
 
@@ -129,18 +129,18 @@
     }
 
     /** Withdraws the crash of an instance that answers shortly after it closed another connection. */
-    private fun removeStrike(instance: InstanceKey, now: MonotonicTime): Boolean {
-        val struckAt = struckInstances[instance] ?: return false
-        if (now - struckAt !in STRIKE_REVIEW..STRIKE_DOUBT) return false
-        struckInstances -= instance
+    private fun withdrawCrash(instance: InstanceKey, now: MonotonicTime): Boolean {
+        val crashedAt = crashedInstances[instance] ?: return false
+        if (now - crashedAt !in RESPONSE_LAG..MIN_ABSENCE) return false
+        crashedInstances -= instance
         soundInstances[instance] = now
         return records.values.count { it.removeCrash(instance) } > 0
     }
 
     private fun update(now: MonotonicTime, endCause: QuarantineEnd): List<QuarantineChange> {
         val previous = quarantined
-        val struck = records.values.filter { it.strikes >= CrashRecord.QUARANTINE_STRIKES && !it.isExpired(now) }
-        quarantined = struck.filter { record -> struck.none { it explains record } }.associateBy { it.part }
+        val candidates = records.values.filter { it.strikes >= CrashRecord.QUARANTINE_STRIKES && !it.isExpired(now) }
+        quarantined = candidates.filter { record -> candidates.none { it explains record } }.associateBy { it.part }
         return quarantined.values
             .filter { it.part !in previous }
             .map { QuarantineChange.Started(it.part, it.crashes.keys.toSet()) } +
@@ -174,10 +174,10 @@
         val SHARING_TIME: Duration = 15.seconds
 
         /** Responses that had left an instance before its crash are processed within this time. */
-        val STRIKE_REVIEW: Duration = 100.milliseconds
+        val RESPONSE_LAG: Duration = 100.milliseconds
 
         /** A crashed instance answers no sooner than this. */
-        val STRIKE_DOUBT: Duration = 2.seconds
+        val MIN_ABSENCE: Duration = 2.seconds
 
         /** Longer than the first piece of a response takes. */
         val TRIAL_TIMEOUT: Duration = 10.seconds
