--- a/core/src/main/kotlin/gypsumcart/core/routing/CallLimiter.kt
+++ b/core/src/main/kotlin/gypsumcart/core/routing/CallLimiter.kt
@@ -15,8 +15,8 @@
 /**
  * Paces this node's calls to a back end that limits the requests of all nodes together.
  *
- * The limit is divided evenly among a few nodes, no more than can have one request each at once without exceeding it
- * noticeably; the others send their requests to other back ends. A node's part is a token bucket that starts empty, so
+ * The limit is divided evenly among about as many nodes as it allows requests a second, since each of them may save up
+ * one request; the others send their requests to other back ends. A node's part is a token bucket that starts empty, so
  * that nodes that take over a part or learn of the limit at different times never exceed it together.
  *
  * @property position the position of the back end among those of its service, from 0 to 1, which spreads the nodes over
--- a/core/src/main/kotlin/gypsumcart/core/routing/CrashRecord.kt
+++ b/core/src/main/kotlin/gypsumcart/core/routing/CrashRecord.kt
@@ -100,7 +100,7 @@
         /** Crashes closer together than this may have one cause, such as the loss of a zone. */
         val MIN_SEPARATION: Duration = 0.5.seconds
 
-        /** Ten times as long as a crashed back end is away. */
+        /** Far longer than a crashed back end takes to return. */
         private val BASE_HOLD: Duration = 30.seconds
 
         /** Limits the time between trials to eight minutes. */
--- a/core/src/main/kotlin/gypsumcart/core/routing/Quarantine.kt
+++ b/core/src/main/kotlin/gypsumcart/core/routing/Quarantine.kt
@@ -164,7 +164,7 @@
         /** Crashes after which a request with the part is not sent to another back end. */
         const val RETRY_STRIKES = 2
 
-        /** Parts on record; about those of all requests in progress on the back ends of a large zone. */
+        /** Bounds the memory for parts, which clients choose. */
         const val MAX_PARTS = 512
 
         /** Bounds the size of a report to other nodes. */
