--- a/review/src/Client.java
+++ b/review/src/Client.java
@@ -6,6 +6,9 @@
 
 /** Stands in for one client, which keeps its channel to a node for many requests. */
 final class Client {
+    /** The gap between two events after which a client gives a stream up: eight times the sheet's pause of 600 ms. */
+    private static final long MAX_GAP_MS = 4_800;
+
     private static final Random RANDOM = new Random();
 
     private final String address;
@@ -57,8 +60,13 @@
             if (answer == null) return ended(0);
             boolean chunked = "chunked".equalsIgnoreCase(answer.field("Transfer-Encoding"));
             if (!chunked) Http.readBody(answer, in);
-            while (chunked && Http.readChunk(in).length > 0) {
-                if (System.nanoTime() > end) return ended(-1);
+            long lastEvent = System.nanoTime();
+            while (chunked) {
+                byte[] chunk = Http.readChunk(in);
+                if (chunk.length == 0) break;
+                long now = System.nanoTime();
+                if (new String(chunk, 0, Math.min(chunk.length, 64)).contains("data:")) lastEvent = now;
+                if (now > end || now - lastEvent > MAX_GAP_MS * 1_000_000) return ended(-1);
             }
             if ("close".equalsIgnoreCase(answer.field("Connection"))) close();
             return answer.status();
