--- a/review/4/run.sh
+++ b/review/4/run.sh
@@ -3,4 +3,4 @@
 # TROUBLE=0 plays the same without the endless answer.
 cd "$(dirname "$0")/../.." || exit 2
 [ -f target/gypsumcart.jar ] && [ -d target/review ] || { echo "build the deploy file and run review/build.sh first"; exit 2; }
-exec java -Xmx256m -cp target/review EndlessAnswer . review/4/record.txt lines
+exec java -Xmx256m -cp target/review EndlessAnswer . review/4/record.txt pieces
--- a/review/src/Client.java
+++ b/review/src/Client.java
@@ -11,7 +11,7 @@
 
     private static final Random RANDOM = new Random();
 
-    private final String address;
+    final String address;
     private final int patienceMs;
     private Socket socket;
     private InputStream in;
@@ -19,9 +19,13 @@
     /** The head of the last answer. */
     Http.Head answer;
 
+    /** How long the client waits for the head of an answer; at most its time budget. */
+    int headPatienceMs;
+
     Client(String address, int patienceMs) {
         this.address = address;
         this.patienceMs = patienceMs;
+        this.headPatienceMs = patienceMs;
     }
 
     static String newAttempt() {
@@ -58,6 +62,7 @@
             send("POST " + path, attempt, fields + "Content-Length: " + body.length + "\r\n", body);
             answer = Http.readHead(in);
             if (answer == null) return ended(0);
+            socket.setSoTimeout(patienceMs);
             boolean chunked = "chunked".equalsIgnoreCase(answer.field("Transfer-Encoding"));
             if (!chunked) Http.readBody(answer, in);
             long lastEvent = System.nanoTime();
@@ -84,7 +89,7 @@
             socket.connect(new InetSocketAddress(address.split(":")[0], Integer.parseInt(address.split(":")[1])), 1_000);
             in = Http.buffered(socket.getInputStream());
         }
-        socket.setSoTimeout(patienceMs);
+        socket.setSoTimeout(headPatienceMs);
         byte[] head = Http.bytes(line + " HTTP/1.1\r\nHost: " + Fleet.HOST + "\r\nX-Attempt-Id: " + attempt
             + "\r\nX-Deadline-Ms: " + patienceMs + "\r\nApi-Key: " + Fleet.KEY + "\r\n" + fields + "\r\n");
         byte[] request = new byte[head.length + body.length];
