Review: show the late requests that two known failures saw after a cut

Tried: six cuts of one machine from the store, about 5 s each, and a replica that leaves 0.1 s after each.

--- a/review/src/Fleet.java
+++ b/review/src/Fleet.java
@@ -71,6 +71,11 @@
 
     /** Starts a node with the command of the deploy file and settings from the template that it names. */
     void startNode(int i) throws IOException {
+        startNode(i, store.address);
+    }
+
+    /** Starts a node that reaches the store at {@code storeAddress}, which may be that of a proxy. */
+    void startNode(int i, String storeAddress) throws IOException {
         String ip = nextHost();
         Map<String, String> values = new LinkedHashMap<>();
         values.put("node", "edge-" + zone(i) + "-" + (i + 1));
@@ -79,7 +84,7 @@
         values.put("listenAddrs.front", ip + ":8221");
         values.put("listenAddrs.ready", ip + ":8224");
         values.put("listenAddrs.directory", ip + ":8220");
-        values.put("platform.address", store.address);
+        values.put("platform.address", storeAddress);
         values.put("cloud.address", cloud.address);
         values.put("bounds.graceS", "8");
         values.put("bounds.leaseMs", "3000");
--- a/review/src/Replica.java
+++ b/review/src/Replica.java
@@ -10,8 +10,6 @@
  * others with 503 and `X-Not-Executed`, and echoes `X-Attempt-Id` in every answer.
  */
 class Replica extends Server {
-    private static final long HEARTBEAT_MS = 1_200;
-
     final String id;
     final Record record;
     private final Store store;
@@ -23,7 +21,6 @@
     private final Semaphore working;
     private final AtomicInteger present = new AtomicInteger();
     private final long born = System.currentTimeMillis();
-    private volatile String state = "ready";
     private long sequence;
     private final Random random = new Random(7);
 
@@ -51,28 +48,23 @@
         return new ConcurrentHashMap<>();
     }
 
-    /** Serves requests and renews the entry in the store. */
+    /** Serves requests and enters itself in the store, where an entry changes when more than its sequence changes. */
     void register() {
         start();
-        daemon(() -> {
-            try {
-                while (true) {
-                    beat();
-                    Thread.sleep(HEARTBEAT_MS);
-                }
-            } catch (InterruptedException e) {
-                Thread.currentThread().interrupt();
-            }
-        });
+        enter("ready");
     }
 
     /** Writes that the replica is about to leave; it goes on serving. Returns when the store has accepted that. */
     final void drain() {
-        state = "draining";
-        beat();
+        enter("draining");
+    }
+
+    /** Leaves the list without a word before; it goes on serving. Returns when the store has removed the entry. */
+    final void leave() {
+        store.remove("servers", id);
     }
 
-    private synchronized void beat() {
+    private void enter(String state) {
         sequence++;
         store.put("servers", id,
             "{\"service\":\"" + service + "\",\"address\":\"" + address + "\",\"zone\":\"" + zone
