Take a response only for the request whose id it bears

Callers saw: a booking that ran on two back ends (TWICE), or was refused with 503 although it ran (REFUSED), after a faulty back end had repeated an earlier rejection where the answer to the next request on the connection was due.

Cause: HeaderCodec.classify looked for X-Not-Executed and for status 421 before it compared the id, so a late copy of the rejection of request A counted as the rejection of request B. Dispatch then sent B to another back end, or promised that it had not run. Class: state of one exchange (here its answer) that outlives it. Ruled out: a connection reused with unread bytes; the copy arrives after the next request was sent, and isOpenAndEmpty holds.

Change: an id of another request makes any response invalid, whatever its status; such a call counts as one that may have run. A rejection without an id still counts, as back ends send them, but its connection is not used again, since a copy of it could not be told from the next answer. With that, all earlier responses on a connection bore their ids, so that every late copy is recognized. On the same path: a limit stated by a response that belongs to another request or instance is no longer taken for the back end's. Looked at and left: the store and the other nodes are not among the faulty parties, and their messages bear versions or senders.

--- a/node/src/main/kotlin/gypsumcart/node/BackEndCalls.kt
+++ b/node/src/main/kotlin/gypsumcart/node/BackEndCalls.kt
@@ -67,14 +67,17 @@
         body: ResponseBody,
         response: ForwardedResponse,
     ): CallResult {
-        limits.observe(call.backEnd, codec.limitStatementOrNull(head))
         val id = checkNotNull(call.admitted.submission.requestId) { "a call was made for a request without an id" }
         return when (val kind = codec.classify(head, id)) {
-            ResponseKind.Valid -> forward(call, head, body, response)
+            ResponseKind.Valid -> {
+                limits.observe(call.backEnd, codec.limitStatementOrNull(head))
+                forward(call, head, body, response)
+            }
 
             is ResponseKind.Declined -> {
-                // The rest of a body beyond the bound is left unread, which closes the connection.
-                body.readAtMost(responseLimits.maxBodyBytes)
+                limits.observe(call.backEnd, codec.limitStatementOrNull(head))
+                // A body that is left unread, or the rest of one beyond the bound, closes the connection.
+                if (kind.namesRequest) body.readAtMost(responseLimits.maxBodyBytes)
                 CallResult.Failed(CallFailure.Declined(kind.status), response.progress)
             }
 
--- a/node/src/main/kotlin/gypsumcart/node/Ports.kt
+++ b/node/src/main/kotlin/gypsumcart/node/Ports.kt
@@ -140,8 +140,13 @@
     /** The back end's response to this request. */
     public data object Valid : ResponseKind()
 
-    /** The back end declined the request with [status] and did not run it. */
-    public data class Declined(public val status: Int) : ResponseKind()
+    /**
+     * The back end declined the request with [status] and did not run it.
+     *
+     * @property namesRequest whether the response bears the id of the request; if not, a late copy of it could be
+     *   mistaken for the response to the next request on the connection
+     */
+    public data class Declined(public val status: Int, public val namesRequest: Boolean) : ResponseKind()
 
     /** Another back end responds at the address. */
     public data object WrongInstance : ResponseKind()
--- a/standins/src/test/kotlin/gypsumcart/standins/EndToEndTest.kt
+++ b/standins/src/test/kotlin/gypsumcart/standins/EndToEndTest.kt
@@ -14,7 +14,6 @@
 import strikt.assertions.startsWith
 import java.net.ServerSocket
 import java.net.Socket
-import java.net.SocketTimeoutException
 import java.util.concurrent.atomic.AtomicBoolean
 import kotlin.concurrent.thread
 
@@ -41,44 +40,16 @@
         awaitCondition { get(runningNode.settings.readiness, "/readiness").startsWith("HTTP/1.1 200") }
     }
 
-    private fun exchange(address: String, request: String): String =
-        Socket(address.substringBefore(':'), address.substringAfter(':').toInt()).use { socket ->
-            socket.soTimeout = 4_000
-            socket.getOutputStream().write(request.toByteArray())
-            socket.getOutputStream().flush()
-            try {
-                socket.getInputStream().readAllBytes().decodeToString()
-            } catch (_: SocketTimeoutException) {
-                "no response"
-            }
-        }
-
-    private fun get(address: String, target: String): String =
-        exchange(address, "GET $target HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n")
-
     private fun send(
         path: String,
         requestId: String = "r-1",
         extraHeaders: String = "",
         apiKey: String = "key-1",
-    ): String =
-        exchange(
-            runningNode.settings.clients,
-            "POST $path HTTP/1.1\r\nHost: bookings.example\r\nX-Attempt-Id: $requestId\r\nX-Deadline-Ms: 1500\r\n" +
-                "Api-Key: $apiKey\r\n${extraHeaders}Content-Length: 2\r\nConnection: close\r\n\r\nhi",
-        )
+    ): String = runningNode.send(path, requestId, extraHeaders, apiKey)
 
     private fun executedRequests(): List<ExecutedRequest> =
         firstBackEnd.executedRequests + secondBackEnd.executedRequests
 
-    private fun awaitCondition(condition: () -> Boolean) {
-        val deadline = System.nanoTime() + 10_000_000_000
-        while (!condition()) {
-            check(System.nanoTime() < deadline) { "the condition was not met within ten seconds" }
-            Thread.sleep(20)
-        }
-    }
-
     @Test
     fun `the addresses of a node are not among those that outgoing connections get`() {
         val settings = runningNode.settings
