--- a/http/src/main/kotlin/gypsumcart/http/TcpSockets.kt
+++ b/http/src/main/kotlin/gypsumcart/http/TcpSockets.kt
@@ -10,6 +10,7 @@
 import kotlinx.io.readAtMostTo
 import java.net.InetSocketAddress
 import java.net.StandardSocketOptions
+import java.net.UnknownHostException
 import java.nio.ByteBuffer
 import java.nio.channels.ClosedChannelException
 import java.nio.channels.SelectionKey
@@ -150,15 +151,21 @@
     write(copy)
 }
 
-/** Connects to [host] at [port]; a coroutine that is cancelled meanwhile closes the connection. */
+/**
+ * Connects to [host] at [port]; a coroutine that is cancelled meanwhile closes the connection.
+ *
+ * @throws IOException if [host] is unknown or refuses the connection
+ */
 internal suspend fun SocketLoop.connect(host: String, port: Int): TcpConnection {
+    val address = InetSocketAddress(host, port)
+    if (address.isUnresolved) throw UnknownHostException(host)
     val channel = SocketChannel.open()
     channel.configureBlocking(false)
     channel.setOption(StandardSocketOptions.TCP_NODELAY, true)
     val connection = TcpConnection(this, channel)
     var connected = false
     try {
-        if (!channel.connect(InetSocketAddress(host, port))) connection.awaitConnected()
+        if (!channel.connect(address)) connection.awaitConnected()
         connected = true
     } finally {
         if (!connected) connection.close()
--- a/http/src/test/kotlin/gypsumcart/http/HttpClientTest.kt
+++ b/http/src/test/kotlin/gypsumcart/http/HttpClientTest.kt
@@ -195,6 +195,14 @@
         expectThat(get()).isEqualTo("NotConnected")
     }
 
+    // Guards against a name without an address that fails the caller instead of the connection.
+    @Test
+    fun `an exchange with a host that can't be resolved is not connected`() {
+        val request = OutgoingRequest("GET", "/x", Headers.EMPTY, ByteArray(0))
+        val result = runBlocking { client.exchange(Endpoint("host.invalid", 80), request) { _, _ -> "" } }
+        expectThat(result.fold({ null }, { it })).isEqualTo(ExchangeFailure.NotConnected)
+    }
+
     private companion object {
         /** More than the buffers of both sides hold, and than a bounded reader takes. */
         const val ENDLESS_BYTES = 200_000_000L
--- a/standins/src/test/kotlin/gypsumcart/standins/EndToEndTest.kt
+++ b/standins/src/test/kotlin/gypsumcart/standins/EndToEndTest.kt
@@ -227,6 +227,18 @@
         awaitCondition { get(lateNode.settings.readiness, "/readiness").startsWith("HTTP/1.1 200") }
     }
 
+    // Guards against an entry whose address fails in an unexpected way, which cut requests without an answer (LOST).
+    @Test
+    fun `registry rows with odd addresses leave the other back ends in use`() {
+        for ((i, address) in listOf("back-end.invalid:80", "127.0.0.1:70000", "127.0.0.1:-1").withIndex()) {
+            val entry = """{"service":"bookings","address":"$address","zone":"a","batchSlots":6,"state":"ready"}"""
+            fleet.store.put("servers", "i-1$i", entry)
+        }
+        Thread.sleep(300)
+        val statuses = List(12) { send("/checks/$it", requestId = "r-$it").take(12) }
+        expectThat(statuses.distinct()).isEqualTo(listOf("HTTP/1.1 200"))
+    }
+
     @Test
     fun `a stopping node is neither ready nor listed in the directory, but still serves requests`() {
         val otherNode = fleet.startNode("node-2")
