Show the number of calls that routing counts as in flight

The capacity of a node is computed from the calls that routing counts. Until now nothing showed this number, so that a call whose end was never reported could not be told from one in progress. The gauge gypsumcart_calls_in_flight stands beside gypsumcart_requests_in_progress.

--- a/core/src/main/kotlin/gypsumcart/core/routing/Routing.kt
+++ b/core/src/main/kotlin/gypsumcart/core/routing/Routing.kt
@@ -258,7 +258,12 @@
         // The other nodes are assumed to have as many requests as this one.
         val lost = candidatesByService.lostCapacity { retryBudgets.requestRate(it, now) * place.nodeCount }
         return apply(quarantine.expire(now), now) + shareFindings(now) +
-            RoutingEffect.ReportLoad(load, latencies.slowestTenths(now), lost)
+            RoutingEffect.ReportLoad(
+                load,
+                latencies.slowestTenths(now),
+                lost,
+                calls = candidates.values.sumOf { it.inFlightCalls },
+            )
     }
 
     private fun expireWaiting(now: MonotonicTime): List<RoutingEffect> {
--- a/core/src/main/kotlin/gypsumcart/core/routing/RoutingEvents.kt
+++ b/core/src/main/kotlin/gypsumcart/core/routing/RoutingEvents.kt
@@ -103,11 +103,13 @@
      * @property load the cost of in-flight calls plus the number of waiting requests
      * @property latency the time to the first piece of the slowest tenth of requests, as a fraction of their target
      * @property lostCapacity the capacity that limits of back ends take away, as a number of back ends
+     * @property calls the number of calls in flight, which count against the capacity that this node may use
      */
     public data class ReportLoad(
         public val load: Map<ServiceName, Double>,
         public val latency: Map<ServiceName, Double>,
         public val lostCapacity: Map<ServiceName, Double>,
+        public val calls: Int,
     ) : RoutingEffect()
 
     /** Shares what this node has found out about back ends with the other nodes. */
--- a/node/src/main/kotlin/gypsumcart/node/Metrics.kt
+++ b/node/src/main/kotlin/gypsumcart/node/Metrics.kt
@@ -70,6 +70,7 @@
             .builder("gypsumcart.requests.in.progress", inProgress) { it().toDouble() }
             .strongReference(true) // A gauge's default reference is weak, and nothing else references the function.
             .register(registry)
+        registry.gauge("gypsumcart.calls.in.flight", state) { it.callsInFlight.toDouble() }
         registry.gauge("gypsumcart.ready", state) { if (it.isReady) 1.0 else 0.0 }
         registry.gauge("gypsumcart.lease.held", state) { if (it.leaseHeld) 1.0 else 0.0 }
         registry.gauge("gypsumcart.linked", state) { if (it.linked) 1.0 else 0.0 }
--- a/node/src/main/kotlin/gypsumcart/node/NodeState.kt
+++ b/node/src/main/kotlin/gypsumcart/node/NodeState.kt
@@ -31,6 +31,10 @@
     @Volatile
     var drainingBackEnds = 0
 
+    /** The number of calls that routing counts as in flight; never more than the requests in progress for long. */
+    @Volatile
+    var callsInFlight = 0
+
     /** The prompt parts that crash back ends, requests with which are refused. */
     @Volatile
     var quarantinedParts: Set<PromptPartId> = emptySet()
--- a/node/src/main/kotlin/gypsumcart/node/RequestDuties.kt
+++ b/node/src/main/kotlin/gypsumcart/node/RequestDuties.kt
@@ -95,10 +95,12 @@
                     rings.routing.offer(RoutingEvent.Sweep)
                 }
 
-            is RoutingEffect.ReportLoad ->
+            is RoutingEffect.ReportLoad -> {
+                state.callsInFlight = effect.calls
                 rings.membership.offer(
                     MembershipEvent.LoadMeasured(effect.load, effect.latency, effect.lostCapacity),
                 )
+            }
 
             is RoutingEffect.ShareFindings ->
                 rings.membership.offer(MembershipEvent.FindingsUpdated(effect.findings))
