Report a call as ended if its request leaves before receiving it

Cause: routing counts a call from its assignment to CallReleased. A request receives its command through a channel. If its client left between the delivery and the receipt, the command was lost, either in the channel's buffer or because receive, once resumed, is cancelled before it runs, and nobody reported the end of the call. The slot stayed taken. Class: a slot that outlives its exchange. Ruled out: the handling of a call that has begun, whose finally block reports it, and a delivery after the request has gone, which deliver reports (tests).

Change: the channel reports each call that it does not deliver (onUndeliveredElement), and the request cancels the channel when it ends, so that a buffered call is reported and a later delivery fails.

Related paths: a connection that is established as its caller gives up. Replies of the peer link are removed in a finally block, and its exchanges time out.

--- a/node/src/main/kotlin/gypsumcart/node/ClientEdge.kt
+++ b/node/src/main/kotlin/gypsumcart/node/ClientEdge.kt
@@ -52,8 +52,17 @@
     private val clock: MonotonicClock,
     private val metrics: Metrics,
 ) : RequestHandler {
-    private class PendingRequest(val submission: Submission, val request: HttpRequest, writer: ResponseWriter) {
-        val commands = Channel<EdgeCommand>(MAX_QUEUED_COMMANDS)
+    private inner class PendingRequest(
+        val submission: Submission,
+        val request: HttpRequest,
+        writer: ResponseWriter,
+    ) {
+        /** Reports each call that was passed on but not received as ended, as its slot would never be released. */
+        val commands =
+            Channel<EdgeCommand>(
+                MAX_QUEUED_COMMANDS,
+                onUndeliveredElement = { reportUndelivered(submission.ticket, it) },
+            )
         val response = ForwardedResponse(writer)
     }
 
@@ -87,6 +96,7 @@
             } while (!concluded)
         } finally {
             pendingRequests -= ticket
+            pending.commands.cancel()
             if (!concluded) rings.routing.reply(RoutingEvent.RequestCancelled(ticket))
         }
     }
@@ -94,12 +104,17 @@
     /**
      * Passes [command] to the request with [ticket].
      *
-     * A call that cannot be passed on, because its client has disconnected, is reported as ended at once.
+     * A call that its request does not receive, because the client has disconnected, is reported as ended.
      */
     fun deliver(ticket: Ticket, command: EdgeCommand) {
         val delivered = pendingRequests[ticket]?.commands?.trySend(command)?.isSuccess ?: false
-        if (!delivered && command is EdgeCommand.Call) {
-            reportCallEnded(ticket, command.call.attempt, CallResult.ClientGone)
+        if (!delivered) reportUndelivered(ticket, command)
+    }
+
+    private fun reportUndelivered(ticket: Ticket, command: EdgeCommand) {
+        when (command) {
+            is EdgeCommand.Call -> reportCallEnded(ticket, command.call.attempt, CallResult.ClientGone)
+            is EdgeCommand.Conclude -> Unit
         }
     }
 
