Read a connection once in each round of the loop

Callers saw: one endless response of one back end stopped a node for all clients for up to 15 s: no request was answered, no timeout was kept, and the store, the other nodes and the readiness check got nothing (CONFIG).

Cause, in two forms. A reader went on without suspending as long as bytes were at hand, so that a peer that sends faster than the node reads kept the one thread of all connections and timers to itself; the deadline of the call is a timer of the same thread. And EventStreamSplitter copied and searched all buffered bytes of an event for each piece that arrived, so that the time grew with the square of the event's size. Class: one exchange that does not let go of what serves all. Ruled out: memory, which is bounded.

Change: after its first read a connection is read only when the selector has found it readable, once each time. As the selector runs between, all other connections and the timers get their turn. That saves the read that finds nothing. It covers responses and requests, whole bodies, heads, chunks and trailers alike, as all are read through SocketInput.

--- a/http/src/main/kotlin/gypsumcart/http/TcpSockets.kt
+++ b/http/src/main/kotlin/gypsumcart/http/TcpSockets.kt
@@ -21,7 +21,7 @@
  * Represents an open TCP connection; used on the thread of its [loop] only.
  *
  * Reads from the socket only what a reader waits for, and writes when its writer flushes, so that a slow peer holds up
- * its counterpart instead of filling memory.
+ * its counterpart instead of filling memory. A fast one gets its turn once in each round of the loop.
  */
 internal class TcpConnection(private val loop: SocketLoop, private val channel: SocketChannel) {
     private val interest = loop.register(channel)
@@ -47,6 +47,9 @@
         private val received = Buffer()
         private var isEnded = false
 
+        /** Whether the next read waits for the selector. */
+        private var readsWhenReady = false
+
         override var closedCause: Throwable? = null
             private set
 
@@ -58,11 +61,19 @@
                 return received
             }
 
+        /**
+         * Reads once each time that the selector finds the socket readable.
+         *
+         * A reader that read on for as long as there are bytes would keep the loop from all other connections and
+         * timers if its peer sends faster than it reads.
+         */
         override suspend fun awaitContent(min: Int): Boolean {
             while (received.size < min) {
                 closedCause?.let { throw it }
                 if (isEnded) return false
-                if (readOnce() == 0) interest.awaitReadable()
+                if (readsWhenReady) interest.awaitReadable()
+                readsWhenReady = true
+                readOnce()
             }
             return true
         }
--- a/http/src/test/kotlin/gypsumcart/http/EventStreamSplitterTest.kt
+++ b/http/src/test/kotlin/gypsumcart/http/EventStreamSplitterTest.kt
@@ -7,8 +7,11 @@
 import strikt.api.expectThat
 import strikt.assertions.isEqualTo
 import strikt.assertions.isFalse
+import strikt.assertions.isLessThan
 import strikt.assertions.isNull
 import strikt.assertions.isTrue
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.measureTime
 
 class EventStreamSplitterTest {
     @Test
@@ -21,6 +24,15 @@
         expectThat(splitter.isOversized).isEqualTo(true)
     }
 
+    // Guards against a node that stands still while it reads one event in pieces of a few bytes (CONFIG).
+    @Test
+    fun `the time for an event does not grow with the square of its size`() {
+        val splitter = EventStreamSplitter()
+        val piece = ByteArray(4) { 'x'.code.toByte() }
+        val elapsed = measureTime { while (!splitter.isOversized) splitter.append(piece, piece.size) }
+        expectThat(elapsed).isLessThan(500.milliseconds)
+    }
+
     private fun EventStreamSplitter.append(text: String): String =
         append(text.toByteArray(), text.length).decodeToString()
 
--- a/http/src/test/kotlin/gypsumcart/http/HttpClientTest.kt
+++ b/http/src/test/kotlin/gypsumcart/http/HttpClientTest.kt
@@ -2,6 +2,9 @@
 
 import com.github.michaelbull.result.Result
 import com.github.michaelbull.result.fold
+import kotlinx.coroutines.cancelAndJoin
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.launch
 import kotlinx.coroutines.runBlocking
 import org.junit.jupiter.api.AfterEach
 import org.junit.jupiter.api.Test
@@ -16,7 +19,9 @@
 import java.util.concurrent.TimeUnit
 import java.util.concurrent.atomic.AtomicInteger
 import kotlin.concurrent.thread
+import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
+import kotlin.time.measureTime
 
 class HttpClientTest {
     private val loop = SocketLoop("test")
@@ -124,6 +129,30 @@
         expectThat(sent.get(5, TimeUnit.SECONDS)).isLessThan(ENDLESS_BYTES)
     }
 
+    // Guards against one response that keeps the thread of all connections and timers to itself (CONFIG).
+    @Test
+    fun `a response that comes faster than it is read leaves time for everything else`() {
+        val start = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+        val sent = sendWithoutEnd(start, "1\r\nx\r\n")
+        val longestPause =
+            runBlocking(loop) {
+                val reading = launch { exchangeToEnd() }
+                val pauses = List(100) { measureTime { delay(10.milliseconds) } }
+                reading.cancelAndJoin()
+                pauses.max()
+            }
+        expectThat(longestPause).isLessThan(500.milliseconds)
+        sent.get(5, TimeUnit.SECONDS)
+    }
+
+    private suspend fun exchangeToEnd() {
+        val request = OutgoingRequest("GET", "/x", Headers.EMPTY, ByteArray(0))
+        client.exchange(Endpoint(LoopbackServer.HOST, listener.localPort), request) { _, body ->
+            val buffer = ByteArray(100)
+            while (body.read(buffer) >= 0) continue
+        }
+    }
+
     private fun get(): String =
         runBlocking {
             val result: Result<String, ExchangeFailure> =
