Drop a response that is no stream when a stream is to be resumed

Callers saw: the head and text of an error between the chunks of their stream (MIXED, ORDER), when a back end had broken off a stream and the next one answered the resumed call with 404, 429 and the like.

Cause: only a successful response to a streaming route was treated as a stream; any other one that could not be retried was sent whole, also when the client had already received the head of a stream. Statuses from 500 were kept back for a retry, which is why they did not show it. Class: an answer already begun that another exchange starts again. Ruled out: rejections that say so, and resumed calls that end without an event (tests); no stream ended as if complete.

Change: such a response fails the call as not resumed; the stream goes on at another back end within the attempts of its route, or ends without its last chunk. A ResponseWriter refuses to start a second response, so that no other path can do it.

--- a/core/src/main/kotlin/gypsumcart/core/Outcomes.kt
+++ b/core/src/main/kotlin/gypsumcart/core/Outcomes.kt
@@ -82,6 +82,11 @@
         override val mayHaveRun: Boolean get() = true
     }
 
+    /** The back end responded with [status] to a call that was to resume a stream of which the client has a part. */
+    public data class NotResumed(public val status: Int) : CallFailure() {
+        override val mayHaveRun: Boolean get() = true
+    }
+
     /** The back end ran the request and failed with [status]. */
     public data class ServerError(public val status: Int) : CallFailure() {
         override val mayHaveRun: Boolean get() = true
--- a/core/src/main/kotlin/gypsumcart/core/dispatch/Dispatch.kt
+++ b/core/src/main/kotlin/gypsumcart/core/dispatch/Dispatch.kt
@@ -197,7 +197,7 @@
 
     private fun healthSignalOf(failure: CallFailure): HealthSignal =
         when (failure) {
-            is CallFailure.ServerError -> HealthSignal.UNKNOWN
+            is CallFailure.ServerError, is CallFailure.NotResumed -> HealthSignal.UNKNOWN
             CallFailure.Truncated -> HealthSignal.DISCONNECTED
             CallFailure.ConnectFailed, is CallFailure.Declined, CallFailure.WrongInstance -> HealthSignal.FAILING
             CallFailure.TimedOut, CallFailure.InvalidResponse -> HealthSignal.FAILING
--- a/http/src/main/kotlin/gypsumcart/http/ResponseWriter.kt
+++ b/http/src/main/kotlin/gypsumcart/http/ResponseWriter.kt
@@ -15,7 +15,8 @@
 /**
  * Writes the response to one request.
  *
- * The functions throw [ClientDisconnectedException] if the connection is broken.
+ * The functions throw [ClientDisconnectedException] if the connection is broken. [send] and [startChunked] throw
+ * [IllegalStateException] if a response has been started, as a client would take a second head for a part of the body.
  *
  * @property closesConnection returns whether the connection closes after this response; called when the head is
  *   written
@@ -39,6 +40,7 @@
 
     /** Writes a whole response, without the body if the request's method is HEAD. */
     public suspend fun send(head: ResponseHead, body: ByteArray) {
+        checkNotStarted()
         val length = HeaderField("Content-Length", body.size.toString())
         write {
             output.writeHead(head, listOf(length))
@@ -49,6 +51,7 @@
 
     /** Writes the head of a response whose body follows in chunks. */
     public suspend fun startChunked(head: ResponseHead) {
+        checkNotStarted()
         write { output.writeHead(head, listOf(HeaderField("Transfer-Encoding", "chunked"))) }
     }
 
@@ -68,6 +71,8 @@
         isEnded = true
     }
 
+    private fun checkNotStarted(): Unit = check(!isStarted) { "a response has already been started" }
+
     private suspend fun write(block: suspend () -> Unit) {
         try {
             isStarted = true
--- a/http/src/test/kotlin/gypsumcart/http/HttpServerTest.kt
+++ b/http/src/test/kotlin/gypsumcart/http/HttpServerTest.kt
@@ -37,6 +37,21 @@
         expectThat(received.toList()).isEqualTo(listOf("POST /a hello", "POST /b hello"))
     }
 
+    // Guards against the head of an error in the middle of a stream (MIXED).
+    @Test
+    fun `a response that has been started can't be replaced by another one`() {
+        val handler =
+            RequestHandler { _, response ->
+                response.startChunked(ResponseHead(200, Headers.EMPTY))
+                response.writeChunk("event".toByteArray())
+                response.send(ResponseHead(404, Headers.EMPTY), "error".toByteArray())
+            }
+        LoopbackServer(handler).use { server ->
+            val response = server.sendRaw("GET /a HTTP/1.1\r\nHost: h\r\n\r\n")
+            expectThat(response).startsWith("HTTP/1.1 200").endsWith("5\r\nevent\r\n")
+        }
+    }
+
     @Test
     fun `a request that arrives byte by byte is handled`() {
         val text = "POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\nConnection: close\r\n\r\nok"
--- a/node/src/main/kotlin/gypsumcart/node/BackEndCalls.kt
+++ b/node/src/main/kotlin/gypsumcart/node/BackEndCalls.kt
@@ -96,10 +96,21 @@
         val streams = call.admitted.route.kind is CallKind.Streamed
         return when {
             streams && head.isSuccess -> forwardEvents(call, head, body, response)
+            response.isStarted -> failResumption(head, body, response)
             else -> forwardWhole(call, head, body, response)
         }
     }
 
+    /** Drops a response that is no stream, since the client has already received the head of one. */
+    private suspend fun failResumption(
+        head: ResponseHead,
+        body: ResponseBody,
+        response: ForwardedResponse,
+    ): CallResult {
+        body.readAtMost(responseLimits.maxBodyBytes)
+        return CallResult.Failed(CallFailure.NotResumed(head.status), response.progress)
+    }
+
     private suspend fun forwardWhole(
         call: DispatchEffect.Call,
         head: ResponseHead,
--- a/node/src/main/kotlin/gypsumcart/node/ForwardedResponse.kt
+++ b/node/src/main/kotlin/gypsumcart/node/ForwardedResponse.kt
@@ -11,9 +11,12 @@
     private var lastEventId: String? = null
     private var fallback: BufferedResponse? = null
 
+    /** Whether the client may have received the head of the response. */
+    val isStarted: Boolean get() = response.isStarted
+
     /** How much of the response has been delivered to the client. */
     val progress: DeliveryProgress
-        get() = if (response.isStarted) DeliveryProgress.Started(lastEventId) else DeliveryProgress.None
+        get() = if (isStarted) DeliveryProgress.Started(lastEventId) else DeliveryProgress.None
 
     /** Stores a back end's error response, which [conclude] sends if no later call succeeds. */
     fun storeFallback(head: ResponseHead, body: ByteArray) {
@@ -24,7 +27,7 @@
 
     /** Writes the head of a stream, unless an earlier call has already written it and this one resumes the stream. */
     suspend fun startStream(head: ResponseHead) {
-        if (!response.isStarted) response.startChunked(head)
+        if (!isStarted) response.startChunked(head)
     }
 
     /** Writes complete events; [lastId] is the last event id that this call has received, or null if there is none. */
@@ -37,7 +40,7 @@
 
     /** Sends the stored fallback, or [head] without a body if there is none; does nothing if a response has started. */
     suspend fun conclude(head: ResponseHead) {
-        if (response.isStarted) return
+        if (isStarted) return
         val stored = fallback
         if (stored != null) response.send(stored.head, stored.body) else response.send(head, ByteArray(0))
     }
--- a/node/src/main/kotlin/gypsumcart/node/LogValues.kt
+++ b/node/src/main/kotlin/gypsumcart/node/LogValues.kt
@@ -30,6 +30,7 @@
         CallFailure.Truncated -> "cut"
         CallFailure.TimedOut -> "timed_out"
         CallFailure.InvalidResponse -> "unreadable"
+        is CallFailure.NotResumed -> "not_resumed_$status"
         is CallFailure.ServerError -> "server_error_$status"
     }
 
