--- a/http/src/test/kotlin/gypsumcart/http/MessageReadersTest.kt
+++ b/http/src/test/kotlin/gypsumcart/http/MessageReadersTest.kt
@@ -21,8 +21,11 @@
 import strikt.api.expectThat
 import strikt.assertions.isContainedIn
 import strikt.assertions.isEqualTo
+import strikt.assertions.isLessThan
 import strikt.assertions.isNotNull
+import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
+import kotlin.time.measureTime
 
 class MessageReadersTest {
     /** Represents a request whose body is sent in chunks of [chunkSize] bytes, or with a length if [chunkSize] is 0. */
@@ -53,6 +56,43 @@
                 Arbitraries.integers().between(0, 100),
             ).`as` { path, body, chunkSize -> SentRequest("/$path", body, chunkSize) }
 
+    /**
+     * Guards against a head of many short fields that stops the thread of all connections for seconds (CONFIG).
+     *
+     * The library compares each field with all earlier ones of the same name.
+     */
+    @Test
+    fun `the time for a head does not grow with the square of its fields`() {
+        val fields = "a:b\r\n".repeat(12_000)
+        val largeHeads = MessageLimits(65_536, 10_000, 5.seconds, 5.seconds)
+        val elapsed =
+            measureTime {
+                runBlocking {
+                    val response = ByteReadChannel("HTTP/1.1 200 OK\r\n$fields\r\n".toByteArray())
+                    expectThat(response.readResponseHead().getError()).isEqualTo(ReadFailure.HeaderTooLarge)
+                    val request = ByteReadChannel("GET / HTTP/1.1\r\nHost: h\r\n$fields\r\n".toByteArray())
+                    expectThat(request.readRequest(largeHeads).getError()).isEqualTo(ReadFailure.HeaderTooLarge)
+                }
+            }
+        expectThat(elapsed).isLessThan(500.milliseconds)
+    }
+
+    @Test
+    fun `the lines of a body do not count as fields of the head that they come with`() {
+        val body = "\n".repeat(5_000)
+        val text = "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: ${body.length}\r\n\r\n$body"
+        val request = text.toByteArray().readRequests(1).single()
+        expectThat(request.get()?.body?.size).isEqualTo(body.length)
+        val withFields = text.replace("Host: h", "Host: h" + "\r\nX-Field: y".repeat(150))
+        expectThat(
+            withFields
+                .toByteArray()
+                .readRequests(1)
+                .single()
+                .get(),
+        ).isNotNull()
+    }
+
     private fun ByteArray.readRequests(count: Int): List<Result<HttpRequest, ReadFailure>> =
         runBlocking {
             val channel = ByteReadChannel(this@readRequests)
