--- a/standins/src/test/kotlin/gypsumcart/standins/AbandonedRequestsTest.kt
+++ b/standins/src/test/kotlin/gypsumcart/standins/AbandonedRequestsTest.kt
@@ -14,8 +14,9 @@
     /** Sends a request and closes the connection after [millis], whatever has happened until then. */
     private fun abandon(address: String, requestId: String, millis: Long) {
         Socket(address.substringBefore(':'), address.substringAfter(':').toInt()).use {
-            val head = "POST /stream/1 HTTP/1.1\r\nHost: bookings.example\r\nX-Attempt-Id: $requestId\r\nApi-Key: key-1\r\n"
-            it.getOutputStream().write("${head}Content-Length: 0\r\n\r\n".toByteArray())
+            val headers = "Host: bookings.example\r\nX-Attempt-Id: $requestId\r\nApi-Key: key-1\r\n"
+            val request = "POST /stream/1 HTTP/1.1\r\n${headers}Content-Length: 0\r\n\r\n"
+            it.getOutputStream().write(request.toByteArray())
             Thread.sleep(millis)
         }
     }
