--- a/http/src/main/kotlin/gypsumcart/http/EventStreamSplitter.kt
+++ b/http/src/main/kotlin/gypsumcart/http/EventStreamSplitter.kt
@@ -54,7 +54,7 @@
         public const val DEFAULT_MAX_EVENT_BYTES: Int = 262_144
         private val EMPTY = ByteArray(0)
 
-        /** Holds most events. */
+        /** The initial size of the buffer, which grows for a larger event. */
         private const val INITIAL_BYTES = 1_024
     }
 }
