Log what ties a refusal to its request

Nothing in the logs could tell the hypotheses of the incident apart: whether a response that ended a call bore the id of its request, whether it stated that the request did not run, and whether its connection had carried another request.

The line event=refusal_received has all three, for each refusal, each invalid response and each status that clients take for the promise that a request has not run. The client of upstream calls passes on whether a response is the first on its connection, and the codec which request a response names. No decision changes.

--- a/http/src/main/kotlin/gypsumcart/http/HttpClient.kt
+++ b/http/src/main/kotlin/gypsumcart/http/HttpClient.kt
@@ -73,6 +73,18 @@
     }
 }
 
+/**
+ * Represents a response whose head was received and whose body can be read.
+ *
+ * @property isFirstOnConnection whether the connection carried no request before the one that this response was read
+ *   for, so that the response can't belong to an earlier one
+ */
+public data class ReceivedResponse(
+    public val head: ResponseHead,
+    public val body: ResponseBody,
+    public val isFirstOnConnection: Boolean,
+)
+
 /**
  * Sends requests over HTTP/1.1 and reuses idle connections; all of its work is done on the thread of [loop].
  *
@@ -85,6 +97,7 @@
     private class Connection(val socket: TcpConnection) {
         var idleSince: TimeMark = TimeSource.Monotonic.markNow()
         var idleTimeout: Duration = DEFAULT_IDLE_TIMEOUT
+        var isUsed = false
 
         /** Whether the connection is open and has no unread bytes, which would belong to no request. */
         val isOpenAndEmpty: Boolean get() = socket.input.isOpenAndEmpty()
@@ -104,13 +117,13 @@
     public suspend fun <T> exchange(
         endpoint: Endpoint,
         request: OutgoingRequest,
-        receive: suspend (ResponseHead, ResponseBody) -> T,
+        receive: suspend (ReceivedResponse) -> T,
     ): Result<T, ExchangeFailure> = withContext(loop) { exchangeOnLoop(endpoint, request, receive) }
 
     private suspend fun <T> exchangeOnLoop(
         endpoint: Endpoint,
         request: OutgoingRequest,
-        receive: suspend (ResponseHead, ResponseBody) -> T,
+        receive: suspend (ReceivedResponse) -> T,
     ): Result<T, ExchangeFailure> {
         val connection = takeIdleOrNull(endpoint) ?: connectOrNull(endpoint) ?: return Err(ExchangeFailure.NotConnected)
         var reusable = false
@@ -141,21 +154,22 @@
             for (endpoint in stale) idleConnections.remove(endpoint)?.forEach { it.close() }
         }
 
-    private class ReceivedResponse<T>(val value: Result<T, ExchangeFailure>, val reusable: Boolean)
+    private class Received<T>(val value: Result<T, ExchangeFailure>, val reusable: Boolean)
 
     private suspend fun <T> Connection.receive(
         method: String,
-        receive: suspend (ResponseHead, ResponseBody) -> T,
-    ): ReceivedResponse<T> {
+        receive: suspend (ReceivedResponse) -> T,
+    ): Received<T> {
+        val isFirst = !isUsed
+        isUsed = true
         val input = socket.input
-        val head = input.readResponseHead().getOrElse { return ReceivedResponse(Err(it.toExchangeFailure()), false) }
-        val source =
-            input.bodySourceOrNull(head, method) ?: return ReceivedResponse(Err(ExchangeFailure.Malformed), false)
+        val head = input.readResponseHead().getOrElse { return Received(Err(it.toExchangeFailure()), false) }
+        val source = input.bodySourceOrNull(head, method) ?: return Received(Err(ExchangeFailure.Malformed), false)
         val body = ResponseBody(source)
-        val value = receive(head, body)
+        val value = receive(ReceivedResponse(head, body, isFirst))
         head.headers.keepAliveTimeoutOrNull()?.let { idleTimeout = it }
         val keepAlive = "close" !in head.headers.tokens("Connection")
-        return ReceivedResponse(Ok(value), body.isComplete && source.isConnectionReusable && keepAlive)
+        return Received(Ok(value), body.isComplete && source.isConnectionReusable && keepAlive)
     }
 
     private suspend fun Connection.write(endpoint: Endpoint, request: OutgoingRequest) {
--- a/http/src/test/kotlin/gypsumcart/http/HttpClientTest.kt
+++ b/http/src/test/kotlin/gypsumcart/http/HttpClientTest.kt
@@ -115,7 +115,7 @@
                 client.exchange(
                     Endpoint(LoopbackServer.HOST, listener.localPort),
                     OutgoingRequest("GET", "/x", Headers.EMPTY, ByteArray(0)),
-                ) { _, body -> body.readAtMost(100_000) == null }
+                ) { (_, body) -> body.readAtMost(100_000) == null }
             }
         expectThat(result.fold({ it }, { false })).isEqualTo(true)
         expectThat(sent.get(5, TimeUnit.SECONDS)).isLessThan(ENDLESS_BYTES)
@@ -147,7 +147,7 @@
 
     private suspend fun exchangeToEnd() {
         val request = OutgoingRequest("GET", "/x", Headers.EMPTY, ByteArray(0))
-        client.exchange(Endpoint(LoopbackServer.HOST, listener.localPort), request) { _, body ->
+        client.exchange(Endpoint(LoopbackServer.HOST, listener.localPort), request) { (_, body) ->
             val buffer = ByteArray(100)
             while (body.read(buffer) >= 0) continue
         }
@@ -159,7 +159,7 @@
                 client.exchange(
                     Endpoint(LoopbackServer.HOST, listener.localPort),
                     OutgoingRequest("GET", "/x", Headers.EMPTY, ByteArray(0)),
-                ) { head, body -> "${head.status} ${body.readText()}" }
+                ) { (head, body) -> "${head.status} ${body.readText()}" }
             result.fold({ it }, { it::class.simpleName.orEmpty() })
         }
 
@@ -228,7 +228,7 @@
     @Test
     fun `an exchange with a host that can't be resolved is not connected`() {
         val request = OutgoingRequest("GET", "/x", Headers.EMPTY, ByteArray(0))
-        val result = runBlocking { client.exchange(Endpoint("host.invalid", 80), request) { _, _ -> "" } }
+        val result = runBlocking { client.exchange(Endpoint("host.invalid", 80), request) { "" } }
         expectThat(result.fold({ null }, { it })).isEqualTo(ExchangeFailure.NotConnected)
     }
 
--- a/node/src/main/kotlin/gypsumcart/node/BackEndCalls.kt
+++ b/node/src/main/kotlin/gypsumcart/node/BackEndCalls.kt
@@ -15,12 +15,14 @@
 import gypsumcart.http.HttpClient
 import gypsumcart.http.HttpRequest
 import gypsumcart.http.OutgoingRequest
+import gypsumcart.http.ReceivedResponse
 import gypsumcart.http.ResponseBody
 import gypsumcart.http.ResponseHead
 import gypsumcart.http.readAtMost
 import gypsumcart.http.withoutHopByHop
 import gypsumcart.pipeline.MonotonicClock
 import kotlinx.coroutines.withTimeoutOrNull
+import org.slf4j.LoggerFactory
 
 /**
  * Makes upstream calls and forwards their responses to clients.
@@ -52,7 +54,7 @@
         val endpoint = Endpoint(call.backEnd.address.host, call.backEnd.address.port, call.backEnd.peerId)
         val exchange =
             withTimeoutOrNull(remainingTime) {
-                client.exchange(endpoint, outgoing) { head, body -> handleResponse(call, head, body, response) }
+                client.exchange(endpoint, outgoing) { handleResponse(call, it, response) }
             }
         if (exchange == null) {
             client.closeIdle(endpoint)
@@ -63,12 +65,14 @@
 
     private suspend fun handleResponse(
         call: DispatchEffect.Call,
-        head: ResponseHead,
-        body: ResponseBody,
+        received: ReceivedResponse,
         response: ForwardedResponse,
     ): CallResult {
+        val (head, body) = received
         val id = checkNotNull(call.admitted.submission.requestId) { "a call was made for a request without an id" }
-        return when (val kind = codec.classify(head, id)) {
+        val kind = codec.classify(head, id)
+        if (kind !is ResponseKind.Valid || codec.promisesNotRun(head.status)) logRefusal(call, received, kind)
+        return when (kind) {
             ResponseKind.Valid -> {
                 limits.observe(call.backEnd, codec.limitStatementOrNull(head))
                 forward(call, head, body, response)
@@ -77,16 +81,33 @@
             is ResponseKind.Declined -> {
                 limits.observe(call.backEnd, codec.limitStatementOrNull(head))
                 // A body that is left unread, or the rest of one beyond the bound, closes the connection.
-                if (kind.namesRequest) body.readAtMost(responseLimits.maxBodyBytes)
+                if (kind.id == ResponseId.OWN) body.readAtMost(responseLimits.maxBodyBytes)
                 CallResult.Failed(CallFailure.Declined(kind.status), response.progress)
             }
 
-            ResponseKind.WrongInstance -> CallResult.Failed(CallFailure.WrongInstance, response.progress)
+            is ResponseKind.WrongInstance -> CallResult.Failed(CallFailure.WrongInstance, response.progress)
 
-            ResponseKind.Invalid -> CallResult.Failed(CallFailure.InvalidResponse, response.progress)
+            is ResponseKind.Invalid -> CallResult.Failed(CallFailure.InvalidResponse, response.progress)
         }
     }
 
+    /** Logs what ties a refusal or an invalid response to its request, and so decides whether that may run again. */
+    private fun logRefusal(call: DispatchEffect.Call, received: ReceivedResponse, kind: ResponseKind) {
+        log.info(
+            "event=refusal_received request={} attempt={} back_end={} incarnation={} status={} kind={} bears_id={} " +
+                "connection={} once={}",
+            call.admitted.submission.requestId,
+            call.attempt,
+            call.backEnd.id,
+            call.backEnd.incarnation,
+            received.head.status,
+            kind.toLogValue(),
+            kind.id.toLogValue(),
+            if (received.isFirstOnConnection) "new" else "reused",
+            !call.admitted.route.kind.isRetryable,
+        )
+    }
+
     private suspend fun forward(
         call: DispatchEffect.Call,
         head: ResponseHead,
@@ -167,6 +188,7 @@
     }
 
     private companion object {
+        private val log = LoggerFactory.getLogger(BackEndCalls::class.java)
         const val FIRST_SERVER_ERROR = 500
 
         /** Large enough for most chunks of a stream. */
--- a/node/src/main/kotlin/gypsumcart/node/LogValues.kt
+++ b/node/src/main/kotlin/gypsumcart/node/LogValues.kt
@@ -48,3 +48,20 @@
         is CallResult.Failed -> failure.toLogValue()
         CallResult.ClientGone -> "client_gone"
     }
+
+/** Returns the value that identifies the kind of response in log lines. */
+internal fun ResponseKind.toLogValue(): String =
+    when (this) {
+        ResponseKind.Valid -> "valid"
+        is ResponseKind.Declined -> "declined"
+        is ResponseKind.WrongInstance -> "wrong_instance"
+        is ResponseKind.Invalid -> "invalid"
+    }
+
+/** Returns the value that identifies the request that a response names in log lines. */
+internal fun ResponseId.toLogValue(): String =
+    when (this) {
+        ResponseId.OWN -> "own"
+        ResponseId.NONE -> "none"
+        ResponseId.OTHER -> "other"
+    }
--- a/node/src/main/kotlin/gypsumcart/node/PeerLink.kt
+++ b/node/src/main/kotlin/gypsumcart/node/PeerLink.kt
@@ -104,7 +104,7 @@
         val request = OutgoingRequest("POST", PATH, JSON, effect.message.encode().encodeToByteArray())
         val exchange =
             withTimeoutOrNull(EXCHANGE_TIMEOUT) {
-                client.exchange(endpoint, request) { head, body ->
+                client.exchange(endpoint, request) { (head, body) ->
                     head.status to body.readAtMost(MAX_PEER_MESSAGE_BYTES)
                 }
             }
--- a/node/src/main/kotlin/gypsumcart/node/Ports.kt
+++ b/node/src/main/kotlin/gypsumcart/node/Ports.kt
@@ -137,22 +137,34 @@
 
 /** Describes the kind of a response to an upstream call, as its head shows it. */
 public sealed class ResponseKind {
+    /** Which request the response names. */
+    public abstract val id: ResponseId
+
     /** The back end's response to this request. */
-    public data object Valid : ResponseKind()
+    public data object Valid : ResponseKind() {
+        override val id: ResponseId get() = ResponseId.OWN
+    }
 
-    /**
-     * The back end declined the request with [status] and did not run it.
-     *
-     * @property namesRequest whether the response bears the id of the request; if not, a late copy of it could be
-     *   mistaken for the response to the next request on the connection
-     */
-    public data class Declined(public val status: Int, public val namesRequest: Boolean) : ResponseKind()
+    /** The back end declined the request with [status] and did not run it. */
+    public data class Declined(public val status: Int, override val id: ResponseId) : ResponseKind()
 
     /** Another back end responds at the address. */
-    public data object WrongInstance : ResponseKind()
+    public data class WrongInstance(override val id: ResponseId) : ResponseKind()
 
     /** The response belongs to another request, or is not a valid one of a back end. */
-    public data object Invalid : ResponseKind()
+    public data class Invalid(override val id: ResponseId) : ResponseKind()
+}
+
+/** Describes which request a response names by its id. */
+public enum class ResponseId {
+    /** The response names the request that it was read for. */
+    OWN,
+
+    /** The response names no request: a late copy of it could be mistaken for the response to another request. */
+    NONE,
+
+    /** The response names another request. */
+    OTHER,
 }
 
 /** Converts between HTTP messages and the types that the deciders use. */
@@ -166,6 +178,9 @@
     /** Returns the kind of a response with [head] to the request with [id]. */
     public fun classify(head: ResponseHead, id: RequestId): ResponseKind
 
+    /** Returns whether clients take [status] for the statement that their request did not run and never will. */
+    public fun promisesNotRun(status: Int): Boolean
+
     /** Returns what a response with [head] says about the rate of requests, or null if that is unreadable. */
     public fun limitStatementOrNull(head: ResponseHead): LimitStatement?
 
--- a/node/src/test/kotlin/gypsumcart/node/ClientEdgeTest.kt
+++ b/node/src/test/kotlin/gypsumcart/node/ClientEdgeTest.kt
@@ -149,6 +149,8 @@
 
         override fun classify(head: ResponseHead, id: RequestId): ResponseKind = ResponseKind.Valid
 
+        override fun promisesNotRun(status: Int): Boolean = false
+
         override fun limitStatementOrNull(head: ResponseHead): LimitStatement = LimitStatement.Unlimited
 
         override fun outcomeHead(outcome: Outcome, id: RequestId?): ResponseHead = ResponseHead(503, Headers.EMPTY)
