Believe a refusal only if nothing but its request can be meant

Callers saw bookings and streams that may run only once run on two back ends, or be refused with 503 although they had run (TWICE, REFUSED). The cause: a refusal (X-Not-Executed, or status 421) without an id was believed on any connection. On one that had carried an earlier request, a copy of an older refusal, or one that belongs to none, came where the answer was due. The connection was closed after it, which protected the next request but not this one.

A response without an id now counts only if it is the first on its connection, since nothing else can be meant there. On a connection that has been used, such a refusal is CallFailure.UnattributedRefusal: the request may have run, so a request that may run only once is not sent again and gets 502. Weighed: waiting for the answer behind it (a true refusal has none, so the caller would wait until the deadline), a probe sent after it (priced, and nothing says that every back end answers one), and always a new connection (priced, for a case that faulty back ends bring about).

--- a/core/src/main/kotlin/gypsumcart/core/Outcomes.kt
+++ b/core/src/main/kotlin/gypsumcart/core/Outcomes.kt
@@ -62,6 +62,13 @@
         override val mayHaveRun: Boolean get() = false
     }
 
+    /**
+     * A refusal with [status] arrived that states that some request did not run, but nothing shows that it is this one.
+     */
+    public data class UnattributedRefusal(public val status: Int) : CallFailure() {
+        override val mayHaveRun: Boolean get() = true
+    }
+
     /** Another back end responds at the address. */
     public data object WrongInstance : CallFailure() {
         override val mayHaveRun: Boolean get() = false
--- a/core/src/main/kotlin/gypsumcart/core/dispatch/Dispatch.kt
+++ b/core/src/main/kotlin/gypsumcart/core/dispatch/Dispatch.kt
@@ -201,6 +201,7 @@
             CallFailure.Truncated -> HealthSignal.DISCONNECTED
             CallFailure.ConnectFailed, is CallFailure.Declined, CallFailure.WrongInstance -> HealthSignal.FAILING
             CallFailure.TimedOut, CallFailure.InvalidResponse -> HealthSignal.FAILING
+            is CallFailure.UnattributedRefusal -> HealthSignal.FAILING
         }
 
     private companion object {
--- a/core/src/test/kotlin/gypsumcart/core/dispatch/DispatchTest.kt
+++ b/core/src/test/kotlin/gypsumcart/core/dispatch/DispatchTest.kt
@@ -48,6 +48,15 @@
         expectThat(conclusion).isEqualTo(DispatchEffect.Conclude(request, Outcome.Failed(CallFailure.Truncated)))
     }
 
+    // Guards against a second run after a refusal that nothing ties to the request (TWICE, REFUSED).
+    @Test
+    fun `a refusal that may belong to another request is neither a reason to retry nor a promise`() {
+        val request = admitted(CallKind.AtMostOnce, maxAttempts = 3)
+        assign(request)
+        val refusal = CallFailure.UnattributedRefusal(503)
+        expectThat(fail(request, refusal).last()).isEqualTo(DispatchEffect.Conclude(request, Outcome.Failed(refusal)))
+    }
+
     @Test
     fun `a call that did not run is retried on another back end`() {
         val request = admitted(CallKind.AtMostOnce, maxAttempts = 1)
--- a/node/src/main/kotlin/gypsumcart/node/BackEndCalls.kt
+++ b/node/src/main/kotlin/gypsumcart/node/BackEndCalls.kt
@@ -72,6 +72,7 @@
         val id = checkNotNull(call.admitted.submission.requestId) { "a call was made for a request without an id" }
         val kind = codec.classify(head, id)
         if (kind !is ResponseKind.Valid || codec.promisesNotRun(head.status)) logRefusal(call, received, kind)
+        if (!kind.isTiedTo(received)) return CallResult.Failed(kind.untiedFailure(head.status), response.progress)
         return when (kind) {
             ResponseKind.Valid -> {
                 limits.observe(call.backEnd, codec.limitStatementOrNull(head))
@@ -199,6 +200,24 @@
 /** Identifies this instance of the back end among all that start at the same address. */
 internal val BackEnd.peerId: String get() = "${key.id}/${key.incarnation}"
 
+/**
+ * Returns whether a response of this kind belongs to the request that it was read for.
+ *
+ * One that bears no id may be a late copy of a response to an earlier request on its connection, if there was one.
+ */
+private fun ResponseKind.isTiedTo(received: ReceivedResponse): Boolean =
+    when (id) {
+        ResponseId.OWN -> true
+        ResponseId.NONE -> received.isFirstOnConnection
+        ResponseId.OTHER -> false
+    }
+
+private fun ResponseKind.untiedFailure(status: Int): CallFailure =
+    when (this) {
+        is ResponseKind.Declined, is ResponseKind.WrongInstance -> CallFailure.UnattributedRefusal(status)
+        is ResponseKind.Invalid, ResponseKind.Valid -> CallFailure.InvalidResponse
+    }
+
 private fun ExchangeFailure.toCallFailure(): CallFailure =
     when (this) {
         ExchangeFailure.NotConnected -> CallFailure.ConnectFailed
--- a/node/src/main/kotlin/gypsumcart/node/LogValues.kt
+++ b/node/src/main/kotlin/gypsumcart/node/LogValues.kt
@@ -26,6 +26,7 @@
     when (this) {
         CallFailure.ConnectFailed -> "connect_failed"
         is CallFailure.Declined -> "declined_$status"
+        is CallFailure.UnattributedRefusal -> "unattributed_$status"
         CallFailure.WrongInstance -> "wrong_instance"
         CallFailure.Truncated -> "cut"
         CallFailure.TimedOut -> "timed_out"
--- /dev/null
+++ b/standins/src/test/kotlin/gypsumcart/standins/UnattributedRefusalTest.kt
@@ -0,0 +1,72 @@
+package gypsumcart.standins
+
+import org.junit.jupiter.api.AfterEach
+import org.junit.jupiter.params.ParameterizedTest
+import org.junit.jupiter.params.provider.CsvSource
+import strikt.api.expectThat
+import strikt.assertions.isEmpty
+import strikt.assertions.isEqualTo
+import java.io.OutputStream
+import java.util.concurrent.CopyOnWriteArrayList
+
+/** Plays back ends whose refusals nothing ties to a request. */
+class UnattributedRefusalTest {
+    private val fleet = StandInFleet()
+    private val backEnds = ArrayList<ScriptedBackEnd>()
+    private val executed = CopyOnWriteArrayList<String>()
+    private lateinit var node: RunningNode
+
+    @AfterEach
+    fun close(): Unit = backEnds.forEach { it.close() }
+
+    private fun startWith(routeType: String, answer: (ScriptedRequest, OutputStream) -> Boolean) {
+        fleet.configure(1, listOf(ConfiguredRoute("/confirms/", routeType, "bookings", maxAttempts = 1)))
+        repeat(2) {
+            val backEnd = ScriptedBackEnd(answer)
+            backEnds += backEnd
+            fleet.register("bookings", "i-$it", backEnd)
+        }
+        node = fleet.startNode("node-1")
+        awaitCondition { get(node.settings.readiness, "/readiness").startsWith("HTTP/1.1 200") }
+    }
+
+    private fun OutputStream.execute(request: ScriptedRequest, routeType: String) {
+        executed += request.id
+        val body = if (routeType == "streaming") "id: 1\ndata: ok\n\n" else "ok"
+        send(
+            "HTTP/1.1 200 OK\r\nX-Attempt-Id: ${request.id}\r\nX-Response-Signature: s\r\n" +
+                "Content-Length: ${body.length}\r\n\r\n$body",
+        )
+    }
+
+    private fun statuses(): Map<String, String> =
+        List(12) { "r-$it" }.associateWith { node.send("/confirms/1", it).substring(9, 12) }
+
+    private fun expectNoBrokenPromise(statuses: Map<String, String>) {
+        expectThat(executed.filter { statuses[it] in PROMISES }).isEmpty()
+        expectThat(executed.toList()).isEqualTo(executed.distinct())
+    }
+
+    // Guards against a request that runs twice, or is refused although it runs, because of a refusal that belongs to none
+    // (TWICE, REFUSED).
+    @ParameterizedTest
+    @CsvSource("non_idempotent, 503", "streaming, 503", "non_idempotent, 421", "streaming, 421")
+    fun `a refusal without an id after an earlier answer is no statement about the next request`(
+        routeType: String,
+        status: Int,
+    ) {
+        startWith(routeType) { request, output ->
+            if (request.previousId != null) {
+                output.send("HTTP/1.1 $status Full\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n")
+            }
+            output.execute(request, routeType)
+            true
+        }
+        expectNoBrokenPromise(statuses())
+        expectThat(executed.size > 2).isEqualTo(true)
+    }
+
+    private companion object {
+        val PROMISES = setOf("503", "429", "408", "421")
+    }
+}
