Pass on no status that promises more than the back end stated

Callers were answered 503, 429 or 408 for bookings and streams that a back end had run (REFUSED): it had answered with that status and the id of the request, but without stating that the request did not run. The node passed the status on unchanged, and clients take it for the promise that the request has not run and never will, and repeat it.

The request ends with 502 and without the replica's signature, so no failure bears a signature with another status; a request that may be repeated is repeated elsewhere. 421 was decided already: it is what a replica of another identity answers.

--- a/core/src/main/kotlin/gypsumcart/core/Outcomes.kt
+++ b/core/src/main/kotlin/gypsumcart/core/Outcomes.kt
@@ -94,7 +94,7 @@
         override val mayHaveRun: Boolean get() = true
     }
 
-    /** The back end ran the request and failed with [status]. */
+    /** The back end failed with [status] and did not state that the request did not run. */
     public data class ServerError(public val status: Int) : CallFailure() {
         override val mayHaveRun: Boolean get() = true
     }
--- a/node/src/main/kotlin/gypsumcart/node/BackEndCalls.kt
+++ b/node/src/main/kotlin/gypsumcart/node/BackEndCalls.kt
@@ -143,6 +143,9 @@
         val bytes =
             body.readAtMost(responseLimits.maxBodyBytes)
                 ?: return CallResult.Failed(CallFailure.InvalidResponse, response.progress)
+        if (codec.promisesNotRun(head.status)) {
+            return CallResult.Failed(CallFailure.ServerError(head.status), response.progress)
+        }
         val forwardedHead = ResponseHead(head.status, head.headers.withoutHopByHop())
         if (head.status >= FIRST_SERVER_ERROR && call.admitted.route.kind.isRetryable) {
             response.storeFallback(forwardedHead, bytes)
--- a/standins/src/test/kotlin/gypsumcart/standins/UnattributedRefusalTest.kt
+++ b/standins/src/test/kotlin/gypsumcart/standins/UnattributedRefusalTest.kt
@@ -9,7 +9,7 @@
 import java.io.OutputStream
 import java.util.concurrent.CopyOnWriteArrayList
 
-/** Plays back ends whose refusals nothing ties to a request. */
+/** Plays back ends whose refusals nothing ties to a request, or that refuse what they have run. */
 class UnattributedRefusalTest {
     private val fleet = StandInFleet()
     private val backEnds = ArrayList<ScriptedBackEnd>()
@@ -66,6 +66,30 @@
         expectThat(executed.size > 2).isEqualTo(true)
     }
 
+    // Guards against a status that tells the client to repeat a request that has run (REFUSED).
+    @ParameterizedTest
+    @CsvSource(
+        "non_idempotent, 503",
+        "non_idempotent, 429",
+        "non_idempotent, 408",
+        "streaming, 503",
+        "streaming, 429",
+        "streaming, 408",
+    )
+    fun `a status that promises that a request has not run is not passed on for one that has`(
+        routeType: String,
+        status: Int,
+    ) {
+        startWith(routeType) { request, output ->
+            executed += request.id
+            output.send("HTTP/1.1 $status No\r\nX-Attempt-Id: ${request.id}\r\nContent-Length: 0\r\n\r\n")
+            true
+        }
+        val statuses = statuses()
+        expectNoBrokenPromise(statuses)
+        expectThat(statuses.values.distinct()).isEqualTo(listOf("502"))
+    }
+
     private companion object {
         val PROMISES = setOf("503", "429", "408", "421")
     }
