Send what may run once on new connections to back ends that refuse without an id

A back end that is full and refuses truly, but without the id of the request, would cost its callers such requests: on a used connection its refusal can't be told from a late copy, so the request fails with 502 instead of being sent elsewhere.

--- a/http/src/main/kotlin/gypsumcart/http/HttpClient.kt
+++ b/http/src/main/kotlin/gypsumcart/http/HttpClient.kt
@@ -24,12 +24,15 @@
  * Represents a request to send.
  *
  * [HttpClient] adds `Host` if it is missing, and `Content-Length` if there is a body or the method usually has one.
+ *
+ * @property onNewConnection whether the request is sent on a connection that has carried no other
  */
 public class OutgoingRequest(
     public val method: String,
     public val target: String,
     public val headers: Headers,
     public val body: ByteArray,
+    public val onNewConnection: Boolean = false,
 )
 
 /**
@@ -125,7 +128,8 @@
         request: OutgoingRequest,
         receive: suspend (ReceivedResponse) -> T,
     ): Result<T, ExchangeFailure> {
-        val connection = takeIdleOrNull(endpoint) ?: connectOrNull(endpoint) ?: return Err(ExchangeFailure.NotConnected)
+        val idle = if (request.onNewConnection) null else takeIdleOrNull(endpoint)
+        val connection = idle ?: connectOrNull(endpoint) ?: return Err(ExchangeFailure.NotConnected)
         var reusable = false
         try {
             return coroutineScope {
--- a/node/src/main/kotlin/gypsumcart/node/BackEndCalls.kt
+++ b/node/src/main/kotlin/gypsumcart/node/BackEndCalls.kt
@@ -40,6 +40,8 @@
     private val onFirstPiece: (DispatchEffect.Call, MonotonicTime) -> Unit,
     private val onRequestStarted: (TeamName, MonotonicTime) -> Unit,
 ) {
+    private val unnamedRefusals = UnnamedRefusals(clock)
+
     /**
      * Makes one upstream call and forwards its response to [response] as it arrives.
      *
@@ -50,7 +52,9 @@
         val remainingTime = call.admitted.deadline - clock.now()
         if (!remainingTime.isPositive()) return CallResult.Failed(CallFailure.ConnectFailed, response.progress)
         val headers = codec.callHeaders(request, call, remainingTime)
-        val outgoing = OutgoingRequest(request.method, request.target, headers, request.body)
+        val needsNewConnection =
+            !call.admitted.route.kind.isRetryable && unnamedRefusals.areExpectedFrom(call.backEnd.key)
+        val outgoing = OutgoingRequest(request.method, request.target, headers, request.body, needsNewConnection)
         val endpoint = Endpoint(call.backEnd.address.host, call.backEnd.address.port, call.backEnd.peerId)
         val exchange =
             withTimeoutOrNull(remainingTime) {
@@ -72,6 +76,7 @@
         val id = checkNotNull(call.admitted.submission.requestId) { "a call was made for a request without an id" }
         val kind = codec.classify(head, id)
         if (kind !is ResponseKind.Valid || codec.promisesNotRun(head.status)) logRefusal(call, received, kind)
+        if (kind.isRefusal && kind.id == ResponseId.NONE) unnamedRefusals.record(call.backEnd.key)
         if (!kind.isTiedTo(received)) return CallResult.Failed(kind.untiedFailure(head.status), response.progress)
         return when (kind) {
             ResponseKind.Valid -> {
@@ -216,10 +221,15 @@
     }
 
 private fun ResponseKind.untiedFailure(status: Int): CallFailure =
-    when (this) {
-        is ResponseKind.Declined, is ResponseKind.WrongInstance -> CallFailure.UnattributedRefusal(status)
-        is ResponseKind.Invalid, ResponseKind.Valid -> CallFailure.InvalidResponse
-    }
+    if (isRefusal) CallFailure.UnattributedRefusal(status) else CallFailure.InvalidResponse
+
+/** Whether the response states that a request did not run. */
+private val ResponseKind.isRefusal: Boolean
+    get() =
+        when (this) {
+            is ResponseKind.Declined, is ResponseKind.WrongInstance -> true
+            is ResponseKind.Invalid, ResponseKind.Valid -> false
+        }
 
 private fun ExchangeFailure.toCallFailure(): CallFailure =
     when (this) {
--- a/standins/src/test/kotlin/gypsumcart/standins/UnattributedRefusalTest.kt
+++ b/standins/src/test/kotlin/gypsumcart/standins/UnattributedRefusalTest.kt
@@ -3,11 +3,14 @@
 import org.junit.jupiter.api.AfterEach
 import org.junit.jupiter.params.ParameterizedTest
 import org.junit.jupiter.params.provider.CsvSource
+import org.junit.jupiter.params.provider.ValueSource
 import strikt.api.expectThat
 import strikt.assertions.isEmpty
 import strikt.assertions.isEqualTo
+import strikt.assertions.isGreaterThan
 import java.io.OutputStream
 import java.util.concurrent.CopyOnWriteArrayList
+import java.util.concurrent.atomic.AtomicInteger
 
 /** Plays back ends whose refusals nothing ties to a request, or that refuse what they have run. */
 class UnattributedRefusalTest {
@@ -19,12 +22,15 @@
     @AfterEach
     fun close(): Unit = backEnds.forEach { it.close() }
 
-    private fun startWith(routeType: String, answer: (ScriptedRequest, OutputStream) -> Boolean) {
+    private fun startWith(routeType: String, answer: (ScriptedRequest, OutputStream) -> Boolean): Unit =
+        startWith(routeType, listOf(answer, answer))
+
+    private fun startWith(routeType: String, answers: List<(ScriptedRequest, OutputStream) -> Boolean>) {
         fleet.configure(1, listOf(ConfiguredRoute("/confirms/", routeType, "bookings", maxAttempts = 1)))
-        repeat(2) {
+        answers.forEachIndexed { i, answer ->
             val backEnd = ScriptedBackEnd(answer)
             backEnds += backEnd
-            fleet.register("bookings", "i-$it", backEnd)
+            fleet.register("bookings", "i-$i", backEnd)
         }
         node = fleet.startNode("node-1")
         awaitCondition { get(node.settings.readiness, "/readiness").startsWith("HTTP/1.1 200") }
@@ -66,6 +72,32 @@
         expectThat(executed.size > 2).isEqualTo(true)
     }
 
+    // Guards against requests that fail though a full back end has truly refused them, without naming them.
+    @ParameterizedTest
+    @ValueSource(strings = ["non_idempotent", "streaming"])
+    fun `refusals without an id are believed from the second one on, as their requests get new connections`(
+        routeType: String,
+    ) {
+        val received = AtomicInteger()
+        val sometimesFull = { request: ScriptedRequest, output: OutputStream ->
+            if (received.incrementAndGet() % 2 == 0) {
+                output.send("HTTP/1.1 503 Full\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n")
+            } else {
+                output.execute(request, routeType)
+            }
+            true
+        }
+        val sound = { request: ScriptedRequest, output: OutputStream ->
+            output.execute(request, routeType)
+            true
+        }
+        startWith(routeType, listOf(sometimesFull, sound))
+        val statuses = statuses()
+        expectNoBrokenPromise(statuses)
+        expectThat(received.get()).isGreaterThan(3)
+        expectThat(statuses.values.count { it != "200" }).isEqualTo(1)
+    }
+
     // Guards against a status that tells the client to repeat a request that has run (REFUSED).
     @ParameterizedTest
     @CsvSource(
