Let stand-in back ends name the request that they refuse

Since a refusal without an id is no promise on a used connection, the demo got 502 where it expects 503, and the build's archive of class data, which is made while the demo runs, failed with it.

--- a/standins/src/main/kotlin/gypsumcart/standins/StandInBackEnd.kt
+++ b/standins/src/main/kotlin/gypsumcart/standins/StandInBackEnd.kt
@@ -15,7 +15,7 @@
 
 /** Describes a fault of a back end in the handling of one request. */
 public sealed class BackEndFault {
-    /** Declines the request with status 503 and `X-Not-Executed`. */
+    /** Declines the request with status 503, its id and `X-Not-Executed`. */
     public data object Decline : BackEndFault()
 
     /** Runs the request and closes the connection without a response. */
@@ -74,13 +74,14 @@
         val expected = request.headers["X-Expect-Instance"]
         val fault = faults.poll()
         when {
-            expected != null && expected != id -> response.send(ResponseHead(MISDIRECTED_REQUEST, Headers.EMPTY), EMPTY)
+            expected != null && expected != id -> {
+                val fields = listOf(HeaderField("X-Attempt-Id", requestId))
+                response.send(ResponseHead(MISDIRECTED_REQUEST, Headers(fields)), EMPTY)
+            }
 
             fault == BackEndFault.Decline -> {
-                response.send(
-                    ResponseHead(SERVICE_UNAVAILABLE, Headers(listOf(HeaderField("X-Not-Executed", "1")))),
-                    EMPTY,
-                )
+                val fields = listOf(HeaderField("X-Attempt-Id", requestId), HeaderField("X-Not-Executed", "1"))
+                response.send(ResponseHead(SERVICE_UNAVAILABLE, Headers(fields)), EMPTY)
             }
 
             else -> execute(request, requestId, fault, response)
