Take a response whose head is cut between two lines for none

Callers saw 503, which promises that a request has not run, though its back end had answered nothing whole: a head with status 421 that was cut after its first or second line was believed, and the request was sent to a second back end too (REFUSED, TWICE). Other heads that were cut there reached the callers of HttpClient as responses without any field: a 200 with a length became an empty 200 that ends with its connection. Nodes rejected it only because it bore no id.

Cause: if the input ends where a line of the head is due, the library's parser returns the status with no fields instead of a failure. In the middle of a line it fails, so that cuts at most other places were held. Class: the end of a connection taken for the end of what it carried.

Change: readResponseHead returns a head only if the empty line at its end was received, which HeadLimiter knows since it counts the lines. Requests are not affected: the parser returns none if their head is cut.

Evidence: each head is cut at each byte, closed and reset.

--- a/http/src/main/kotlin/gypsumcart/http/HeadLimiter.kt
+++ b/http/src/main/kotlin/gypsumcart/http/HeadLimiter.kt
@@ -23,6 +23,9 @@
     private var remaining = maxBytes - input.availableForRead
     private val lines = HeadLines()
 
+    /** Whether the empty line at the end of the head was received. */
+    val isHeadComplete: Boolean get() = lines.areComplete
+
     init {
         countLines(0)
     }
--- a/http/src/main/kotlin/gypsumcart/http/ResponseReader.kt
+++ b/http/src/main/kotlin/gypsumcart/http/ResponseReader.kt
@@ -16,13 +16,19 @@
     maxBytes: Int = MAX_RESPONSE_HEAD_BYTES,
 ): Result<ResponseHead, ReadFailure> =
     readCatching {
-        val response = parseResponse(HeadLimiter(this, maxBytes))
+        val limiter = HeadLimiter(this, maxBytes)
+        val response = parseResponse(limiter)
         if (response == null) {
             Err(ReadFailure.Ended)
         } else {
             val head = ResponseHead(response.status, response.headers.toHeaders())
             response.release()
-            if (head.status < FIRST_FINAL_STATUS) Err(ReadFailure.Malformed) else Ok(head)
+            when {
+                // The parser returns a head without any fields if the input ends between two lines.
+                !limiter.isHeadComplete -> Err(ReadFailure.Truncated)
+                head.status < FIRST_FINAL_STATUS -> Err(ReadFailure.Malformed)
+                else -> Ok(head)
+            }
         }
     }
 
--- a/standins/src/test/kotlin/gypsumcart/standins/ScriptedBackEnd.kt
+++ b/standins/src/test/kotlin/gypsumcart/standins/ScriptedBackEnd.kt
@@ -21,7 +21,7 @@
 /**
  * Accepts connections and lets [answer] write raw bytes for each request, such as no HTTP library would.
  *
- * The connection is closed after a request for which [answer] returns false.
+ * The connection is closed after a request for which [answer] returns false, and reset after a [ResetException].
  */
 internal class ScriptedBackEnd(private val answer: (ScriptedRequest, OutputStream) -> Boolean) : AutoCloseable {
     private val listener = ServerSocket(0, BACKLOG, InetAddress.getByName("127.0.0.1"))
@@ -44,21 +44,27 @@
     override fun close(): Unit = listener.close()
 
     private fun serve(socket: Socket) {
-        val reader = socket.getInputStream().bufferedReader()
-        var previousId: String? = null
         try {
-            socket.use {
-                do {
-                    val request = reader.requestOrNull(previousId) ?: return
-                    received += request.id
-                    previousId = request.id
-                } while (answer(request, socket.getOutputStream()))
-            }
+            socket.use(::answerRequests)
         } catch (_: IOException) {
             // The node has closed the connection.
         }
     }
 
+    private fun answerRequests(socket: Socket) {
+        val reader = socket.getInputStream().bufferedReader()
+        var previousId: String? = null
+        try {
+            do {
+                val request = reader.requestOrNull(previousId) ?: return
+                received += request.id
+                previousId = request.id
+            } while (answer(request, socket.getOutputStream()))
+        } catch (_: ResetException) {
+            socket.setSoLinger(true, 0)
+        }
+    }
+
     private fun BufferedReader.requestOrNull(previousId: String?): ScriptedRequest? {
         val lines = generateSequence { readLine() }.takeWhile { it.isNotEmpty() }.toList()
         if (lines.isEmpty()) return null
@@ -72,6 +78,9 @@
     }
 }
 
+/** Thrown by the answer of a [ScriptedBackEnd] to reset the connection instead of closing it. */
+internal class ResetException : IOException("the script resets the connection")
+
 /** Writes the registry row of [backEnd] as a ready one of [service]. */
 internal fun StandInFleet.register(service: String, id: String, backEnd: ScriptedBackEnd) {
     store.put(
