Believe status 421 only with a statement, as other refusals

Callers' bookings and streams ran on two back ends (TWICE): a back end that had run a request and answered 421 was believed on the status alone, and the request was sent to another one.

Each status that clients take for a promise without either is now ResponseKind.Unconfirmed, decided in the codec.

--- a/node/src/main/kotlin/gypsumcart/node/BackEndCalls.kt
+++ b/node/src/main/kotlin/gypsumcart/node/BackEndCalls.kt
@@ -74,10 +74,15 @@
     ): CallResult {
         val (head, body) = received
         val id = checkNotNull(call.admitted.submission.requestId) { "a call was made for a request without an id" }
-        val kind = codec.classify(head, id)
-        if (kind !is ResponseKind.Valid || codec.promisesNotRun(head.status)) logRefusal(call, received, kind)
+        val kind = codec.classify(head, id, call.backEnd.id)
+        if (kind !is ResponseKind.Valid) logRefusal(call, received, kind)
         if (kind.isRefusal && kind.id == ResponseId.NONE) unnamedRefusals.record(call.backEnd.key)
-        if (!kind.isTiedTo(received)) return CallResult.Failed(kind.untiedFailure(head.status), response.progress)
+        if (!kind.isTiedTo(
+                received,
+            )
+        ) {
+            return CallResult.Failed(kind.untiedFailure(head.status), response.progress)
+        }
         return when (kind) {
             ResponseKind.Valid -> {
                 limits.observe(call.backEnd, codec.limitStatementOrNull(head))
@@ -93,6 +98,16 @@
 
             is ResponseKind.WrongInstance -> CallResult.Failed(CallFailure.WrongInstance, response.progress)
 
+            is ResponseKind.Unconfirmed -> {
+                limits.observe(call.backEnd, codec.limitStatementOrNull(head))
+                reportStart(call)
+                body.readAtMost(responseLimits.maxBodyBytes)
+                val isResumed = response.isStarted
+                val failure =
+                    if (isResumed) CallFailure.NotResumed(kind.status) else CallFailure.ServerError(kind.status)
+                CallResult.Failed(failure, response.progress)
+            }
+
             is ResponseKind.Invalid -> CallResult.Failed(CallFailure.InvalidResponse, response.progress)
         }
     }
@@ -148,9 +163,6 @@
         val bytes =
             body.readAtMost(responseLimits.maxBodyBytes)
                 ?: return CallResult.Failed(CallFailure.InvalidResponse, response.progress)
-        if (codec.promisesNotRun(head.status)) {
-            return CallResult.Failed(CallFailure.ServerError(head.status), response.progress)
-        }
         val forwardedHead = ResponseHead(head.status, head.headers.withoutHopByHop())
         if (head.status >= FIRST_SERVER_ERROR && call.admitted.route.kind.isRetryable) {
             response.storeFallback(forwardedHead, bytes)
@@ -228,7 +240,7 @@
     get() =
         when (this) {
             is ResponseKind.Declined, is ResponseKind.WrongInstance -> true
-            is ResponseKind.Invalid, ResponseKind.Valid -> false
+            is ResponseKind.Unconfirmed, is ResponseKind.Invalid, ResponseKind.Valid -> false
         }
 
 private fun ExchangeFailure.toCallFailure(): CallFailure =
--- a/node/src/main/kotlin/gypsumcart/node/LogValues.kt
+++ b/node/src/main/kotlin/gypsumcart/node/LogValues.kt
@@ -56,6 +56,7 @@
         ResponseKind.Valid -> "valid"
         is ResponseKind.Declined -> "declined"
         is ResponseKind.WrongInstance -> "wrong_instance"
+        is ResponseKind.Unconfirmed -> "unconfirmed"
         is ResponseKind.Invalid -> "invalid"
     }
 
--- a/node/src/main/kotlin/gypsumcart/node/Ports.kt
+++ b/node/src/main/kotlin/gypsumcart/node/Ports.kt
@@ -2,6 +2,7 @@
 
 import com.github.michaelbull.result.Result
 import gypsumcart.core.Address
+import gypsumcart.core.BackEndId
 import gypsumcart.core.Configuration
 import gypsumcart.core.FencingToken
 import gypsumcart.core.MonotonicTime
@@ -148,9 +149,14 @@
     /** The back end declined the request with [status] and did not run it. */
     public data class Declined(public val status: Int, override val id: ResponseId) : ResponseKind()
 
-    /** Another back end responds at the address. */
+    /** Another back end responds at the address and did not run the request. */
     public data class WrongInstance(override val id: ResponseId) : ResponseKind()
 
+    /** Clients repeat any request after this [status], but the back end did not state that the request did not run. */
+    public data class Unconfirmed(public val status: Int) : ResponseKind() {
+        override val id: ResponseId get() = ResponseId.OWN
+    }
+
     /** The response belongs to another request, or is not a valid one of a back end. */
     public data class Invalid(override val id: ResponseId) : ResponseKind()
 }
@@ -175,11 +181,8 @@
     /** Returns the headers of an upstream call for [request], which must complete within [remainingTime]. */
     public fun callHeaders(request: HttpRequest, call: DispatchEffect.Call, remainingTime: Duration): Headers
 
-    /** Returns the kind of a response with [head] to the request with [id]. */
-    public fun classify(head: ResponseHead, id: RequestId): ResponseKind
-
-    /** Returns whether clients take [status] for the statement that their request did not run and never will. */
-    public fun promisesNotRun(status: Int): Boolean
+    /** Returns the kind of a response with [head] to the request with [id] that was sent to [callee]. */
+    public fun classify(head: ResponseHead, id: RequestId, callee: BackEndId): ResponseKind
 
     /** Returns what a response with [head] says about the rate of requests, or null if that is unreadable. */
     public fun limitStatementOrNull(head: ResponseHead): LimitStatement?
--- a/node/src/test/kotlin/gypsumcart/node/ClientEdgeTest.kt
+++ b/node/src/test/kotlin/gypsumcart/node/ClientEdgeTest.kt
@@ -147,9 +147,7 @@
             remainingTime: Duration,
         ): Headers = Headers.EMPTY
 
-        override fun classify(head: ResponseHead, id: RequestId): ResponseKind = ResponseKind.Valid
-
-        override fun promisesNotRun(status: Int): Boolean = false
+        override fun classify(head: ResponseHead, id: RequestId, callee: BackEndId): ResponseKind = ResponseKind.Valid
 
         override fun limitStatementOrNull(head: ResponseHead): LimitStatement = LimitStatement.Unlimited
 
--- a/standins/src/main/kotlin/gypsumcart/standins/StandInBackEnd.kt
+++ b/standins/src/main/kotlin/gypsumcart/standins/StandInBackEnd.kt
@@ -75,7 +75,7 @@
         val fault = faults.poll()
         when {
             expected != null && expected != id -> {
-                val fields = listOf(HeaderField("X-Attempt-Id", requestId))
+                val fields = listOf(HeaderField("X-Attempt-Id", requestId), HeaderField("X-Instance-Id", id))
                 response.send(ResponseHead(MISDIRECTED_REQUEST, Headers(fields)), EMPTY)
             }
 
--- a/standins/src/test/kotlin/gypsumcart/standins/UnattributedRefusalTest.kt
+++ b/standins/src/test/kotlin/gypsumcart/standins/UnattributedRefusalTest.kt
@@ -45,6 +45,12 @@
         )
     }
 
+    private fun sound(routeType: String): (ScriptedRequest, OutputStream) -> Boolean =
+        { request, output ->
+            output.execute(request, routeType)
+            true
+        }
+
     private fun statuses(): Map<String, String> =
         List(12) { "r-$it" }.associateWith { node.send("/confirms/1", it).substring(9, 12) }
 
@@ -69,7 +75,7 @@
             true
         }
         expectNoBrokenPromise(statuses())
-        expectThat(executed.size > 2).isEqualTo(true)
+        expectThat(executed.size).isGreaterThan(2)
     }
 
     // Guards against requests that fail though a full back end has truly refused them, without naming them.
@@ -87,11 +93,7 @@
             }
             true
         }
-        val sound = { request: ScriptedRequest, output: OutputStream ->
-            output.execute(request, routeType)
-            true
-        }
-        startWith(routeType, listOf(sometimesFull, sound))
+        startWith(routeType, listOf(sometimesFull, sound(routeType)))
         val statuses = statuses()
         expectNoBrokenPromise(statuses)
         expectThat(received.get()).isGreaterThan(3)
@@ -107,6 +109,8 @@
         "streaming, 503",
         "streaming, 429",
         "streaming, 408",
+        "non_idempotent, 421",
+        "streaming, 421",
     )
     fun `a status that promises that a request has not run is not passed on for one that has`(
         routeType: String,
@@ -122,6 +126,18 @@
         expectThat(statuses.values.distinct()).isEqualTo(listOf("502"))
     }
 
+    // Guards against a request that fails because the address of its back end has passed to another one.
+    @ParameterizedTest
+    @ValueSource(strings = ["non_idempotent", "streaming"])
+    fun `a status 421 that names another back end is a reason to send a request again`(routeType: String) {
+        val other = { _: ScriptedRequest, output: OutputStream ->
+            output.send("HTTP/1.1 421 Misdirected\r\nX-Instance-Id: i-9\r\nContent-Length: 0\r\n\r\n")
+            true
+        }
+        startWith(routeType, listOf(other, sound(routeType)))
+        expectThat(statuses().values.distinct()).isEqualTo(listOf("200"))
+    }
+
     private companion object {
         val PROMISES = setOf("503", "429", "408", "421")
     }
