Let the head of a refusal decide, whatever becomes of its body

A refusal that names its request and states that it did not run was lost if its body was cut: the call counted as cut, so a request that may run once got 502, and the cut as evidence of a crash. A body that stalled held the request until its deadline.

The rest of a refusal is read only to keep the connection: at most 64 KiB within 50 ms, and a failure costs the connection. The same holds for the bodies of other responses that are dropped.

--- a/node/src/main/kotlin/gypsumcart/node/BackEndCalls.kt
+++ b/node/src/main/kotlin/gypsumcart/node/BackEndCalls.kt
@@ -22,7 +22,10 @@
 import gypsumcart.http.withoutHopByHop
 import gypsumcart.pipeline.MonotonicClock
 import kotlinx.coroutines.withTimeoutOrNull
+import kotlinx.io.IOException
 import org.slf4j.LoggerFactory
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
 
 /**
  * Makes upstream calls and forwards their responses to clients.
@@ -91,8 +94,8 @@
 
             is ResponseKind.Declined -> {
                 limits.observe(call.backEnd, codec.limitStatementOrNull(head))
-                // A body that is left unread, or the rest of one beyond the bound, closes the connection.
-                if (kind.id == ResponseId.OWN) body.readAtMost(responseLimits.maxBodyBytes)
+                // A body that is left unread closes the connection.
+                if (kind.id == ResponseId.OWN) discard(body)
                 CallResult.Failed(CallFailure.Declined(kind.status), response.progress)
             }
 
@@ -101,7 +104,7 @@
             is ResponseKind.Unconfirmed -> {
                 limits.observe(call.backEnd, codec.limitStatementOrNull(head))
                 reportStart(call)
-                body.readAtMost(responseLimits.maxBodyBytes)
+                discard(body)
                 val isResumed = response.isStarted
                 val failure =
                     if (isResumed) CallFailure.NotResumed(kind.status) else CallFailure.ServerError(kind.status)
@@ -149,10 +152,19 @@
         body: ResponseBody,
         response: ForwardedResponse,
     ): CallResult {
-        body.readAtMost(responseLimits.maxBodyBytes)
+        discard(body)
         return CallResult.Failed(CallFailure.NotResumed(head.status), response.progress)
     }
 
+    /** Reads a body that nobody needs, so that its connection can be used again; a failure costs no more than that. */
+    private suspend fun discard(body: ResponseBody) {
+        try {
+            withTimeoutOrNull(DISCARD_TIMEOUT) { body.readAtMost(MAX_DISCARDED_BYTES) }
+        } catch (e: IOException) {
+            log.debug("event=body_discarded error={}", e.message)
+        }
+    }
+
     private suspend fun forwardWhole(
         call: DispatchEffect.Call,
         head: ResponseHead,
@@ -210,6 +222,13 @@
 
     private companion object {
         private val log = LoggerFactory.getLogger(BackEndCalls::class.java)
+
+        /** More than the body of a usual error response; a longer one is worth less than its connection. */
+        const val MAX_DISCARDED_BYTES = 65_536
+
+        /** Short, because the request waits meanwhile; the body of a usual error response arrives with its head. */
+        val DISCARD_TIMEOUT: Duration = 50.milliseconds
+
         const val FIRST_SERVER_ERROR = 500
 
         /** Large enough for most chunks of a stream. */
--- a/standins/src/test/kotlin/gypsumcart/standins/UnattributedRefusalTest.kt
+++ b/standins/src/test/kotlin/gypsumcart/standins/UnattributedRefusalTest.kt
@@ -138,6 +138,19 @@
         expectThat(statuses().values.distinct()).isEqualTo(listOf("200"))
     }
 
+    // Guards against a true refusal that is lost because its body is cut or does not come.
+    @ParameterizedTest
+    @CsvSource("non_idempotent, false", "streaming, false", "non_idempotent, true", "streaming, true")
+    fun `a refusal that names its request counts whatever becomes of its body`(routeType: String, stalls: Boolean) {
+        val full = { request: ScriptedRequest, output: OutputStream ->
+            val head = "HTTP/1.1 503 Full\r\nX-Attempt-Id: ${request.id}\r\nX-Not-Executed: 1\r\n"
+            output.send("${head}Content-Length: 5\r\n\r\nfu")
+            stalls
+        }
+        startWith(routeType, listOf(full, sound(routeType)))
+        expectThat(statuses().values.distinct()).isEqualTo(listOf("200"))
+    }
+
     private companion object {
         val PROMISES = setOf("503", "429", "408", "421")
     }
