End requests in progress with an answer before the process ends

Real node, 48 clients, work of 6.5 s with a budget of 7.5 s, grace 8 s: 8 plain requests had no answer.

Cause: 0.7 s before the end of the grace period the process ended, whatever was in progress; nothing told the calls.

Change: a decider, Shutdown, says when a node drains, refuses, ends what is in progress and finishes its connections; a duty of its own runs it. Calls in flight are ended as CallFailure.Aborted, which may have run: a plain request gets 502, a stream breaks off visibly, nothing is retried. Requests that wait or are assigned after that get 503 and are not sent. Then the servers finish their connections, so that connecting is refused before the process ends. SIGTERM is handled from before the addresses are bound, and a second one has no effect.

--- a/cli/src/main/kotlin/gypsumcart/cli/NodeCommand.kt
+++ b/cli/src/main/kotlin/gypsumcart/cli/NodeCommand.kt
@@ -25,20 +25,21 @@
     override fun help(context: Context): String = "Runs a node. Shuts down on SIGTERM and exits with 0."
 
     override fun run() {
-        val node = startNode(readSettingsOrExit(settings))
+        val node = createNode(readSettingsOrExit(settings))
         Signal.handle(Signal("TERM")) { node.stop() }
         Signal.handle(Signal("HUP")) { logSettingsCheck(settings) }
+        node.start()
         node.awaitStopped()
         exitProcess(0)
     }
 
-    private fun startNode(settings: NodeSettings): Node {
+    private fun createNode(settings: NodeSettings): Node {
         val runtime = EdgeRuntime()
         val client = HttpClient(runtime.loop, CONNECT_TIMEOUT)
         val store = checkNotNull(addressOrNull(settings.store)) { "invalid store address ${settings.store}" }
         val timing = StoreTiming.within(settings.bounds)
         val platform = HttpPlatform(settings.node, store, addressOrNull(settings.cloud), client, timing)
-        return Node(settings, platform, runtime, client).also { it.start() }
+        return Node(settings, platform, runtime, client)
     }
 
     /** Logs whether the settings file is valid; a node applies changed settings only when it restarts. */
--- a/core/src/main/kotlin/gypsumcart/core/Outcomes.kt
+++ b/core/src/main/kotlin/gypsumcart/core/Outcomes.kt
@@ -1,11 +1,17 @@
 package gypsumcart.core
 
 import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
 
 /** Describes why a request ended without a back end's response. */
 public sealed class Outcome {
     /** The request did not run and never will; the client may retry it after [retryAfter]. */
-    public data class NotRun(public val reason: RefusalReason, public val retryAfter: Duration?) : Outcome()
+    public data class NotRun(public val reason: RefusalReason, public val retryAfter: Duration?) : Outcome() {
+        public companion object {
+            /** A stopping node refuses the request; the client may retry soon, as other nodes can accept it at once. */
+            public val STOPPING: NotRun = NotRun(RefusalReason.Stopping, 50.milliseconds)
+        }
+    }
 
     /** The request ran or may have run, but its response is not available. */
     public data class Failed(public val failure: CallFailure) : Outcome()
@@ -37,7 +43,7 @@
     /** The limits that the back ends of the service have stated are used up. */
     public data object BackEndsLimited : RefusalReason()
 
-    /** The node is shutting down and forwards no more requests. */
+    /** The node is shutting down and does not forward the request, which might not end in time. */
     public data object Stopping : RefusalReason()
 
     /** No back end of the service could accept the request in time. */
@@ -89,6 +95,11 @@
         override val mayHaveRun: Boolean get() = true
     }
 
+    /** This node ended the call, because its process stops before the response is complete. */
+    public data object Aborted : CallFailure() {
+        override val mayHaveRun: Boolean get() = true
+    }
+
     /** The back end responded with [status] to a call that was to resume a stream of which the client has a part. */
     public data class NotResumed(public val status: Int) : CallFailure() {
         override val mayHaveRun: Boolean get() = true
--- a/core/src/main/kotlin/gypsumcart/core/dispatch/Dispatch.kt
+++ b/core/src/main/kotlin/gypsumcart/core/dispatch/Dispatch.kt
@@ -34,6 +34,9 @@
 
     /** Routing ended the request without a further call. */
     public data class Concluded(public val ticket: Ticket) : DispatchEvent()
+
+    /** The process is about to end: calls in flight are ended and no others made. */
+    public data object Aborted : DispatchEvent()
 }
 
 /** Describes the result of one call to a back end. */
@@ -74,6 +77,9 @@
     /** Ends a request without a further call and passes [outcome] to the client. */
     public data class Conclude(public val admitted: AdmittedRequest, public val outcome: Outcome) : DispatchEffect()
 
+    /** Ends the call in flight for the request with [ticket]; its end is reported like that of any other call. */
+    public data class Abort(public val ticket: Ticket) : DispatchEffect()
+
     /** Releases the load that routing counts for a call, and reports what the call showed of the back end's health. */
     public data class Release(
         public val ticket: Ticket,
@@ -113,6 +119,9 @@
 
     private val requests = HashMap<Ticket, RequestState>()
 
+    /** Whether the process is about to end. */
+    private var aborted = false
+
     override fun decide(event: DispatchEvent, now: MonotonicTime): List<DispatchEffect> =
         when (event) {
             is DispatchEvent.Assigned -> startCall(event)
@@ -123,10 +132,26 @@
                 requests -= event.ticket
                 emptyList()
             }
+
+            DispatchEvent.Aborted -> abortCalls()
         }
 
+    private fun abortCalls(): List<DispatchEffect> {
+        aborted = true
+        return requests.values.filter { it.backEnd != null }.map { DispatchEffect.Abort(it.admitted.ticket) }
+    }
+
     private fun startCall(event: DispatchEvent.Assigned): List<DispatchEffect> {
         val request = requests.getOrPut(event.admitted.ticket) { RequestState(event.admitted) }
+        if (aborted) {
+            requests -= request.admitted.ticket
+            val outcome =
+                if (request.possibleRuns > 0) Outcome.Failed(CallFailure.Aborted) else Outcome.NotRun.STOPPING
+            return listOf(
+                DispatchEffect.Release(event.admitted.ticket, event.backEnd.key, HealthSignal.UNKNOWN),
+                DispatchEffect.Conclude(request.admitted, outcome),
+            )
+        }
         request.attempt = event.attempt
         request.backEnd = event.backEnd
         request.calledInstances += event.backEnd.key
@@ -156,7 +181,7 @@
         val outcome = outcomeOf(request, result)
         if (result.failure.mayHaveRun) request.possibleRuns++
         if (result.failure == CallFailure.Truncated && result.progress == DeliveryProgress.None) request.unstartedCuts++
-        if (!mayRetry(request, result) || now >= request.admitted.deadline) {
+        if (aborted || !mayRetry(request, result) || now >= request.admitted.deadline) {
             requests -= request.admitted.ticket
             return DispatchEffect.Conclude(request.admitted, outcome)
         }
@@ -197,7 +222,7 @@
 
     private fun healthSignalOf(failure: CallFailure): HealthSignal =
         when (failure) {
-            is CallFailure.ServerError, is CallFailure.NotResumed -> HealthSignal.UNKNOWN
+            is CallFailure.ServerError, is CallFailure.NotResumed, CallFailure.Aborted -> HealthSignal.UNKNOWN
             CallFailure.Truncated -> HealthSignal.DISCONNECTED
             CallFailure.ConnectFailed, is CallFailure.Declined, CallFailure.WrongInstance -> HealthSignal.FAILING
             CallFailure.TimedOut, CallFailure.InvalidResponse -> HealthSignal.FAILING
--- a/core/src/main/kotlin/gypsumcart/core/routing/Routing.kt
+++ b/core/src/main/kotlin/gypsumcart/core/routing/Routing.kt
@@ -45,6 +45,10 @@
             is RoutingEvent.LimitStated -> hearLimit(event, now)
             RoutingEvent.Sweep -> assignWaiting(now) + expireWaiting(now)
             RoutingEvent.ReportDue -> report(now)
+            RoutingEvent.Aborted ->
+                waiting.values
+                    .map { RoutingEffect.Conclude(it.admitted, Outcome.NotRun.STOPPING) }
+                    .also { waiting.clear() }
         }
 
     private inline fun noEffects(change: () -> Unit): List<RoutingEffect> {
--- a/core/src/main/kotlin/gypsumcart/core/routing/RoutingEvents.kt
+++ b/core/src/main/kotlin/gypsumcart/core/routing/RoutingEvents.kt
@@ -75,6 +75,9 @@
 
     /** A timer tick, on which this node's load is reported. */
     public data object ReportDue : RoutingEvent()
+
+    /** The process is about to end, so that requests wait for back ends in vain. */
+    public data object Aborted : RoutingEvent()
 }
 
 /** Represents an output of the [Routing] decider. */
--- a/core/src/test/kotlin/gypsumcart/core/dispatch/DispatchTest.kt
+++ b/core/src/test/kotlin/gypsumcart/core/dispatch/DispatchTest.kt
@@ -119,6 +119,24 @@
         expectThat(fail(request, CallFailure.Truncated, attempt = 1)).isEmpty()
     }
 
+    // Guards against calls that are cut without an answer when the process ends (LOST).
+    @Test
+    fun `calls in flight are ended before the process, and their requests conclude as failed without a retry`() {
+        val request = admitted(CallKind.Idempotent)
+        assign(request)
+        val abort = dispatch.decide(DispatchEvent.Aborted, MonotonicTime(0))
+        expectThat(abort).isEqualTo(listOf(DispatchEffect.Abort(request.ticket)))
+        val conclusion = fail(request, CallFailure.Aborted).last()
+        expectThat(conclusion).isEqualTo(DispatchEffect.Conclude(request, Outcome.Failed(CallFailure.Aborted)))
+    }
+
+    @Test
+    fun `a request that is assigned when the process is about to end is refused instead of called`() {
+        dispatch.decide(DispatchEvent.Aborted, MonotonicTime(0))
+        val request = admitted(CallKind.AtMostOnce)
+        expectThat(assign(request).last()).isEqualTo(DispatchEffect.Conclude(request, Outcome.NotRun.STOPPING))
+    }
+
     @Test
     fun `a server error does not affect the health of the back end`() {
         val request = admitted(CallKind.Idempotent)
--- a/core/src/test/kotlin/gypsumcart/core/routing/RoutingTest.kt
+++ b/core/src/test/kotlin/gypsumcart/core/routing/RoutingTest.kt
@@ -65,6 +65,15 @@
         expectThat(routing.decide(RoutingEvent.Sweep, at(9.seconds))).isEmpty()
     }
 
+    @Test
+    fun `waiting requests are refused with a promise when the process is about to end`() {
+        val request = admitted(CallKind.AtMostOnce)
+        routing.decide(RoutingEvent.RequestAdmitted(request), start)
+        val refused = RoutingEffect.Conclude(request, Outcome.NotRun.STOPPING)
+        expectThat(routing.decide(RoutingEvent.Aborted, start)).containsExactly(refused)
+        expectThat(routing.decide(RoutingEvent.Sweep, at(9.seconds))).isEmpty()
+    }
+
     @Test
     fun `requests beyond the node's share of the batch slots are refused when they have waited too long`() {
         listBackEnds(backEnd("x"), backEnd("y"))
--- a/node/src/main/kotlin/gypsumcart/node/ClientEdge.kt
+++ b/node/src/main/kotlin/gypsumcart/node/ClientEdge.kt
@@ -17,10 +17,16 @@
 import gypsumcart.http.ResponseWriter
 import gypsumcart.pipeline.EventSink
 import gypsumcart.pipeline.MonotonicClock
+import kotlinx.coroutines.Job
 import kotlinx.coroutines.channels.Channel
+import kotlinx.coroutines.coroutineScope
+import kotlinx.coroutines.currentCoroutineContext
+import kotlinx.coroutines.ensureActive
+import kotlinx.coroutines.job
 import org.slf4j.LoggerFactory
 import java.util.concurrent.ConcurrentHashMap
 import java.util.concurrent.atomic.AtomicLong
+import kotlin.coroutines.cancellation.CancellationException
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 
@@ -64,6 +70,34 @@
                 onUndeliveredElement = { reportUndelivered(submission.ticket, it) },
             )
         val response = ForwardedResponse(writer)
+
+        @Volatile
+        private var aborted = false
+
+        @Volatile
+        private var runningCall: Job? = null
+
+        /** Ends the call in progress, and any that starts later. */
+        fun abort() {
+            aborted = true
+            runningCall?.cancel()
+        }
+
+        /** Returns the result of [call], or the failure if [abort] ends it first. */
+        suspend fun runUnlessAborted(call: suspend () -> CallResult): CallResult {
+            var result: CallResult? = null
+            try {
+                coroutineScope {
+                    runningCall = coroutineContext.job
+                    result =
+                        if (aborted) CallResult.Failed(CallFailure.ConnectFailed, response.progress) else call()
+                }
+            } catch (e: CancellationException) {
+                currentCoroutineContext().ensureActive()
+                if (!aborted) throw e
+            }
+            return result ?: CallResult.Failed(CallFailure.Aborted, response.progress)
+        }
     }
 
     private val tickets = AtomicLong()
@@ -80,6 +114,11 @@
         closed = true
     }
 
+    /** Ends the call of the request with [ticket], so that it fails. */
+    fun abort(ticket: Ticket) {
+        pendingRequests[ticket]?.abort()
+    }
+
     override suspend fun handle(request: HttpRequest, response: ResponseWriter) {
         val ticket = Ticket(tickets.incrementAndGet())
         val submission = codec.decode(request, ticket, clock.now())
@@ -147,7 +186,7 @@
     private suspend fun call(pending: PendingRequest, call: DispatchEffect.Call): Boolean {
         var result: CallResult = CallResult.ClientGone
         try {
-            result = calls.call(pending.request, call, pending.response)
+            result = pending.runUnlessAborted { calls.call(pending.request, call, pending.response) }
         } finally {
             reportCallEnded(pending.submission.ticket, call.attempt, result)
             recordCall(pending.submission, call, result)
--- a/node/src/main/kotlin/gypsumcart/node/LogValues.kt
+++ b/node/src/main/kotlin/gypsumcart/node/LogValues.kt
@@ -31,6 +31,7 @@
         CallFailure.Truncated -> "cut"
         CallFailure.TimedOut -> "timed_out"
         CallFailure.InvalidResponse -> "unreadable"
+        CallFailure.Aborted -> "aborted"
         is CallFailure.NotResumed -> "not_resumed_$status"
         is CallFailure.ServerError -> "server_error_$status"
     }
--- a/node/src/main/kotlin/gypsumcart/node/Node.kt
+++ b/node/src/main/kotlin/gypsumcart/node/Node.kt
@@ -17,6 +17,8 @@
 import gypsumcart.core.replicas.AutoscalerEvent
 import gypsumcart.core.routing.RoutingEvent
 import gypsumcart.core.routing.key
+import gypsumcart.core.shutdown.ShutdownEvent
+import gypsumcart.core.shutdown.ShutdownLimits
 import gypsumcart.core.usage.UsageEvent
 import gypsumcart.http.HttpClient
 import gypsumcart.http.HttpServer
@@ -31,7 +33,7 @@
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.runBlocking
 import org.slf4j.LoggerFactory
-import java.util.concurrent.CountDownLatch
+import java.util.concurrent.atomic.AtomicBoolean
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
@@ -111,7 +113,18 @@
         settings.metrics.takeIf { it.isNotEmpty() }?.let { createServer("metrics", it, metrics.handler) }
     private val peerServer =
         settings.peers.takeIf { it.isNotEmpty() }?.let { createServer("peers", it, peerLink, ::peerLimits) }
-    private val stopped = CountDownLatch(1)
+    private val shutdown =
+        ShutdownDuty(
+            rings,
+            edge,
+            listOf(clientServer, directoryServer),
+            platform.codec,
+            runtime.scope,
+            timers,
+            clock,
+            ShutdownLimits(settings.bounds.grace, ADDRESS_TTL + IN_FLIGHT_MARGIN),
+        )
+    private val stopRequested = AtomicBoolean()
 
     /** Binds the addresses of all servers, then starts the duties and timers. */
     public fun start() {
@@ -131,7 +144,7 @@
         metrics.registerGauges(state) { edge.inProgress }
         rings.all.forEach(metrics::registerGauges)
         timers.start()
-        duties.forEach(Duty::start)
+        (duties + shutdown.duty).forEach(Duty::start)
         followTables()
         startTimers()
     }
@@ -140,37 +153,22 @@
      * Starts a graceful shutdown.
      *
      * The node no longer offers its address to clients, but serves the requests of clients that still have it until the
-     * address has expired. It then refuses new requests and stops when none is in progress, at the latest shortly
-     * before the end of the grace period. Further calls have no effect.
+     * address has expired, except for those that might not end within the grace period. It then refuses new requests
+     * and stops when none is in progress, at the latest shortly before the end of the grace period. Further calls have
+     * no effect.
      */
     public fun stop() {
-        if (state.stopping) return
+        if (!stopRequested.compareAndSet(false, true)) return
         state.stopping = true
-        log.info("event=node_stopping in_progress={}", edge.inProgress)
-        rings.membership.put(MembershipEvent.AcceptingChanged(false))
-        rings.lease.put(LeaseEvent.Stopping(wallTime()))
-        clientServer.drain()
-        val limit = settings.bounds.grace - EXIT_MARGIN
-        timers.after((ADDRESS_TTL + IN_FLIGHT_MARGIN).coerceAtMost(limit)) { refuseRequests() }
-        timers.after(limit) { stopped.countDown() }
+        rings.shutdown.put(ShutdownEvent.Requested)
     }
 
     /** Waits until the node has stopped. */
     public fun awaitStopped() {
-        stopped.await()
+        shutdown.awaitFinished()
         log.info("event=node_stopped in_progress={}", edge.inProgress)
     }
 
-    /** Refuses new requests, so that none is forwarded by a process that ends before the response arrives. */
-    private fun refuseRequests() {
-        edge.close()
-        timers.after(IDLE_CHECK_PERIOD) { stopWhenIdle() }
-    }
-
-    private fun stopWhenIdle() {
-        if (edge.inProgress == 0) stopped.countDown() else timers.after(IDLE_CHECK_PERIOD) { stopWhenIdle() }
-    }
-
     private fun followTables() {
         runtime.scope.launch { platform.followConfigurations(rings.configuration::put) }
         runtime.scope.launch { platform.followBackEnds(rings.backEnds::put) }
@@ -288,11 +286,6 @@
         /** Allows for requests that clients sent just before the address expired. */
         val IN_FLIGHT_MARGIN: Duration = 500.milliseconds
 
-        /** The part of the grace period that is left for the process itself to exit. */
-        val EXIT_MARGIN: Duration = 700.milliseconds
-
-        val IDLE_CHECK_PERIOD: Duration = 100.milliseconds
-
         val PEER_LIMITS = MessageLimits(16_384, MAX_PEER_MESSAGE_BYTES, 1.seconds, 15.seconds)
 
         /** In force until the first configuration is adopted; limits that are common for HTTP servers. */
--- a/node/src/main/kotlin/gypsumcart/node/RequestDuties.kt
+++ b/node/src/main/kotlin/gypsumcart/node/RequestDuties.kt
@@ -162,6 +162,8 @@
             is DispatchEffect.Conclude ->
                 edge.deliver(effect.admitted.ticket, EdgeCommand.Conclude(effect.outcome))
 
+            is DispatchEffect.Abort -> edge.abort(effect.ticket)
+
             is DispatchEffect.Release ->
                 rings.routing.reply(RoutingEvent.CallReleased(effect.ticket, effect.instance, effect.health))
 
--- a/node/src/main/kotlin/gypsumcart/node/Rings.kt
+++ b/node/src/main/kotlin/gypsumcart/node/Rings.kt
@@ -8,6 +8,7 @@
 import gypsumcart.core.membership.MembershipEvent
 import gypsumcart.core.replicas.AutoscalerEvent
 import gypsumcart.core.routing.RoutingEvent
+import gypsumcart.core.shutdown.ShutdownEvent
 import gypsumcart.core.usage.UsageEvent
 import gypsumcart.pipeline.Ring
 
@@ -28,10 +29,12 @@
     val lease = Ring<LeaseEvent>("lease", LOW_RATE_CAPACITY)
     val usage = Ring<UsageEvent>("usage", REQUEST_CAPACITY)
     val orders = Ring<AutoscalerEvent>("orders", LOW_RATE_CAPACITY)
+    val shutdown = Ring<ShutdownEvent>("shutdown", LOW_RATE_CAPACITY)
 
     /** All rings, for the metric of the number of events in each. */
     val all: List<Ring<*>>
-        get() = listOf(admission, routing, dispatch, configuration, backEnds, membership, lease, usage, orders)
+        get() =
+            listOf(admission, routing, dispatch, configuration, backEnds, membership, lease, usage, orders, shutdown)
 
     private companion object {
         /** Four events for each request that may be in progress. */
--- /dev/null
+++ b/node/src/main/kotlin/gypsumcart/node/ShutdownDuty.kt
@@ -0,0 +1,91 @@
+package gypsumcart.node
+
+import gypsumcart.core.MonotonicTime
+import gypsumcart.core.Outcome
+import gypsumcart.core.dispatch.DispatchEvent
+import gypsumcart.core.leases.LeaseEvent
+import gypsumcart.core.membership.MembershipEvent
+import gypsumcart.core.routing.RoutingEvent
+import gypsumcart.core.shutdown.Shutdown
+import gypsumcart.core.shutdown.ShutdownEffect
+import gypsumcart.core.shutdown.ShutdownEvent
+import gypsumcart.core.shutdown.ShutdownLimits
+import gypsumcart.http.HttpServer
+import gypsumcart.pipeline.Duty
+import gypsumcart.pipeline.MonotonicClock
+import gypsumcart.pipeline.Timers
+import gypsumcart.pipeline.deciderDuty
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.joinAll
+import kotlinx.coroutines.launch
+import org.slf4j.LoggerFactory
+import java.util.concurrent.CountDownLatch
+import kotlin.time.Duration
+
+/**
+ * Runs the decider of a node's shutdown.
+ *
+ * @param servers the servers whose connections are ended before the process
+ */
+internal class ShutdownDuty(
+    private val rings: Rings,
+    private val edge: ClientEdge,
+    private val servers: List<HttpServer>,
+    private val codec: CallCodec,
+    private val scope: CoroutineScope,
+    private val timers: Timers,
+    private val clock: MonotonicClock,
+    limits: ShutdownLimits,
+) {
+    private val finished = CountDownLatch(1)
+
+    val duty: Duty = deciderDuty(rings.shutdown, Shutdown(limits), clock, ::execute)
+
+    /** Waits until the process may end. */
+    fun awaitFinished(): Unit = finished.await()
+
+    private fun execute(effect: ShutdownEffect) {
+        when (effect) {
+            is ShutdownEffect.Drain -> drain()
+
+            ShutdownEffect.RefuseRequests -> {
+                log.info("event=node_refusing in_progress={}", edge.inProgress)
+                edge.close()
+            }
+
+            ShutdownEffect.AbortRequests -> {
+                log.info("event=node_aborting in_progress={}", edge.inProgress)
+                rings.routing.put(RoutingEvent.Aborted)
+                rings.dispatch.put(DispatchEvent.Aborted)
+            }
+
+            is ShutdownEffect.Finish -> finish(effect)
+
+            is ShutdownEffect.CheckAt ->
+                timers.after(timeUntil(effect.time)) { rings.shutdown.put(ShutdownEvent.Checked(edge.inProgress)) }
+        }
+    }
+
+    private fun drain() {
+        log.info("event=node_stopping in_progress={}", edge.inProgress)
+        servers.forEach(HttpServer::drain)
+        rings.membership.put(MembershipEvent.AcceptingChanged(false))
+        rings.lease.put(LeaseEvent.Stopping(wallTime()))
+    }
+
+    private fun finish(effect: ShutdownEffect.Finish) {
+        log.info("event=node_finishing in_progress={}", edge.inProgress)
+        timers.after(timeUntil(effect.processEndsAt), finished::countDown)
+        val refusal = codec.outcomeHead(Outcome.NotRun.STOPPING, id = null)
+        scope.launch {
+            servers.map { launch { it.finish(effect.patience, refusal) } }.joinAll()
+            finished.countDown()
+        }
+    }
+
+    private fun timeUntil(time: MonotonicTime): Duration = (time - clock.now()).coerceAtLeast(Duration.ZERO)
+
+    private companion object {
+        private val log = LoggerFactory.getLogger(ShutdownDuty::class.java)
+    }
+}
--- a/standins/src/main/kotlin/gypsumcart/standins/StandInFleet.kt
+++ b/standins/src/main/kotlin/gypsumcart/standins/StandInFleet.kt
@@ -57,8 +57,8 @@
         )
     }
 
-    /** Starts a node that listens on free ports, and returns it with its settings. */
-    public fun startNode(name: String): RunningNode {
+    /** Starts a node that listens on free ports and stops within [graceSeconds], and returns it with its settings. */
+    public fun startNode(name: String, graceSeconds: Double = BOUNDS.graceSeconds): RunningNode {
         val settings =
             NodeSettings(
                 node = name,
@@ -69,7 +69,7 @@
                 metrics = freeAddress(),
                 peers = freeAddress(),
                 store = storeAddress.toString(),
-                bounds = BOUNDS,
+                bounds = BOUNDS.copy(graceSeconds = graceSeconds),
             )
         val nodeRuntime = EdgeRuntime()
         val client = HttpClient(nodeRuntime.loop, 1.seconds)
