Refuse what can't end before a stopping process

Cause: for 2.5 s after SIGTERM a node admitted everything, whatever its deadline; only the time since the signal counted.

Change: admission knows when calls end (AdmissionEvent.Draining). A request is accepted if its deadline, the client's or the route's, whichever is sooner, passes 0.1 s before that. One that may last longer is accepted only if requests of its route that ended within the last 30 to 60 s, and those in progress, took much less: 20 of them and half of the time that is left, if the client may repeat it; 100 and a quarter, if it may run only once. What is not accepted is refused before quotas are charged: 503, Retry-After 0.05. Dispatch keeps the durations, since it sees the end of each request.

A refusal costs a caller one attempt at another node, a cut may cost it the request. The evidence spares callers the refusal where answers are quick and time budgets long.

--- a/core/src/main/kotlin/gypsumcart/core/Configuration.kt
+++ b/core/src/main/kotlin/gypsumcart/core/Configuration.kt
@@ -44,7 +44,13 @@
     public val services: List<WeightedService>,
     public val maxAttempts: Int,
     public val isPublic: Boolean,
-)
+) {
+    /** Identifies the route among all of a configuration. */
+    public val key: RouteKey get() = RouteKey(host, prefix)
+}
+
+/** Identifies a route, which keeps its key when the operator changes it. */
+public data class RouteKey(public val host: String, public val prefix: String)
 
 /** Assigns a service its share of a route's requests, relative to the weights of the other services. */
 public data class WeightedService(public val service: ServiceName, public val weight: Int)
--- a/core/src/main/kotlin/gypsumcart/core/Requests.kt
+++ b/core/src/main/kotlin/gypsumcart/core/Requests.kt
@@ -37,6 +37,12 @@
 /** Describes one part of a prompt; [tokens] is its length. */
 public data class PromptPart(public val id: PromptPartId, public val tokens: Int)
 
+/** Describes how long [count] requests took from their arrival to their end; the [longest] may have been cut short. */
+public data class RequestDurations(public val count: Int, public val longest: Duration) {
+    public operator fun plus(other: RequestDurations): RequestDurations =
+        RequestDurations(count + other.count, maxOf(longest, other.longest))
+}
+
 /**
  * Describes a request that passed admission.
  *
--- a/core/src/main/kotlin/gypsumcart/core/admission/Admission.kt
+++ b/core/src/main/kotlin/gypsumcart/core/admission/Admission.kt
@@ -6,7 +6,9 @@
 import gypsumcart.core.MonotonicTime
 import gypsumcart.core.Outcome
 import gypsumcart.core.RefusalReason
+import gypsumcart.core.RequestDurations
 import gypsumcart.core.Route
+import gypsumcart.core.RouteKey
 import gypsumcart.core.ServiceName
 import gypsumcart.core.Submission
 import gypsumcart.core.Team
@@ -29,6 +31,12 @@
     /** A report with [use], the use of quotas through this node, was written where the other nodes can read it. */
     public data class UsePublished(public val use: Map<TeamName, QuotaUse>) : AdmissionEvent()
 
+    /** The node shuts down; its calls end at [callsEndAt] at the latest. */
+    public data class Draining(public val callsEndAt: MonotonicTime) : AdmissionEvent()
+
+    /** Recent requests through this node took the times in [durations], by route. */
+    public data class DurationsMeasured(public val durations: Map<RouteKey, RequestDurations>) : AdmissionEvent()
+
     /** A timer tick, on which the use of quotas through this node is reported. */
     public data object ReportDue : AdmissionEvent()
 }
@@ -58,6 +66,9 @@
     private val quotas = Quotas(quotaBounds)
     private var configuration: Configuration? = null
 
+    /** Is null unless the node shuts down. */
+    private var drainGate: DrainGate? = null
+
     override fun decide(event: AdmissionEvent, now: MonotonicTime): List<AdmissionEffect> =
         when (event) {
             is AdmissionEvent.Configured -> configure(event.configuration, now)
@@ -74,6 +85,16 @@
                 emptyList()
             }
 
+            is AdmissionEvent.Draining -> {
+                drainGate = DrainGate(event.callsEndAt)
+                emptyList()
+            }
+
+            is AdmissionEvent.DurationsMeasured -> {
+                drainGate?.durations = event.durations
+                emptyList()
+            }
+
             AdmissionEvent.ReportDue -> listOf(AdmissionEffect.Report(quotas.use(now)))
         }
 
@@ -84,8 +105,7 @@
     }
 
     private fun submit(submission: Submission, now: MonotonicTime): AdmissionEffect {
-        val configuration =
-            this.configuration ?: return refuse(submission, RefusalReason.NoConfiguration, CONFIGURATION_RETRY_AFTER)
+        val configuration = this.configuration ?: return refuseUnconfigured(submission)
         val route =
             configuration.routeOrNull(submission.host, submission.path)
                 ?: return refuse(submission, RefusalReason.NoRoute)
@@ -94,9 +114,19 @@
             return refuse(submission, RefusalReason.UnknownKey)
         }
         if (submission.requestId == null) return refuse(submission, RefusalReason.NoRequestId)
+        if (drainGate?.accepts(route, deadlineOf(submission, route), now) == false) {
+            return AdmissionEffect.Refuse(submission, team?.name, Outcome.NotRun.STOPPING)
+        }
         return chargeQuota(submission, route, team, now)
     }
 
+    private fun refuseUnconfigured(submission: Submission): AdmissionEffect =
+        if (drainGate == null) {
+            refuse(submission, RefusalReason.NoConfiguration, CONFIGURATION_RETRY_AFTER)
+        } else {
+            AdmissionEffect.Refuse(submission, null, Outcome.NotRun.STOPPING)
+        }
+
     private fun chargeQuota(submission: Submission, route: Route, team: Team?, now: MonotonicTime): AdmissionEffect {
         val quota = team?.quota
         if (quota != null) {
@@ -106,17 +136,18 @@
         return AdmissionEffect.Route(admit(submission, route, team))
     }
 
-    private fun admit(submission: Submission, route: Route, team: Team?): AdmittedRequest {
-        val remainingTime = submission.remainingTime ?: route.timeout
-        return AdmittedRequest(
+    private fun admit(submission: Submission, route: Route, team: Team?): AdmittedRequest =
+        AdmittedRequest(
             submission = submission,
             route = route,
             service = serviceOf(submission, route),
             team = team?.name,
             priority = team?.priority ?: route.priority,
-            deadline = submission.arrivedAt + minOf(remainingTime, route.timeout),
+            deadline = deadlineOf(submission, route),
         )
-    }
+
+    private fun deadlineOf(submission: Submission, route: Route): MonotonicTime =
+        submission.arrivedAt + minOf(submission.remainingTime ?: route.timeout, route.timeout)
 
     /**
      * Returns the service for the request, chosen by a hash of its id.
--- a/core/src/main/kotlin/gypsumcart/core/dispatch/Dispatch.kt
+++ b/core/src/main/kotlin/gypsumcart/core/dispatch/Dispatch.kt
@@ -9,6 +9,8 @@
 import gypsumcart.core.MonotonicTime
 import gypsumcart.core.Outcome
 import gypsumcart.core.RefusalReason
+import gypsumcart.core.RequestDurations
+import gypsumcart.core.RouteKey
 import gypsumcart.core.Ticket
 import gypsumcart.core.routing.HealthSignal
 import gypsumcart.core.routing.InstanceKey
@@ -35,6 +37,9 @@
     /** Routing ended the request without a further call. */
     public data class Concluded(public val ticket: Ticket) : DispatchEvent()
 
+    /** The node shuts down, so that admission needs to know how long requests take. */
+    public data object Draining : DispatchEvent()
+
     /** The process is about to end: calls in flight are ended and no others made. */
     public data object Aborted : DispatchEvent()
 }
@@ -80,6 +85,9 @@
     /** Ends the call in flight for the request with [ticket]; its end is reported like that of any other call. */
     public data class Abort(public val ticket: Ticket) : DispatchEffect()
 
+    /** Reports the [durations] of recent requests by route, those in progress included. */
+    public data class ReportDurations(public val durations: Map<RouteKey, RequestDurations>) : DispatchEffect()
+
     /** Releases the load that routing counts for a call, and reports what the call showed of the back end's health. */
     public data class Release(
         public val ticket: Ticket,
@@ -118,33 +126,45 @@
     }
 
     private val requests = HashMap<Ticket, RequestState>()
+    private val durations = DurationWindow()
 
     /** Whether the process is about to end. */
     private var aborted = false
 
     override fun decide(event: DispatchEvent, now: MonotonicTime): List<DispatchEffect> =
         when (event) {
-            is DispatchEvent.Assigned -> startCall(event)
+            is DispatchEvent.Assigned -> startCall(event, now)
 
             is DispatchEvent.CallEnded -> endCall(event, now)
 
             is DispatchEvent.Concluded -> {
-                requests -= event.ticket
+                requests[event.ticket]?.let { end(it, now) }
                 emptyList()
             }
 
+            DispatchEvent.Draining -> listOf(reportDurations(now))
+
             DispatchEvent.Aborted -> abortCalls()
         }
 
+    private fun reportDurations(now: MonotonicTime): DispatchEffect {
+        val measured = HashMap(durations.durations(now))
+        for (request in requests.values) {
+            val elapsed = RequestDurations(0, now - request.admitted.submission.arrivedAt)
+            measured.merge(request.admitted.route.key, elapsed, RequestDurations::plus)
+        }
+        return DispatchEffect.ReportDurations(measured)
+    }
+
     private fun abortCalls(): List<DispatchEffect> {
         aborted = true
         return requests.values.filter { it.backEnd != null }.map { DispatchEffect.Abort(it.admitted.ticket) }
     }
 
-    private fun startCall(event: DispatchEvent.Assigned): List<DispatchEffect> {
+    private fun startCall(event: DispatchEvent.Assigned, now: MonotonicTime): List<DispatchEffect> {
         val request = requests.getOrPut(event.admitted.ticket) { RequestState(event.admitted) }
         if (aborted) {
-            requests -= request.admitted.ticket
+            end(request, now)
             val outcome =
                 if (request.possibleRuns > 0) Outcome.Failed(CallFailure.Aborted) else Outcome.NotRun.STOPPING
             return listOf(
@@ -170,19 +190,24 @@
     private fun afterCall(request: RequestState, result: CallResult, now: MonotonicTime): List<DispatchEffect> =
         when (result) {
             is CallResult.Answered, CallResult.ClientGone -> {
-                requests -= request.admitted.ticket
+                end(request, now)
                 emptyList()
             }
 
             is CallResult.Failed -> listOf(retryOrConclude(request, result, now))
         }
 
+    private fun end(request: RequestState, now: MonotonicTime) {
+        requests -= request.admitted.ticket
+        durations.add(request.admitted.route.key, now - request.admitted.submission.arrivedAt, now)
+    }
+
     private fun retryOrConclude(request: RequestState, result: CallResult.Failed, now: MonotonicTime): DispatchEffect {
         val outcome = outcomeOf(request, result)
         if (result.failure.mayHaveRun) request.possibleRuns++
         if (result.failure == CallFailure.Truncated && result.progress == DeliveryProgress.None) request.unstartedCuts++
         if (aborted || !mayRetry(request, result) || now >= request.admitted.deadline) {
-            requests -= request.admitted.ticket
+            end(request, now)
             return DispatchEffect.Conclude(request.admitted, outcome)
         }
         (result.progress as? DeliveryProgress.Started)?.let { request.lastEventId = it.lastEventId }
--- a/core/src/test/kotlin/gypsumcart/core/dispatch/DispatchTest.kt
+++ b/core/src/test/kotlin/gypsumcart/core/dispatch/DispatchTest.kt
@@ -6,6 +6,7 @@
 import gypsumcart.core.CallKind
 import gypsumcart.core.MonotonicTime
 import gypsumcart.core.Outcome
+import gypsumcart.core.RequestDurations
 import gypsumcart.core.admitted
 import gypsumcart.core.at
 import gypsumcart.core.backEnd
@@ -137,6 +138,20 @@
         expectThat(assign(request).last()).isEqualTo(DispatchEffect.Conclude(request, Outcome.NotRun.STOPPING))
     }
 
+    @Test
+    fun `a draining node reports how long the requests of the last minute took, and those in progress`() {
+        val old = admitted(CallKind.Idempotent, number = 1)
+        assign(old)
+        fail(old, CallFailure.TimedOut, now = at(9.seconds))
+        val ended = admitted(CallKind.Idempotent, number = 2)
+        assign(ended)
+        fail(ended, CallFailure.TimedOut, now = at(80.seconds))
+        assign(admitted(CallKind.Idempotent, number = 3))
+        val report = dispatch.decide(DispatchEvent.Draining, at(82.seconds)).single()
+        val durations = RequestDurations(count = 1, longest = 82.seconds)
+        expectThat(report).isEqualTo(DispatchEffect.ReportDurations(mapOf(ended.route.key to durations)))
+    }
+
     @Test
     fun `a server error does not affect the health of the back end`() {
         val request = admitted(CallKind.Idempotent)
--- a/core/src/test/kotlin/gypsumcart/core/routing/ServingFleet.kt
+++ b/core/src/test/kotlin/gypsumcart/core/routing/ServingFleet.kt
@@ -149,7 +149,7 @@
                         is DispatchEffect.Release -> route(RoutingEvent.CallReleased(it.ticket, it.instance, it.health))
                         is DispatchEffect.Retry ->
                             route(RoutingEvent.RetryRequested(it.admitted, it.attempt, it.excluded, it.fallbackOutcome))
-                        is DispatchEffect.Abort ->
+                        is DispatchEffect.Abort, is DispatchEffect.ReportDurations ->
                             error(
                                 "no node of the fleet stops",
                             )
--- a/node/src/main/kotlin/gypsumcart/node/RequestDuties.kt
+++ b/node/src/main/kotlin/gypsumcart/node/RequestDuties.kt
@@ -164,6 +164,10 @@
 
             is DispatchEffect.Abort -> edge.abort(effect.ticket)
 
+            // If the ring of admission is full, requests are accepted as if nothing were known of earlier ones.
+            is DispatchEffect.ReportDurations ->
+                rings.admission.offer(AdmissionEvent.DurationsMeasured(effect.durations))
+
             is DispatchEffect.Release ->
                 rings.routing.reply(RoutingEvent.CallReleased(effect.ticket, effect.instance, effect.health))
 
--- a/node/src/main/kotlin/gypsumcart/node/ShutdownDuty.kt
+++ b/node/src/main/kotlin/gypsumcart/node/ShutdownDuty.kt
@@ -2,6 +2,7 @@
 
 import gypsumcart.core.MonotonicTime
 import gypsumcart.core.Outcome
+import gypsumcart.core.admission.AdmissionEvent
 import gypsumcart.core.dispatch.DispatchEvent
 import gypsumcart.core.leases.LeaseEvent
 import gypsumcart.core.membership.MembershipEvent
@@ -46,7 +47,7 @@
 
     private fun execute(effect: ShutdownEffect) {
         when (effect) {
-            is ShutdownEffect.Drain -> drain()
+            is ShutdownEffect.Drain -> drain(effect.callsEndAt)
 
             ShutdownEffect.RefuseRequests -> {
                 log.info("event=node_refusing in_progress={}", edge.inProgress)
@@ -66,9 +67,11 @@
         }
     }
 
-    private fun drain() {
+    private fun drain(callsEndAt: MonotonicTime) {
         log.info("event=node_stopping in_progress={}", edge.inProgress)
         servers.forEach(HttpServer::drain)
+        rings.admission.put(AdmissionEvent.Draining(callsEndAt))
+        rings.dispatch.put(DispatchEvent.Draining)
         rings.membership.put(MembershipEvent.AcceptingChanged(false))
         rings.lease.put(LeaseEvent.Stopping(wallTime()))
     }
--- a/standins/src/test/kotlin/gypsumcart/standins/PlannedStopTest.kt
+++ b/standins/src/test/kotlin/gypsumcart/standins/PlannedStopTest.kt
@@ -2,7 +2,9 @@
 
 import org.junit.jupiter.api.Test
 import strikt.api.expectThat
+import strikt.assertions.contains
 import strikt.assertions.isA
+import strikt.assertions.isEmpty
 import strikt.assertions.isEqualTo
 import strikt.assertions.isLessThan
 import strikt.assertions.startsWith
@@ -46,6 +48,21 @@
             )
         }
 
+    // Guards against a request that may run only once and is cut at the end of the grace period (LOST).
+    @Test
+    fun `a request that may outlast the grace period is refused at once and not forwarded`() {
+        backEnd.injectFaults(BackEndFault.Hang)
+        node.node.stop()
+        awaitCondition { get(node.settings.readiness, "/readiness").startsWith("HTTP/1.1 503") }
+        val response = sendLong("/confirms/1").get()
+        expectThat(response.text)
+            .startsWith("HTTP/1.1 503")
+            .contains("Retry-After: 0.")
+            .contains("Connection: close")
+        expectThat(response.after).isLessThan(1.seconds)
+        expectThat(backEnd.executedRequests).isEmpty()
+    }
+
     // Guards against requests in progress that are cut without an answer when the process ends (LOST).
     @Test
     fun `a request that is in progress at the end of the grace period gets a response that promises nothing`() {
