End new requests to a back end that says in a response that it leaves

The cause: nothing decoded the header.

The codec classifies it in any response that is tied to its request and its instance, whatever the status or framing; another value is logged once for each instance and ignored. The list of back ends then shows that incarnation, and earlier ones, as draining for good: an entry that is written again, or lapses and returns, does not undo it, a later `born` does. Calls that routing had assigned before are withheld right before they would be sent, also after connecting (CallFailure.Withheld): this is neither an attempt nor a failure of the back end, draws nothing from the retry budget, and its request is assigned to another back end or waits for one. Calls that run there end there.

Not bound to a statement in an untied response: such a response is never passed on, and each later one repeats it.

--- a/core/src/main/kotlin/gypsumcart/core/Outcomes.kt
+++ b/core/src/main/kotlin/gypsumcart/core/Outcomes.kt
@@ -63,6 +63,11 @@
         override val mayHaveRun: Boolean get() = false
     }
 
+    /** The call was not sent, since its back end had meanwhile stated that it accepts none. */
+    public data object Withheld : CallFailure() {
+        override val mayHaveRun: Boolean get() = false
+    }
+
     /** The back end declined the request with [status] and stated that it did not run. */
     public data class Declined(public val status: Int) : CallFailure() {
         override val mayHaveRun: Boolean get() = false
--- a/core/src/main/kotlin/gypsumcart/core/directory/BackEndDirectory.kt
+++ b/core/src/main/kotlin/gypsumcart/core/directory/BackEndDirectory.kt
@@ -3,7 +3,9 @@
 import gypsumcart.core.BackEnd
 import gypsumcart.core.BackEndId
 import gypsumcart.core.Decider
+import gypsumcart.core.Incarnation
 import gypsumcart.core.MonotonicTime
+import gypsumcart.core.routing.InstanceKey
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.seconds
 
@@ -18,6 +20,9 @@
         public val removed: List<BackEndId>,
     ) : DirectoryEvent()
 
+    /** A response of [instance] stated that it is about to stop. */
+    public data class DepartureStated(public val instance: InstanceKey) : DirectoryEvent()
+
     /** The registry does not respond. */
     public data object RegistryUnavailable : DirectoryEvent()
 
@@ -40,6 +45,9 @@
  * Entries may expire during an outage of the registry and reappear shortly after it. An entry that turns out to have
  * disappeared in an outage is therefore kept until [expiryGracePeriod] after the registry is available again, unless
  * its back end was draining. An entry that disappears at any other time is dropped at once.
+ *
+ * A back end that states in a response that it is about to stop is listed as draining from then on, whatever the
+ * registry says of that incarnation or earlier ones.
  */
 public class BackEndDirectory(private val expiryGracePeriod: Duration) : Decider<DirectoryEvent, DirectoryEffect> {
     private class LastKnown(val backEnd: BackEnd, val updatedAt: MonotonicTime)
@@ -49,6 +57,12 @@
 
     /** The last known state of the latest incarnation of each id, kept for [MAX_HEARTBEAT_DELAY] after its removal. */
     private val lastKnown = HashMap<BackEndId, LastKnown>()
+
+    /** The latest incarnation of each id that stated its departure, which holds for good; the eldest entries yield. */
+    private val departed =
+        object : LinkedHashMap<BackEndId, Incarnation>() {
+            override fun removeEldestEntry(eldest: Map.Entry<BackEndId, Incarnation>): Boolean = size > MAX_DEPARTED
+        }
     private var unavailableSince: MonotonicTime? = null
     private var graceUntil: MonotonicTime? = null
 
@@ -58,6 +72,8 @@
 
             is DirectoryEvent.Changed -> applyChange(event, now)
 
+            is DirectoryEvent.DepartureStated -> recordDeparture(event.instance)
+
             DirectoryEvent.RegistryUnavailable -> {
                 if (unavailableSince == null) unavailableSince = now
                 emptyList()
@@ -93,12 +109,28 @@
         val known = lastKnown[entry.id]?.backEnd
         if (known != null && entry.incarnation < known.incarnation) return
         val wasDraining = known != null && known.incarnation == entry.incarnation && known.draining
-        val backEnd = if (wasDraining) entry.copy(draining = true) else entry
+        val backEnd = if (wasDraining || entry.hasDeparted) entry.copy(draining = true) else entry
         lastKnown[entry.id] = LastKnown(backEnd, now)
         expired -= entry.id
         listed[entry.id] = backEnd
     }
 
+    private val BackEnd.hasDeparted: Boolean get() = departed[id]?.let { incarnation <= it } ?: false
+
+    private fun recordDeparture(instance: InstanceKey): List<DirectoryEffect> {
+        val known = departed[instance.id]
+        if (known != null && instance.incarnation <= known) return emptyList()
+        departed[instance.id] = instance.incarnation
+        var changed = false
+        for (entries in listOf(listed, expired)) {
+            val entry = entries[instance.id] ?: continue
+            if (entry.draining || !entry.hasDeparted) continue
+            entries[instance.id] = entry.copy(draining = true)
+            changed = true
+        }
+        return if (changed) publish() else emptyList()
+    }
+
     private fun startGracePeriod(now: MonotonicTime): List<DirectoryEffect> {
         if (unavailableSince != null) graceUntil = now + expiryGracePeriod
         unavailableSince = null
@@ -126,5 +158,8 @@
 
         /** Ten times the age of the oldest writes that the registry still accepts. */
         val MAX_HEARTBEAT_DELAY: Duration = 60.seconds
+
+        /** More than the back ends of a large fleet. */
+        const val MAX_DEPARTED = 4_096
     }
 }
--- a/core/src/main/kotlin/gypsumcart/core/dispatch/Dispatch.kt
+++ b/core/src/main/kotlin/gypsumcart/core/dispatch/Dispatch.kt
@@ -106,6 +106,18 @@
         public val excluded: Set<InstanceKey>,
         public val fallbackOutcome: Outcome,
     ) : DispatchEffect()
+
+    /**
+     * Requests another back end for an attempt whose call was not sent, one that is not in [excluded].
+     *
+     * @property fallbackOutcome the outcome of the request if there is none
+     */
+    public data class Reassign(
+        public val admitted: AdmittedRequest,
+        public val attempt: AttemptNumber,
+        public val excluded: Set<InstanceKey>,
+        public val fallbackOutcome: Outcome,
+    ) : DispatchEffect()
 }
 
 /** Decides after each call whether its request is complete, is retried or fails. */
@@ -194,7 +206,12 @@
                 emptyList()
             }
 
-            is CallResult.Failed -> listOf(retryOrConclude(request, result, now))
+            is CallResult.Failed ->
+                if (result.failure == CallFailure.Withheld) {
+                    listOf(reassign(request, result))
+                } else {
+                    listOf(retryOrConclude(request, result, now))
+                }
         }
 
     private fun end(request: RequestState, now: MonotonicTime) {
@@ -202,6 +219,15 @@
         durations.add(request.admitted.route.key, now - request.admitted.submission.arrivedAt, now)
     }
 
+    /** A call that was not sent counts neither as an attempt nor against the retry budget. */
+    private fun reassign(request: RequestState, result: CallResult.Failed): DispatchEffect =
+        DispatchEffect.Reassign(
+            request.admitted,
+            request.attempt,
+            request.calledInstances.toSet(),
+            outcomeOf(request, result),
+        )
+
     private fun retryOrConclude(request: RequestState, result: CallResult.Failed, now: MonotonicTime): DispatchEffect {
         val outcome = outcomeOf(request, result)
         if (result.failure.mayHaveRun) request.possibleRuns++
@@ -247,7 +273,8 @@
 
     private fun healthSignalOf(failure: CallFailure): HealthSignal =
         when (failure) {
-            is CallFailure.ServerError, is CallFailure.NotResumed, CallFailure.Aborted -> HealthSignal.UNKNOWN
+            is CallFailure.ServerError, is CallFailure.NotResumed -> HealthSignal.UNKNOWN
+            CallFailure.Aborted, CallFailure.Withheld -> HealthSignal.UNKNOWN
             CallFailure.Truncated -> HealthSignal.DISCONNECTED
             CallFailure.ConnectFailed, is CallFailure.Declined, CallFailure.WrongInstance -> HealthSignal.FAILING
             CallFailure.TimedOut, CallFailure.InvalidResponse -> HealthSignal.FAILING
--- a/core/src/main/kotlin/gypsumcart/core/routing/Routing.kt
+++ b/core/src/main/kotlin/gypsumcart/core/routing/Routing.kt
@@ -19,7 +19,11 @@
  * A request for which no back end is available waits for one for a part of its latency target.
  */
 public class Routing(retryLimits: RetryLimits) : Decider<RoutingEvent, RoutingEffect> {
-    private data class WaitingRequest(val admitted: AdmittedRequest, val deadline: MonotonicTime)
+    private data class WaitingRequest(
+        val admitted: AdmittedRequest,
+        val excluded: Set<InstanceKey>,
+        val deadline: MonotonicTime,
+    )
 
     private val candidates = HashMap<InstanceKey, Candidate>()
     private val candidatesByService = HashMap<ServiceName, List<Candidate>>()
@@ -36,6 +40,7 @@
             is RoutingEvent.BackEndsListed -> updateBackEnds(event.backEnds, now)
             is RoutingEvent.RequestAdmitted -> assignOrWait(event.admitted, now)
             is RoutingEvent.RetryRequested -> listOf(retryOrConclude(event, now))
+            is RoutingEvent.ReassignmentRequested -> reassign(event, now)
             is RoutingEvent.CallReleased -> releaseCall(event, now)
             is RoutingEvent.FirstPieceReceived -> startResponse(event, now)
             is RoutingEvent.RequestCancelled -> noEffects { waiting -= event.ticket }
@@ -85,16 +90,17 @@
         admitted: AdmittedRequest,
         isTrial: Boolean,
         now: MonotonicTime,
+        excluded: Set<InstanceKey> = emptySet(),
     ): List<RoutingEffect> {
         val limiters = candidatesByService[admitted.service].orEmpty().limiters()
         // Requests that wait for a limit go before new ones.
         val earlier = if (waiting.isEmpty() || limiters.none { it.isLimited }) emptyList() else assignWaiting(now)
         if (waiting.isEmpty() || !isAtCapacity(admitted)) {
-            val assigned = assignOrNull(admitted, AttemptNumber.FIRST, emptySet(), now, isTrial)
+            val assigned = assignOrNull(admitted, AttemptNumber.FIRST, excluded, now, isTrial)
             if (assigned != null) return earlier + assigned
         }
         val limit = admitted.submission.arrivedAt + admitted.route.targetLatency / MAX_WAIT_DIVISOR
-        val request = WaitingRequest(admitted, minOf(limit, admitted.deadline))
+        val request = WaitingRequest(admitted, excluded, minOf(limit, admitted.deadline))
         if (limiters.areUsedUp(place, now)) return earlier + awaitLimit(request, limiters, now)
         waiting[admitted.ticket] = request
         return earlier + RoutingEffect.SweepAt(request.deadline)
@@ -131,6 +137,19 @@
             ?: RoutingEffect.Conclude(admitted, event.fallbackOutcome)
     }
 
+    /** Assigns an attempt whose call was not sent to another back end; a first attempt may wait for one. */
+    private fun reassign(event: RoutingEvent.ReassignmentRequested, now: MonotonicTime): List<RoutingEffect> {
+        val admitted = event.admitted
+        val assigned =
+            when {
+                now >= admitted.deadline -> null
+                event.attempt == AttemptNumber.FIRST ->
+                    return assignOrEnqueue(admitted, isTrial = false, now, event.excluded)
+                else -> assignOrNull(admitted, event.attempt, event.excluded, now)
+            }
+        return listOf(assigned ?: RoutingEffect.Conclude(admitted, event.fallbackOutcome))
+    }
+
     /** Returns the outcome of a request that can't be retried, or null if it can be. */
     private fun finalOutcomeOrNull(event: RoutingEvent.RetryRequested, now: MonotonicTime): Outcome? {
         val admitted = event.admitted
@@ -290,14 +309,11 @@
         val assigned =
             waiting.values
                 .sortedBy { it.admitted.priority }
-                .mapNotNull { assignOrNull(it.admitted, AttemptNumber.FIRST, emptySet(), now) }
+                .mapNotNull { assignOrNull(it.admitted, AttemptNumber.FIRST, it.excluded, now) }
         assigned.filterIsInstance<RoutingEffect.Assign>().forEach { waiting -= it.admitted.ticket }
         return assigned
     }
 
-    private fun costOf(admitted: AdmittedRequest): Double =
-        1 + (admitted.submission.prompt?.tokens ?: 0).toDouble() / TOKENS_PER_COST_UNIT
-
     private companion object {
         /** A request waits for a back end for at most its latency target divided by this. */
         const val MAX_WAIT_DIVISOR = 8
@@ -310,11 +326,14 @@
 
         /** The fraction of their batch slots that engines can use and still meet the latency targets. */
         const val MAX_SLOT_UTILIZATION = 0.45
-
-        /** A prompt of this many tokens loads an engine as much as one more running request. */
-        const val TOKENS_PER_COST_UNIT = 4_096
     }
 }
 
 private fun QuarantineVerdict.Refused.toOutcome(): Outcome =
     Outcome.NotRun(RefusalReason.Quarantined(part), retryAfter)
+
+private fun costOf(admitted: AdmittedRequest): Double =
+    1 + (admitted.submission.prompt?.tokens ?: 0).toDouble() / TOKENS_PER_COST_UNIT
+
+/** A prompt of this many tokens loads an engine as much as one more running request. */
+private const val TOKENS_PER_COST_UNIT = 4_096
--- a/core/src/main/kotlin/gypsumcart/core/routing/RoutingEvents.kt
+++ b/core/src/main/kotlin/gypsumcart/core/routing/RoutingEvents.kt
@@ -28,6 +28,18 @@
         public val fallbackOutcome: Outcome,
     ) : RoutingEvent()
 
+    /**
+     * The call of an attempt was not sent, so that the attempt needs another back end, one that is not in [excluded].
+     *
+     * @property fallbackOutcome the outcome of the request if there is none
+     */
+    public data class ReassignmentRequested(
+        public val admitted: AdmittedRequest,
+        public val attempt: AttemptNumber,
+        public val excluded: Set<InstanceKey>,
+        public val fallbackOutcome: Outcome,
+    ) : RoutingEvent()
+
     /** The call to [instance] for the request with [ticket] ended. */
     public data class CallReleased(
         public val ticket: Ticket,
--- a/core/src/test/kotlin/gypsumcart/core/directory/BackEndDirectoryTest.kt
+++ b/core/src/test/kotlin/gypsumcart/core/directory/BackEndDirectoryTest.kt
@@ -1,8 +1,10 @@
 package gypsumcart.core.directory
 
 import gypsumcart.core.BackEndId
+import gypsumcart.core.Incarnation
 import gypsumcart.core.at
 import gypsumcart.core.backEnd
+import gypsumcart.core.routing.InstanceKey
 import org.junit.jupiter.api.Test
 import strikt.api.expectThat
 import strikt.assertions.containsExactly
@@ -107,4 +109,50 @@
         val listed = directory.decide(DirectoryEvent.Changed(listOf(next), emptyList()), at(3.seconds))
         expectThat(listed).isEqualTo(listOf(DirectoryEffect.Publish(listOf(next))))
     }
+
+    private fun stateDeparture(id: String, second: Int, incarnation: Long = 1) =
+        directory.decide(
+            DirectoryEvent.DepartureStated(InstanceKey(BackEndId(id), Incarnation(incarnation))),
+            at(second.seconds),
+        )
+
+    @Test
+    fun `a back end that states its departure is listed as draining, once`() {
+        snapshot("x", "y")
+        val listed = listOf(backEnd("x", draining = true), backEnd("y"))
+        expectThat(stateDeparture("x", 1)).isEqualTo(listOf(DirectoryEffect.Publish(listed)))
+        expectThat(stateDeparture("x", 1)).isEmpty()
+    }
+
+    @Test
+    fun `an expired entry whose back end states its departure is kept as draining`() {
+        snapshot("x")
+        directory.decide(DirectoryEvent.RegistryUnavailable, at(1.seconds))
+        remove("x", 5)
+        val listed = listOf(backEnd("x", draining = true))
+        expectThat(stateDeparture("x", 6)).isEqualTo(listOf(DirectoryEffect.Publish(listed)))
+    }
+
+    @Test
+    fun `a departure that was stated holds however late the same or an earlier instance is listed again`() {
+        directory.decide(DirectoryEvent.Snapshot(listOf(backEnd("x", incarnation = 2))), at(0.seconds))
+        stateDeparture("x", 1, incarnation = 2)
+        remove("x", 2)
+        directory.decide(DirectoryEvent.Sweep, at(900.seconds))
+        for (incarnation in listOf(2L, 1L)) {
+            val entry = backEnd("x", incarnation = incarnation)
+            val listed = directory.decide(DirectoryEvent.Changed(listOf(entry), emptyList()), at(901.seconds))
+            expectThat((listed.single() as DirectoryEffect.Publish).backEnds.filterNot { it.draining }).isEmpty()
+        }
+    }
+
+    @Test
+    fun `a departure concerns no later instance, also if that was listed before`() {
+        directory.decide(DirectoryEvent.Snapshot(listOf(backEnd("x", incarnation = 2))), at(0.seconds))
+        expectThat(stateDeparture("x", 1, incarnation = 1)).isEmpty()
+        stateDeparture("x", 2, incarnation = 2)
+        val next = backEnd("x", incarnation = 3)
+        val listed = directory.decide(DirectoryEvent.Changed(listOf(next), emptyList()), at(3.seconds))
+        expectThat(listed).isEqualTo(listOf(DirectoryEffect.Publish(listOf(next))))
+    }
 }
--- a/core/src/test/kotlin/gypsumcart/core/dispatch/DispatchTest.kt
+++ b/core/src/test/kotlin/gypsumcart/core/dispatch/DispatchTest.kt
@@ -11,6 +11,7 @@
 import gypsumcart.core.at
 import gypsumcart.core.backEnd
 import gypsumcart.core.routing.HealthSignal
+import gypsumcart.core.routing.key
 import org.junit.jupiter.api.Test
 import strikt.api.expectThat
 import strikt.assertions.isA
@@ -159,4 +160,19 @@
         val release = fail(request, CallFailure.ServerError(500)).first()
         expectThat(release).isA<DispatchEffect.Release>().get { health }.isEqualTo(HealthSignal.UNKNOWN)
     }
+
+    @Test
+    fun `a call that was not sent counts as no attempt and is assigned to another back end`() {
+        val request = admitted(CallKind.AtMostOnce, maxAttempts = 1)
+        assign(request)
+        val effects = fail(request, CallFailure.Withheld)
+        expectThat(effects.first()).isA<DispatchEffect.Release>().get { health }.isEqualTo(HealthSignal.UNKNOWN)
+        expectThat(effects.last()).isA<DispatchEffect.Reassign>().and {
+            get { attempt }.isEqualTo(AttemptNumber.FIRST)
+            get { excluded }.isEqualTo(setOf(backEnd("x").key))
+            get { fallbackOutcome }.isA<Outcome.NotRun>()
+        }
+        assign(request, name = "y")
+        expectThat(fail(request, CallFailure.Declined(503)).last()).isA<DispatchEffect.Retry>()
+    }
 }
--- a/core/src/test/kotlin/gypsumcart/core/routing/RoutingTest.kt
+++ b/core/src/test/kotlin/gypsumcart/core/routing/RoutingTest.kt
@@ -197,4 +197,35 @@
         val conclusion = retry(request, assign(request)) as RoutingEffect.Conclude
         expectThat(conclusion.outcome).isEqualTo(Outcome.Failed(CallFailure.Truncated))
     }
+
+    private fun reassign(admitted: AdmittedRequest, excluded: BackEnd): RoutingEffect =
+        routing
+            .decide(
+                RoutingEvent.ReassignmentRequested(
+                    admitted,
+                    AttemptNumber.FIRST,
+                    setOf(excluded.key),
+                    Outcome.NotRun(RefusalReason.Declined, null),
+                ),
+                start,
+            ).single()
+
+    @Test
+    fun `calls that were not sent go to other back ends without drawing on the retry budget`() {
+        listBackEnds(backEnd("x"), backEnd("y"))
+        val requests = List(50) { admitted(CallKind.Idempotent, it.toLong()) }
+        val others = requests.map { reassign(it, assign(it)) }
+        expectThat(others.filterNot { it is RoutingEffect.Assign }).isEmpty()
+    }
+
+    @Test
+    fun `a request whose call was not sent waits for another back end like a new one`() {
+        listBackEnds(backEnd("x"))
+        val request = admitted(CallKind.Idempotent)
+        expectThat(reassign(request, assign(request))).isA<RoutingEffect.SweepAt>()
+        expectThat(listBackEnds(backEnd("x"), backEnd("y")).single())
+            .isA<RoutingEffect.Assign>()
+            .get { backEnd }
+            .isEqualTo(backEnd("y"))
+    }
 }
--- a/core/src/test/kotlin/gypsumcart/core/routing/ServingFleet.kt
+++ b/core/src/test/kotlin/gypsumcart/core/routing/ServingFleet.kt
@@ -14,6 +14,9 @@
 import gypsumcart.core.admitted
 import gypsumcart.core.at
 import gypsumcart.core.backEnd
+import gypsumcart.core.directory.BackEndDirectory
+import gypsumcart.core.directory.DirectoryEffect
+import gypsumcart.core.directory.DirectoryEvent
 import gypsumcart.core.dispatch.CallResult
 import gypsumcart.core.dispatch.DeliveryProgress
 import gypsumcart.core.dispatch.Dispatch
@@ -22,6 +25,7 @@
 import gypsumcart.core.membership.MembershipEffect
 import gypsumcart.core.membership.MembershipEvent
 import gypsumcart.core.membership.SimulatedFleet
+import kotlin.random.Random
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
@@ -61,8 +65,15 @@
     /** The limit that an engine states in its responses, or null if it states none. */
     var limitOf: (BackEndId) -> Double? = { null }
 
+    /** The engines that state in their responses that they are about to stop. */
+    val leaving = HashSet<InstanceKey>()
+
+    /** When each node first received such a statement from an engine. */
+    val departures = HashMap<Pair<NodeId, InstanceKey>, Duration>()
+
     /** The engines that received calls, with the node and the time since the start. */
     val calledEngines = ArrayList<Triple<Duration, BackEndId, NodeId>>()
+    private val random = Random(3)
 
     init {
         fleet.start()
@@ -75,6 +86,10 @@
         servers[node.id] = Server(node)
     }
 
+    fun engine(id: String): BackEnd = backEnds.first { it.id.text == id }
+
+    fun eachServer(action: Server.() -> Unit): Unit = servers.values.forEach(action)
+
     fun server(name: String): Server = servers.getValue(NodeId(name))
 
     fun run(duration: Duration): Unit = fleet.runUntil(fleet.now + duration)
@@ -95,6 +110,26 @@
         return number
     }
 
+    /** Sends [perSecond] requests a second through all nodes for [duration]. */
+    fun serve(duration: Duration, perSecond: Int = 40): List<Long> {
+        val sent = ArrayList<Long>()
+        val end = fleet.now + duration
+        while (fleet.now < end) {
+            val node = fleet.nodes.filter { it.running }.random(random)
+            sent += send(node.id.text, promptOf("system", "subject-${random.nextInt(40)}"))
+            run(1.seconds / perSecond)
+        }
+        return sent
+    }
+
+    fun answered(requests: List<Long>): Int = requests.count { endings[it]?.answered ?: false }
+
+    /** Replaces the entry of the engine named [id] in the registry. */
+    fun relist(id: String, change: (BackEnd) -> BackEnd) {
+        backEnds = backEnds.map { if (it.id.text == id) change(it) else it }
+        servers.values.forEach { it.list() }
+    }
+
     /** Crashes the engines that [choose] returns, at the same moment. */
     fun crash(choose: (List<BackEnd>) -> List<BackEnd>) {
         val chosen = choose(backEnds)
@@ -113,6 +148,7 @@
     inner class Server(private val node: SimulatedFleet.SimulatedNode) {
         private val routing = Routing(RetryLimits(0.2, 50, 10.seconds))
         private val dispatch = Dispatch()
+        val directory = BackEndDirectory(expiryGracePeriod = 2.2.seconds)
         val quarantined = HashSet<String>()
         val limited = HashSet<InstanceKey>()
 
@@ -133,7 +169,14 @@
             if (node.running) route(RoutingEvent.Sweep)
         }
 
-        fun list(): Unit = route(RoutingEvent.BackEndsListed(backEnds))
+        fun list(): Unit = list(DirectoryEvent.Snapshot(backEnds))
+
+        fun list(event: DirectoryEvent): Unit =
+            directory.decide(event, at(fleet.now)).forEach {
+                when (it) {
+                    is DirectoryEffect.Publish -> route(RoutingEvent.BackEndsListed(it.backEnds))
+                }
+            }
 
         fun route(event: RoutingEvent): Unit = routing.decide(event, at(fleet.now)).forEach(::execute)
 
@@ -147,6 +190,7 @@
                         is DispatchEffect.Call -> call(it)
                         is DispatchEffect.Conclude -> conclude(it.admitted, it.outcome)
                         is DispatchEffect.Release -> route(RoutingEvent.CallReleased(it.ticket, it.instance, it.health))
+                        is DispatchEffect.Reassign -> error("no call is withheld in this simulation")
                         is DispatchEffect.Retry ->
                             route(RoutingEvent.RetryRequested(it.admitted, it.attempt, it.excluded, it.fallbackOutcome))
                         is DispatchEffect.Abort, is DispatchEffect.ReportDurations ->
@@ -224,6 +268,10 @@
             }
             val admitted = effect.admitted
             stateLimit(instance)
+            if (instance in leaving) {
+                departures.putIfAbsent(node.id to instance, fleet.now)
+                list(DirectoryEvent.DepartureStated(instance))
+            }
             route(RoutingEvent.FirstPieceReceived(admitted.ticket, admitted.service, instance, 0.1))
             fleet.schedule(START_TIME) {
                 if (calls.remove(instance to admitted.ticket.number) != null) {
--- a/core/src/test/kotlin/gypsumcart/core/routing/SharedLimitTest.kt
+++ b/core/src/test/kotlin/gypsumcart/core/routing/SharedLimitTest.kt
@@ -13,25 +13,10 @@
 import strikt.assertions.isLessThanOrEqualTo
 import strikt.assertions.isNotNull
 import strikt.assertions.isTrue
-import kotlin.random.Random
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.seconds
 
 class SharedLimitTest {
-    private val random = Random(3)
-
-    /** Sends [perSecond] requests a second through all nodes for [duration]. */
-    private fun ServingFleet.serve(duration: Duration, perSecond: Int = 40): List<Long> {
-        val sent = ArrayList<Long>()
-        val end = fleet.now + duration
-        while (fleet.now < end) {
-            val node = fleet.nodes.filter { it.running }.random(random)
-            sent += send(node.id.text, promptOf("system", "subject-${random.nextInt(40)}"))
-            run(1.seconds / perSecond)
-        }
-        return sent
-    }
-
     /** Returns the most calls that [engine] got in four seconds from [since] on. */
     private fun ServingFleet.mostCalls(engine: String, since: Duration): Int {
         val times = calledEngines.filter { (time, id) -> id.text == engine && time >= since }.map { it.first }
@@ -41,9 +26,6 @@
     /** What the limit allows in four seconds, with the tolerance of the users' rule. */
     private fun allowed(limit: Double): Int = (limit * WINDOW.inWholeSeconds * 1.5 + 5).toInt()
 
-    private fun ServingFleet.answered(requests: List<Long>): Int =
-        requests.count { endings[it]?.answered ?: false }
-
     // Guards against nodes that exceed the stated limit of a back end together (LIMIT in the capped day).
     @Test
     fun `four nodes together keep the limit that a back end states`() {
--- a/http/src/main/kotlin/gypsumcart/http/HttpClient.kt
+++ b/http/src/main/kotlin/gypsumcart/http/HttpClient.kt
@@ -26,6 +26,7 @@
  * [HttpClient] adds `Host` if it is missing, and `Content-Length` if there is a body or the method usually has one.
  *
  * @property onNewConnection whether the request is sent on a connection of its own, which carries no other
+ * @property isWanted returns whether the request is still to be sent; called on the thread of the client, right before
  */
 public class OutgoingRequest(
     public val method: String,
@@ -33,6 +34,7 @@
     public val headers: Headers,
     public val body: ByteArray,
     public val onNewConnection: Boolean = false,
+    public val isWanted: () -> Boolean = { true },
 )
 
 /**
@@ -48,6 +50,9 @@
     /** No connection was established, so nothing was sent. */
     public data object NotConnected : ExchangeFailure()
 
+    /** The request was no longer wanted when the connection was established, so nothing was sent. */
+    public data object NotWanted : ExchangeFailure()
+
     /** The connection closed before the end of the response. */
     public data object ConnectionLost : ExchangeFailure()
 
@@ -132,6 +137,7 @@
         val connection = idle ?: connectOrNull(endpoint) ?: return Err(ExchangeFailure.NotConnected)
         var reusable = false
         try {
+            if (!request.isWanted()) return Err(ExchangeFailure.NotWanted)
             return coroutineScope {
                 val writer = launch { connection.write(endpoint, request) }
                 val result = connection.receive(request.method, receive)
--- a/http/src/test/kotlin/gypsumcart/http/HttpClientTest.kt
+++ b/http/src/test/kotlin/gypsumcart/http/HttpClientTest.kt
@@ -236,4 +236,14 @@
         /** More than the buffers of both sides hold, and than a bounded reader takes. */
         const val ENDLESS_BYTES = 200_000_000L
     }
+
+    @Test
+    fun `a request that is no longer wanted once its connection is established is not sent`() {
+        val read = CompletableFuture.supplyAsync { listener.accept().use { it.getInputStream().read() } }
+        val endpoint = Endpoint(LoopbackServer.HOST, listener.localPort)
+        val request = OutgoingRequest("GET", "/", Headers.EMPTY, ByteArray(0)) { false }
+        val failure = runBlocking { client.exchange(endpoint, request) {} }.fold({ null }, { it })
+        expectThat(failure).isEqualTo(ExchangeFailure.NotWanted)
+        expectThat(read.get(2, TimeUnit.SECONDS)).isEqualTo(-1)
+    }
 }
--- a/node/src/main/kotlin/gypsumcart/node/BackEndCalls.kt
+++ b/node/src/main/kotlin/gypsumcart/node/BackEndCalls.kt
@@ -39,6 +39,7 @@
     private val client: HttpClient,
     private val clock: MonotonicClock,
     private val limits: StatedLimits,
+    private val availability: StatedAvailability,
     private val responseLimits: ResponseLimits,
     private val onFirstPiece: (DispatchEffect.Call, MonotonicTime) -> Unit,
     private val onRequestStarted: (TeamName, MonotonicTime) -> Unit,
@@ -54,9 +55,13 @@
     suspend fun call(request: HttpRequest, call: DispatchEffect.Call, response: ForwardedResponse): CallResult {
         val remainingTime = call.admitted.deadline - clock.now()
         if (!remainingTime.isPositive()) return CallResult.Failed(CallFailure.ConnectFailed, response.progress)
+        if (!availability.acceptsCalls(call.backEnd)) return CallResult.Failed(CallFailure.Withheld, response.progress)
         val headers = codec.callHeaders(request, call, remainingTime)
         val needsNewConnection = refusalsWithoutId.areExpectedFrom(call.backEnd.key)
-        val outgoing = OutgoingRequest(request.method, request.target, headers, request.body, needsNewConnection)
+        val outgoing =
+            OutgoingRequest(request.method, request.target, headers, request.body, needsNewConnection) {
+                availability.acceptsCalls(call.backEnd)
+            }
         val endpoint = Endpoint(call.backEnd.address.host, call.backEnd.address.port, call.backEnd.peerId)
         val exchange =
             withTimeoutOrNull(remainingTime) {
@@ -79,12 +84,12 @@
         val kind = codec.classify(head, id, call.backEnd.id)
         if (kind !is ResponseKind.Valid) logRefusal(call, received, kind)
         if (kind.isRefusal && kind.id == ResponseId.NONE) refusalsWithoutId.record(call.backEnd.key)
-        if (!kind.isAttributedTo(
-                received,
-            )
-        ) {
+        if (!kind.isAttributedTo(received)) {
             return CallResult.Failed(kind.unattributedFailure(head.status), response.progress)
         }
+        if (kind !is ResponseKind.WrongInstance) {
+            availability.observe(call.backEnd, codec.availabilityStatements(head))
+        }
         return when (kind) {
             ResponseKind.Valid -> {
                 limits.observe(call.backEnd, codec.limitStatementOrNull(head))
@@ -264,6 +269,7 @@
 private fun ExchangeFailure.toCallFailure(): CallFailure =
     when (this) {
         ExchangeFailure.NotConnected -> CallFailure.ConnectFailed
+        ExchangeFailure.NotWanted -> CallFailure.Withheld
         ExchangeFailure.ConnectionLost -> CallFailure.Truncated
         ExchangeFailure.Malformed -> CallFailure.InvalidResponse
     }
--- a/node/src/main/kotlin/gypsumcart/node/LogValues.kt
+++ b/node/src/main/kotlin/gypsumcart/node/LogValues.kt
@@ -25,6 +25,7 @@
 internal fun CallFailure.toLogValue(): String =
     when (this) {
         CallFailure.ConnectFailed -> "connect_failed"
+        CallFailure.Withheld -> "withheld"
         is CallFailure.Declined -> "declined_$status"
         is CallFailure.UnattributedRefusal -> "unattributed_$status"
         CallFailure.WrongInstance -> "wrong_instance"
--- a/node/src/main/kotlin/gypsumcart/node/Node.kt
+++ b/node/src/main/kotlin/gypsumcart/node/Node.kt
@@ -73,12 +73,15 @@
         StatedLimits(state) { instance, statement ->
             rings.routing.offer(RoutingEvent.LimitStated(instance, statement))
         }
+    private val statedAvailability =
+        StatedAvailability { rings.backEnds.put(DirectoryEvent.DepartureStated(it)) }
     private val calls =
         BackEndCalls(
             platform.codec,
             client,
             clock,
             statedLimits,
+            statedAvailability,
             settings.responses,
             ::reportFirstPiece,
         ) { team, at ->
--- a/node/src/main/kotlin/gypsumcart/node/Ports.kt
+++ b/node/src/main/kotlin/gypsumcart/node/Ports.kt
@@ -15,6 +15,7 @@
 import gypsumcart.core.dispatch.DispatchEffect
 import gypsumcart.core.leases.CommandResult
 import gypsumcart.core.leases.FencedCommand
+import gypsumcart.core.routing.AvailabilityStatement
 import gypsumcart.core.routing.LimitStatement
 import gypsumcart.http.Headers
 import gypsumcart.http.HttpRequest
@@ -187,6 +188,9 @@
     /** Returns what a response with [head] says about the rate of requests, or null if that is unreadable. */
     public fun limitStatementOrNull(head: ResponseHead): LimitStatement?
 
+    /** Returns what a response with [head] says about whether its back end accepts further requests. */
+    public fun availabilityStatements(head: ResponseHead): List<AvailabilityStatement>
+
     /** Returns the head of the response to a request that ended with [outcome], without a back end's response. */
     public fun outcomeHead(outcome: Outcome, id: RequestId?): ResponseHead
 }
--- a/node/src/main/kotlin/gypsumcart/node/RequestDuties.kt
+++ b/node/src/main/kotlin/gypsumcart/node/RequestDuties.kt
@@ -171,6 +171,16 @@
             is DispatchEffect.Release ->
                 rings.routing.reply(RoutingEvent.CallReleased(effect.ticket, effect.instance, effect.health))
 
+            is DispatchEffect.Reassign ->
+                rings.routing.reply(
+                    RoutingEvent.ReassignmentRequested(
+                        effect.admitted,
+                        effect.attempt,
+                        effect.excluded,
+                        effect.fallbackOutcome,
+                    ),
+                )
+
             is DispatchEffect.Retry ->
                 rings.routing.reply(
                     RoutingEvent.RetryRequested(
--- a/node/src/test/kotlin/gypsumcart/node/ClientEdgeTest.kt
+++ b/node/src/test/kotlin/gypsumcart/node/ClientEdgeTest.kt
@@ -19,6 +19,7 @@
 import gypsumcart.core.dispatch.CallResult
 import gypsumcart.core.dispatch.DispatchEffect
 import gypsumcart.core.dispatch.DispatchEvent
+import gypsumcart.core.routing.AvailabilityStatement
 import gypsumcart.core.routing.LimitStatement
 import gypsumcart.core.routing.RoutingEvent
 import gypsumcart.http.Headers
@@ -49,8 +50,17 @@
     private val dispatch = Ring<DispatchEvent>("dispatch", 16, reservedCapacity = 8)
     private val client = HttpClient(runtime.loop, 1.seconds)
     private val limits = StatedLimits(NodeState()) { _, _ -> }
+    private val availability = StatedAvailability {}
     private val calls =
-        BackEndCalls(Codec, client, MonotonicClock.SYSTEM, limits, ResponseLimits(), { _, _ -> }) { _, _ -> }
+        BackEndCalls(
+            Codec,
+            client,
+            MonotonicClock.SYSTEM,
+            limits,
+            availability,
+            ResponseLimits(),
+            { _, _ -> },
+        ) { _, _ -> }
     private val edge =
         ClientEdge(Codec, calls, EdgeRings(admission, routing, dispatch), MonotonicClock.SYSTEM, Metrics())
     private val port = ServerSocket(0).use { it.localPort }
@@ -151,6 +161,8 @@
 
         override fun limitStatementOrNull(head: ResponseHead): LimitStatement = LimitStatement.Unlimited
 
+        override fun availabilityStatements(head: ResponseHead): List<AvailabilityStatement> = emptyList()
+
         override fun outcomeHead(outcome: Outcome, id: RequestId?): ResponseHead = ResponseHead(503, Headers.EMPTY)
     }
 
--- a/standins/src/main/kotlin/gypsumcart/standins/StandInBackEnd.kt
+++ b/standins/src/main/kotlin/gypsumcart/standins/StandInBackEnd.kt
@@ -10,6 +10,7 @@
 import kotlinx.coroutines.delay
 import java.util.concurrent.ConcurrentLinkedDeque
 import java.util.concurrent.CopyOnWriteArrayList
+import java.util.concurrent.atomic.AtomicInteger
 import kotlin.coroutines.cancellation.CancellationException
 import kotlin.time.Duration.Companion.milliseconds
 
@@ -58,6 +59,15 @@
     @Volatile
     public var requestLimit: String? = null
 
+    /** The value of the `Server-Leaving` field in all responses, rejections too, or null if they have none. */
+    @Volatile
+    public var leaving: String? = null
+
+    private val received = AtomicInteger()
+
+    /** The number of requests that were received, rejected ones too. */
+    public val receivedRequests: Int get() = received.get()
+
     /** The requests that were run, in the order in which they started. */
     public val executedRequests: List<ExecutedRequest> get() = executed
 
@@ -69,7 +79,11 @@
         faults.addAll(nextFaults)
     }
 
+    /** Drops the faults that no request has met yet. */
+    public fun clearFaults(): Unit = faults.clear()
+
     override suspend fun handle(request: HttpRequest, response: ResponseWriter) {
+        received.incrementAndGet()
         val requestId = request.headers["X-Attempt-Id"].orEmpty()
         val expected = request.headers["X-Expect-Instance"]
         val fault = faults.poll()
@@ -81,7 +95,7 @@
 
             fault == BackEndFault.Decline -> {
                 val fields = listOf(HeaderField("X-Attempt-Id", requestId), HeaderField("X-Not-Executed", "1"))
-                response.send(ResponseHead(SERVICE_UNAVAILABLE, Headers(fields)), EMPTY)
+                response.send(ResponseHead(SERVICE_UNAVAILABLE, Headers(fields + statements())), EMPTY)
             }
 
             else -> execute(request, requestId, fault, response)
@@ -147,11 +161,16 @@
 
     private fun responseHeaders(requestId: String): Headers =
         Headers(
-            listOfNotNull(
+            listOf(
                 HeaderField("X-Attempt-Id", requestId),
                 HeaderField("X-Response-Signature", "signed-$id"),
-                requestLimit?.let { HeaderField("Server-Limit", it) },
-            ),
+            ) + statements(),
+        )
+
+    private fun statements(): List<HeaderField> =
+        listOfNotNull(
+            requestLimit?.let { HeaderField("Server-Limit", it) },
+            leaving?.let { HeaderField("Server-Leaving", it) },
         )
 
     private companion object {
