Send no requests to a back end that has asked for a pause

The cause: the header was not read; two failures in a row eject a back end, but one now and then doesn't, and an ejection is no promise.

The codec reads the header of each 503 that is tied to its request and instance, in seconds with fractions; a value that is unreadable is logged and asks for nothing. Until the end of the pause this node, and no other, sends nothing there: routing takes the back end for closed (ejections, trials and retries too, and its slots no longer count as capacity), and the edge withholds what was assigned before. Of several pauses the one that ends last is in force. The request that was turned away goes on to another back end as before. If all back ends of a service pause, a request is refused at once unless a pause ends before its waiting time does; Retry-After says when the first one ends, and spreads the clients by the batch slots that are free then. This holds for a request that was itself turned away, and for those that wait.

--- a/core/src/main/kotlin/gypsumcart/core/Outcomes.kt
+++ b/core/src/main/kotlin/gypsumcart/core/Outcomes.kt
@@ -43,6 +43,9 @@
     /** The limits that the back ends of the service have stated are used up. */
     public data object BackEndsLimited : RefusalReason()
 
+    /** All back ends of the service have asked this node for a pause. */
+    public data object BackEndsPaused : RefusalReason()
+
     /** The node is shutting down and does not forward the request, which might not end in time. */
     public data object Stopping : RefusalReason()
 
--- a/core/src/main/kotlin/gypsumcart/core/routing/CallLimiter.kt
+++ b/core/src/main/kotlin/gypsumcart/core/routing/CallLimiter.kt
@@ -19,6 +19,8 @@
  * one request; the others send their requests to other back ends. A node's part is a token bucket that starts empty, so
  * that nodes that take over a part or learn of the limit at different times never exceed it together.
  *
+ * A back end may also ask a node for a pause, with or without a limit; this concerns no other node.
+ *
  * @property position the position of the back end among those of its service, from 0 to 1, which spreads the nodes over
  *   the back ends
  */
@@ -31,6 +33,7 @@
     private var ownStatementAt = MonotonicTime(0)
     private var tokens = 0.0
     private var refilledAt = MonotonicTime(0)
+    private var pausedUntil: MonotonicTime? = null
 
     /** Whether the back end limits its requests. */
     val isLimited: Boolean get() = limit != null
@@ -70,8 +73,19 @@
         return if (age <= SHARING_TIME) LimitReport(instance, statement, age) else null
     }
 
+    /** Allows no calls before [time]; returns whether that is later than before. */
+    fun pauseUntil(time: MonotonicTime): Boolean {
+        if (pausedUntil?.let { time <= it } ?: false) return false
+        pausedUntil = time
+        return true
+    }
+
+    /** Returns whether the back end has asked this node for a pause that has not ended. */
+    fun isPaused(now: MonotonicTime): Boolean = pausedUntil?.let { now < it } ?: false
+
     /** Returns whether this node may call the back end now. */
     fun isOpen(place: NodePlace, now: MonotonicTime): Boolean {
+        if (isPaused(now)) return false
         if (limit == null) return true
         refill(place, now)
         return tokens >= 1
@@ -84,10 +98,11 @@
 
     /** Returns when this node may next call the back end, or null if other nodes have its limit to themselves. */
     fun nextCallAtOrNull(place: NodePlace, now: MonotonicTime): MonotonicTime? {
-        if (limit == null) return now
+        val resumesAt = pausedUntil?.let { maxOf(it, now) } ?: now
+        if (limit == null) return resumesAt
         refill(place, now)
         val rate = rateOf(place)
-        return if (rate == 0.0) null else now + ((1 - tokens).coerceAtLeast(0.0) / rate).seconds
+        return if (rate == 0.0) null else maxOf(resumesAt, now + ((1 - tokens).coerceAtLeast(0.0) / rate).seconds)
     }
 
     /** Returns this node's part of the limit in requests a second. */
@@ -143,7 +158,7 @@
     }
 }
 
-/** Returns whether nothing but limits keeps this node from calling one of several back ends now. */
+/** Returns whether nothing but limits and pauses keeps this node from calling one of several back ends now. */
 internal fun List<CallLimiter>.areUsedUp(place: NodePlace, now: MonotonicTime): Boolean =
     isNotEmpty() && none { it.isOpen(place, now) }
 
@@ -159,5 +174,6 @@
 internal fun List<CallLimiter>.nextCallAtOrNull(place: NodePlace, now: MonotonicTime): MonotonicTime? =
     mapNotNull { it.nextCallAtOrNull(place, now) }.minOrNull()
 
-/** Returns this node's part of the limits of several back ends together, in requests a second. */
-internal fun List<CallLimiter>.rateOf(place: NodePlace): Double = sumOf { it.rateOf(place) }
+/** Returns the requests a second that the limits of several back ends leave this node, infinite if one has no limit. */
+internal fun List<CallLimiter>.rateOf(place: NodePlace): Double =
+    if (all { it.isLimited }) sumOf { it.rateOf(place) } else Double.POSITIVE_INFINITY
--- a/core/src/main/kotlin/gypsumcart/core/routing/ReturnTimes.kt
+++ b/core/src/main/kotlin/gypsumcart/core/routing/ReturnTimes.kt
@@ -6,7 +6,7 @@
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 
-/** Spreads the times at which refused clients are to return, one for each call that a limited service then accepts. */
+/** Spreads the times at which refused clients are to return, one for each call that a service then accepts. */
 internal class ReturnTimes {
     private val lastByService = HashMap<ServiceName, MonotonicTime>()
 
@@ -20,7 +20,7 @@
     fun next(service: ServiceName, nextCallAt: MonotonicTime?, rate: Double, now: MonotonicTime): Duration {
         if (nextCallAt == null || rate <= 0) return OTHER_NODE_RETRY_AFTER
         val afterLast = lastByService[service]?.let { it + (1 / rate).seconds } ?: nextCallAt
-        val time = minOf(maxOf(nextCallAt, afterLast), now + MAX_RETRY_AFTER)
+        val time = minOf(maxOf(nextCallAt, afterLast), maxOf(nextCallAt, now + MAX_RETRY_AFTER))
         lastByService[service] = time
         return (time - now).coerceAtLeast(MIN_RETRY_AFTER)
     }
@@ -30,7 +30,7 @@
         val OTHER_NODE_RETRY_AFTER: Duration = 200.milliseconds
         val MIN_RETRY_AFTER: Duration = 50.milliseconds
 
-        /** By then limits may have ended and other back ends have started. */
+        /** By then limits may have ended and other back ends have started, but no pause ends before its time. */
         val MAX_RETRY_AFTER: Duration = 30.seconds
     }
 }
--- a/core/src/main/kotlin/gypsumcart/core/routing/Routing.kt
+++ b/core/src/main/kotlin/gypsumcart/core/routing/Routing.kt
@@ -31,7 +31,7 @@
     private val retryBudgets = RetryBudgets(retryLimits)
     private val latencies = LatencyWindows()
     private val quarantine = Quarantine()
-    private val returnTimes = ReturnTimes()
+    private val refusals = PacedRefusals()
     private var sharedFindings = RoutingFindings.NONE
     private var place = NodePlace(nodeCount = 1, rank = 0)
 
@@ -48,6 +48,7 @@
                 noEffects { place = NodePlace(event.nodeCount.coerceAtLeast(1), event.rank) }
             is RoutingEvent.FindingsReceived -> learn(event.findings, event.asOf, now)
             is RoutingEvent.LimitStated -> hearLimit(event, now)
+            is RoutingEvent.PauseStated -> pauseCalls(event, now)
             RoutingEvent.Sweep -> assignWaiting(now) + expireWaiting(now)
             RoutingEvent.ReportDue -> report(now)
             RoutingEvent.Aborted ->
@@ -63,7 +64,10 @@
 
     private fun updateBackEnds(backEnds: List<BackEnd>, now: MonotonicTime): List<RoutingEffect> {
         val keys = backEnds.mapTo(HashSet()) { it.key }
-        candidates.entries.removeIf { (key, candidate) -> key !in keys && candidate.inFlightCalls == 0 }
+        // A back end may be listed again before its pause ends.
+        candidates.entries.removeIf { (key, candidate) ->
+            key !in keys && candidate.inFlightCalls == 0 && !candidate.limiter.isPaused(now)
+        }
         candidatesByService.clear()
         backEnds
             .map { backEnd -> candidates.getOrPut(backEnd.key) { Candidate(backEnd) }.also { it.backEnd = backEnd } }
@@ -95,7 +99,7 @@
         val limiters = candidatesByService[admitted.service].orEmpty().limiters()
         // Requests that wait for a limit go before new ones.
         val earlier = if (waiting.isEmpty() || limiters.none { it.isLimited }) emptyList() else assignWaiting(now)
-        if (waiting.isEmpty() || !isAtCapacity(admitted)) {
+        if (waiting.isEmpty() || !isAtCapacity(admitted, now)) {
             val assigned = assignOrNull(admitted, AttemptNumber.FIRST, excluded, now, isTrial)
             if (assigned != null) return earlier + assigned
         }
@@ -117,22 +121,20 @@
         val ahead = waiting.values.count { it.admitted.service == admitted.service }
         val expectedAt = nextCallAt?.let { it + (ahead / limiters.rateOf(place)).seconds }
         if (nextCallAt == null || expectedAt == null || expectedAt >= request.deadline) {
-            return listOf(RoutingEffect.Conclude(admitted, limitedOutcome(admitted.service, limiters, now)))
+            val ofService = candidatesByService[admitted.service].orEmpty()
+            return listOf(RoutingEffect.Conclude(admitted, refusals.outcomeOf(admitted, ofService, place, now)))
         }
         waiting[admitted.ticket] = request
         return listOf(RoutingEffect.SweepAt(nextCallAt), RoutingEffect.SweepAt(request.deadline))
     }
 
-    private fun limitedOutcome(service: ServiceName, limiters: List<CallLimiter>, now: MonotonicTime): Outcome {
-        val nextCallAt = limiters.nextCallAtOrNull(place, now)
-        val retryAfter = returnTimes.next(service, nextCallAt, limiters.rateOf(place), now)
-        return Outcome.NotRun(RefusalReason.BackEndsLimited, retryAfter)
-    }
-
     private fun retryOrConclude(event: RoutingEvent.RetryRequested, now: MonotonicTime): RoutingEffect {
         val admitted = event.admitted
         val outcome = finalOutcomeOrNull(event, now)
-        if (outcome != null) return RoutingEffect.Conclude(admitted, outcome)
+        val ofService = candidatesByService[admitted.service].orEmpty()
+        if (outcome != null) {
+            return RoutingEffect.Conclude(admitted, refusals.refine(outcome, admitted, ofService, place, now))
+        }
         return assignOrNull(admitted, event.attempt, event.excluded, now)
             ?: RoutingEffect.Conclude(admitted, event.fallbackOutcome)
     }
@@ -140,14 +142,15 @@
     /** Assigns an attempt whose call was not sent to another back end; a first attempt may wait for one. */
     private fun reassign(event: RoutingEvent.ReassignmentRequested, now: MonotonicTime): List<RoutingEffect> {
         val admitted = event.admitted
-        val assigned =
-            when {
-                now >= admitted.deadline -> null
-                event.attempt == AttemptNumber.FIRST ->
-                    return assignOrEnqueue(admitted, isTrial = false, now, event.excluded)
-                else -> assignOrNull(admitted, event.attempt, event.excluded, now)
-            }
-        return listOf(assigned ?: RoutingEffect.Conclude(admitted, event.fallbackOutcome))
+        val isInTime = now < admitted.deadline
+        if (isInTime && event.attempt == AttemptNumber.FIRST) {
+            return assignOrEnqueue(admitted, isTrial = false, now, event.excluded)
+        }
+        val assigned = if (isInTime) assignOrNull(admitted, event.attempt, event.excluded, now) else null
+        if (assigned != null) return listOf(assigned)
+        val ofService = candidatesByService[admitted.service].orEmpty()
+        val outcome = refusals.refine(event.fallbackOutcome, admitted, ofService, place, now)
+        return listOf(RoutingEffect.Conclude(admitted, outcome))
     }
 
     /** Returns the outcome of a request that can't be retried, or null if it can be. */
@@ -176,7 +179,7 @@
         isTrial: Boolean = false,
     ): RoutingEffect? {
         val available = candidatesByService[admitted.service].orEmpty().filter { it.isAvailable(excluded, place, now) }
-        if (available.isEmpty() || attempt == AttemptNumber.FIRST && isAtCapacity(admitted)) return null
+        if (available.isEmpty() || attempt == AttemptNumber.FIRST && isAtCapacity(admitted, now)) return null
         val eligible = available.filterNot { it.isEjected(now) }.ifEmpty { available }
         val cost = costOf(admitted)
         val chosen = if (isTrial) eligible.leastLoaded(admitted.ticket) else eligible.choose(admitted, cost)
@@ -190,10 +193,11 @@
      * A request beyond the share would wait for its first token longer than is allowed, and so would all requests
      * queued behind it. A request without a prompt needs no batch slot.
      */
-    private fun isAtCapacity(admitted: AdmittedRequest): Boolean {
+    private fun isAtCapacity(admitted: AdmittedRequest, now: MonotonicTime): Boolean {
         if (admitted.submission.prompt == null) return false
         val serviceCandidates = candidatesByService[admitted.service].orEmpty()
-        val slots = serviceCandidates.filterNot { it.backEnd.draining }.sumOf { it.backEnd.slots }
+        val accepting = serviceCandidates.filterNot { it.backEnd.draining || it.limiter.isPaused(now) }
+        val slots = accepting.sumOf { it.backEnd.slots }
         return serviceCandidates.sumOf { it.inFlightCalls } >= ceil(slots * MAX_SLOT_UTILIZATION / place.nodeCount)
     }
 
@@ -259,6 +263,23 @@
         return if (changed) limitChanged(event.instance, now) + shareFindings(now) else emptyList()
     }
 
+    /** Pauses calls, and refuses the waiting requests for which none is possible before their waiting time ends. */
+    private fun pauseCalls(event: RoutingEvent.PauseStated, now: MonotonicTime): List<RoutingEffect> {
+        val paused = candidates[event.instance]?.takeIf { it.limiter.pauseUntil(event.until) } ?: return emptyList()
+        val ofService = candidatesByService[paused.backEnd.service].orEmpty()
+        val limiters = ofService.limiters()
+        if (!limiters.areUsedUp(place, now)) return emptyList()
+        val nextCallAt = limiters.nextCallAtOrNull(place, now)
+        val blocked =
+            waiting.values
+                .filter { it.admitted.service == paused.backEnd.service }
+                .filter { nextCallAt == null || nextCallAt >= it.deadline }
+        blocked.forEach { waiting -= it.admitted.ticket }
+        return blocked.map {
+            RoutingEffect.Conclude(it.admitted, refusals.outcomeOf(it.admitted, ofService, place, now))
+        }
+    }
+
     private fun limitChanged(instance: InstanceKey, now: MonotonicTime): List<RoutingEffect> {
         val changed = RoutingEffect.LimitChanged(instance, candidates[instance]?.limiter?.requestsPerSecond)
         return listOf(changed) + assignWaiting(now)
@@ -296,10 +317,10 @@
     }
 
     private fun expiryOutcomeOf(admitted: AdmittedRequest, now: MonotonicTime): Outcome {
-        val limiters = candidatesByService[admitted.service].orEmpty().limiters()
+        val ofService = candidatesByService[admitted.service].orEmpty()
         return when {
-            limiters.areUsedUp(place, now) -> limitedOutcome(admitted.service, limiters, now)
-            isAtCapacity(admitted) -> Outcome.NotRun(RefusalReason.Overloaded("routing"), RETRY_AFTER)
+            ofService.limiters().areUsedUp(place, now) -> refusals.outcomeOf(admitted, ofService, place, now)
+            isAtCapacity(admitted, now) -> Outcome.NotRun(RefusalReason.Overloaded("routing"), RETRY_AFTER)
             else -> Outcome.NotRun(RefusalReason.NoBackEnd, RETRY_AFTER)
         }
     }
--- a/core/src/main/kotlin/gypsumcart/core/routing/RoutingEvents.kt
+++ b/core/src/main/kotlin/gypsumcart/core/routing/RoutingEvents.kt
@@ -82,6 +82,12 @@
         public val statement: LimitStatement,
     ) : RoutingEvent()
 
+    /** A response of [instance] to this node asked it for a pause, which ends at [until]. */
+    public data class PauseStated(
+        public val instance: InstanceKey,
+        public val until: MonotonicTime,
+    ) : RoutingEvent()
+
     /** The time given by [RoutingEffect.SweepAt], at which requests that have waited too long are ended. */
     public data object Sweep : RoutingEvent()
 
--- a/core/src/test/kotlin/gypsumcart/core/routing/RoutingTest.kt
+++ b/core/src/test/kotlin/gypsumcart/core/routing/RoutingTest.kt
@@ -228,4 +228,48 @@
             .get { backEnd }
             .isEqualTo(backEnd("y"))
     }
+
+    private fun pause(backEnd: BackEnd, until: MonotonicTime, now: MonotonicTime = start): List<RoutingEffect> =
+        routing.decide(RoutingEvent.PauseStated(backEnd.key, until), now)
+
+    private fun isAssigned(number: Long, now: MonotonicTime): Boolean {
+        val request = admitted(CallKind.Idempotent, number)
+        val arrived = request.copy(submission = request.submission.copy(arrivedAt = now), deadline = now + 1.seconds)
+        return routing.decide(RoutingEvent.RequestAdmitted(arrived), now).any { it is RoutingEffect.Assign }
+    }
+
+    @Test
+    fun `the pause that ends last is in force, and time that a freeze has skipped counts`() {
+        listBackEnds(backEnd("x"))
+        pause(backEnd("x"), at(4.seconds))
+        pause(backEnd("x"), at(6.seconds), at(2.seconds))
+        pause(backEnd("x"), at(3.seconds), at(2.5.seconds))
+        expectThat(isAssigned(1, at(5.9.seconds))).isEqualTo(false)
+        expectThat(isAssigned(2, at(6.seconds))).isEqualTo(true)
+        pause(backEnd("x"), at(20.seconds), at(7.seconds))
+        expectThat(isAssigned(3, at(90.seconds))).isEqualTo(true)
+    }
+
+    @Test
+    fun `an ejected back end that pauses is not called although it is the only one`() {
+        listBackEnds(backEnd("x"))
+        repeat(2) {
+            val ticket = admitted(CallKind.Idempotent, 100L + it).ticket
+            routing.decide(RoutingEvent.CallReleased(ticket, backEnd("x").key, HealthSignal.FAILING), start)
+        }
+        pause(backEnd("x"), at(9.seconds))
+        expectThat(isAssigned(1, at(5.seconds))).isEqualTo(false)
+    }
+
+    @Test
+    fun `requests that wait when the last back end pauses are refused, unless it ends soon enough`() {
+        listBackEnds(backEnd("x"))
+        val running = admitted(CallKind.Idempotent, 1, prompt(100))
+        routing.decide(RoutingEvent.NodeCountUpdated(3), start)
+        assign(running)
+        routing.decide(RoutingEvent.RequestAdmitted(admitted(CallKind.Idempotent, 2, prompt(100))), at(0.seconds))
+        expectThat(pause(backEnd("x"), at(40.milliseconds), at(10.milliseconds))).isEmpty()
+        val refusal = pause(backEnd("x"), at(3.seconds), at(20.milliseconds)).single() as RoutingEffect.Conclude
+        expectThat(refusal.outcome).isEqualTo(Outcome.NotRun(RefusalReason.BackEndsPaused, 2.98.seconds))
+    }
 }
--- a/core/src/test/kotlin/gypsumcart/core/routing/ServingFleet.kt
+++ b/core/src/test/kotlin/gypsumcart/core/routing/ServingFleet.kt
@@ -41,6 +41,9 @@
 /** Describes how the request with a ticket ended: with a response, with [outcome], or not yet. */
 internal class Ending(val answered: Boolean, val outcome: Outcome?)
 
+/** Describes that [engine] asked [node] at [from] to send nothing until [until]. */
+internal data class Pause(val node: NodeId, val engine: BackEndId, val from: Duration, val until: Duration)
+
 /**
  * Runs the routing, dispatch and membership deciders of several nodes before engines, in virtual time.
  *
@@ -71,6 +74,12 @@
     /** When each node first received such a statement from an engine. */
     val departures = HashMap<Pair<NodeId, InstanceKey>, Duration>()
 
+    /** Returns the pause for which an engine asks when it turns a call away, or null if it accepts the call. */
+    var pauseOf: (InstanceKey) -> Duration? = { null }
+
+    /** The pauses for which engines asked nodes, with the time since the start. */
+    val pauses = ArrayList<Pause>()
+
     /** The engines that received calls, with the node and the time since the start. */
     val calledEngines = ArrayList<Triple<Duration, BackEndId, NodeId>>()
     private val random = Random(3)
@@ -247,12 +256,25 @@
                 return
             }
             val prompt = checkNotNull(effect.admitted.submission.prompt)
+            val pause = pauseOf(instance)
+            if (pause != null) {
+                calledEngines += Triple(fleet.now, instance.id, node.id)
+                fleet.schedule(NETWORK_TIME) { turnAway(effect, pause) }
+                return
+            }
             received += fleet.now to prompt
             calledEngines += Triple(fleet.now, instance.id, node.id)
             calls[instance to number] = Call(this, effect)
             fleet.schedule(START_TIME) { if (instance to number in calls) start(effect, prompt) }
         }
 
+        private fun turnAway(effect: DispatchEffect.Call, pause: Duration) {
+            val instance = effect.backEnd.key
+            pauses += Pause(node.id, instance.id, fleet.now, fleet.now + pause)
+            route(RoutingEvent.PauseStated(instance, at(fleet.now + pause)))
+            end(effect, CallResult.Failed(CallFailure.Declined(503), DeliveryProgress.None))
+        }
+
         private fun stateLimit(instance: InstanceKey) {
             val limit = limitOf(instance.id)
             if (limit == null && instance !in limited) return
@@ -286,6 +308,7 @@
         val ONCE = CallKind.Streamed(resumable = false, maxPause = 1.seconds)
         val RESUMABLE = CallKind.Streamed(resumable = true, maxPause = 1.seconds)
         val START_TIME = 100.milliseconds
+        val NETWORK_TIME = 5.milliseconds
         val ABSENCE = 3.seconds
     }
 }
--- a/node/src/main/kotlin/gypsumcart/node/LogValues.kt
+++ b/node/src/main/kotlin/gypsumcart/node/LogValues.kt
@@ -16,6 +16,7 @@
         is RefusalReason.Overloaded -> "overloaded_$filter"
         is RefusalReason.Quarantined -> "quarantined"
         RefusalReason.BackEndsLimited -> "limited"
+        RefusalReason.BackEndsPaused -> "paused"
         RefusalReason.Stopping -> "stopping"
         RefusalReason.NoBackEnd -> "no_back_end"
         RefusalReason.Declined -> "declined"
--- a/node/src/main/kotlin/gypsumcart/node/Metrics.kt
+++ b/node/src/main/kotlin/gypsumcart/node/Metrics.kt
@@ -64,12 +64,13 @@
         registry.gauge("gypsumcart.ring.events", listOf(tag("ring", ring.name)), ring) { it.size.toDouble() }
     }
 
-    /** Registers gauges for [state] and for the number of requests in progress, which [inProgress] returns. */
-    fun registerGauges(state: NodeState, inProgress: () -> Int) {
-        Gauge
-            .builder("gypsumcart.requests.in.progress", inProgress) { it().toDouble() }
-            .strongReference(true) // A gauge's default reference is weak, and nothing else references the function.
-            .register(registry)
+    /**
+     * Registers gauges for [state], for the number of requests in progress and for the number of back ends that have
+     * asked this node for a pause.
+     */
+    fun registerGauges(state: NodeState, inProgress: () -> Int, pausedBackEnds: () -> Int) {
+        registerGauge("gypsumcart.requests.in.progress", inProgress)
+        registerGauge("gypsumcart.paused.back.ends", pausedBackEnds)
         registry.gauge("gypsumcart.calls.in.flight", state) { it.callsInFlight.toDouble() }
         registry.gauge("gypsumcart.ready", state) { if (it.isReady) 1.0 else 0.0 }
         registry.gauge("gypsumcart.lease.held", state) { if (it.leaseHeld) 1.0 else 0.0 }
@@ -101,6 +102,13 @@
             }
         }
 
+    private fun registerGauge(name: String, value: () -> Int) {
+        Gauge
+            .builder(name, value) { it().toDouble() }
+            .strongReference(true) // A gauge's default reference is weak, and nothing else references the function.
+            .register(registry)
+    }
+
     private fun recordRequest(outcome: String, elapsed: Duration): Unit =
         registry
             .timer("gypsumcart.requests", "outcome", outcome)
--- a/node/src/main/kotlin/gypsumcart/node/Node.kt
+++ b/node/src/main/kotlin/gypsumcart/node/Node.kt
@@ -74,7 +74,11 @@
             rings.routing.offer(RoutingEvent.LimitStated(instance, statement))
         }
     private val statedAvailability =
-        StatedAvailability { rings.backEnds.put(DirectoryEvent.DepartureStated(it)) }
+        StatedAvailability(
+            clock,
+            onDeparture = { rings.backEnds.put(DirectoryEvent.DepartureStated(it)) },
+            onPause = { instance, until -> rings.routing.offer(RoutingEvent.PauseStated(instance, until)) },
+        )
     private val calls =
         BackEndCalls(
             platform.codec,
@@ -144,7 +148,7 @@
             metricsServer?.start()
             peerServer?.start()
         }
-        metrics.registerGauges(state) { edge.inProgress }
+        metrics.registerGauges(state, { edge.inProgress }, { statedAvailability.pausedBackEnds })
         rings.all.forEach(metrics::registerGauges)
         timers.start()
         (duties + shutdown.duty).forEach(Duty::start)
--- a/node/src/test/kotlin/gypsumcart/node/ClientEdgeTest.kt
+++ b/node/src/test/kotlin/gypsumcart/node/ClientEdgeTest.kt
@@ -50,7 +50,7 @@
     private val dispatch = Ring<DispatchEvent>("dispatch", 16, reservedCapacity = 8)
     private val client = HttpClient(runtime.loop, 1.seconds)
     private val limits = StatedLimits(NodeState()) { _, _ -> }
-    private val availability = StatedAvailability {}
+    private val availability = StatedAvailability(MonotonicClock.SYSTEM, {}) { _, _ -> }
     private val calls =
         BackEndCalls(
             Codec,
--- a/standins/src/main/kotlin/gypsumcart/standins/StandInBackEnd.kt
+++ b/standins/src/main/kotlin/gypsumcart/standins/StandInBackEnd.kt
@@ -19,6 +19,9 @@
     /** Declines the request with status 503, its id and `X-Not-Executed`. */
     public data object Decline : BackEndFault()
 
+    /** Declines the request like [Decline], with [retryAfter] as the value of `Retry-After`. */
+    public data class AskForPause(public val retryAfter: String) : BackEndFault()
+
     /** Runs the request and closes the connection without a response. */
     public data object LoseResponse : BackEndFault()
 
@@ -93,15 +96,24 @@
                 response.send(ResponseHead(MISDIRECTED_REQUEST, Headers(fields)), EMPTY)
             }
 
-            fault == BackEndFault.Decline -> {
-                val fields = listOf(HeaderField("X-Attempt-Id", requestId), HeaderField("X-Not-Executed", "1"))
-                response.send(ResponseHead(SERVICE_UNAVAILABLE, Headers(fields + statements())), EMPTY)
-            }
+            fault == BackEndFault.Decline -> decline(requestId, response)
+
+            fault is BackEndFault.AskForPause ->
+                decline(requestId, response, listOf(HeaderField("Retry-After", fault.retryAfter)))
 
             else -> execute(request, requestId, fault, response)
         }
     }
 
+    private suspend fun decline(
+        requestId: String,
+        response: ResponseWriter,
+        extraFields: List<HeaderField> = emptyList(),
+    ) {
+        val fields = listOf(HeaderField("X-Attempt-Id", requestId), HeaderField("X-Not-Executed", "1"))
+        response.send(ResponseHead(SERVICE_UNAVAILABLE, Headers(fields + extraFields + statements())), EMPTY)
+    }
+
     private suspend fun execute(
         request: HttpRequest,
         requestId: String,
--- a/standins/src/test/kotlin/gypsumcart/standins/StatedAvailabilityTest.kt
+++ b/standins/src/test/kotlin/gypsumcart/standins/StatedAvailabilityTest.kt
@@ -6,7 +6,10 @@
 import strikt.assertions.contains
 import strikt.assertions.isEqualTo
 import strikt.assertions.isGreaterThan
+import strikt.assertions.isLessThan
 import strikt.assertions.isLessThanOrEqualTo
+import strikt.assertions.isNotNull
+import strikt.assertions.startsWith
 import java.util.concurrent.CopyOnWriteArrayList
 import kotlin.concurrent.thread
 
@@ -106,6 +109,51 @@
         expectThat(requestsToFirst("/checks/", 500)).isGreaterThan(CLIENTS)
     }
 
+    // Guards against requests to a back end that has asked this node for a pause (BUDGET in the pausing days).
+    @Test
+    fun `a back end that turns one of 110 requests a second away gets no more until the end of its pause`() {
+        repeat(2) {
+            awaitCondition { requestsToFirst("/checks/", 100) > 0 }
+            first.injectFaults(BackEndFault.AskForPause("2.5"))
+            serve("/checks/", 400)
+            expectThat(requestsToFirst("/checks/", 1_500)).isEqualTo(0)
+            expectThat(get(node.settings.metrics, "/metrics")).contains("gypsumcart_paused_back_ends 1.0")
+        }
+    }
+
+    @Test
+    fun `a request that was turned away with a pause is served elsewhere, whatever its kind`() {
+        first.injectFaults(*Array(CLIENTS) { BackEndFault.AskForPause("0.3") })
+        expectThat(serve("/confirms/", 400).distinct()).isEqualTo(listOf("200"))
+    }
+
+    @Test
+    fun `while all back ends pause, requests are refused at once, and served when they return as told`() {
+        (others + first).forEach { it.injectFaults(*Array(3) { BackEndFault.AskForPause("2") }) }
+        serve("/confirms/", 100)
+        (others + first).forEach { it.clearFaults() }
+        val start = System.nanoTime()
+        val refusal = node.send("/confirms/1", "r-late")
+        expectThat((System.nanoTime() - start) / 1_000_000).isLessThan(500)
+        expectThat(refusal).startsWith("HTTP/1.1 503")
+        val retryAfter =
+            Regex("Retry-After: ([0-9.]+)")
+                .find(refusal)
+                ?.groupValues
+                ?.get(1)
+                ?.toDouble()
+        expectThat(retryAfter).isNotNull().isGreaterThan(1.0).isLessThan(3.0)
+        Thread.sleep(((retryAfter ?: 0.0) * 1_000).toLong())
+        expectThat(node.send("/confirms/1", "r-back")).startsWith("HTTP/1.1 200")
+    }
+
+    @Test
+    fun `a pause of an unreadable length is none`() {
+        first.injectFaults(BackEndFault.AskForPause("soon"))
+        serve("/checks/", 400)
+        expectThat(requestsToFirst("/checks/", 2_500)).isGreaterThan(CLIENTS)
+    }
+
     private companion object {
         /** With a pause of [PAUSE_MILLIS] they send about 110 requests a second. */
         const val CLIENTS = 4
