--- a/standins/src/test/kotlin/gypsumcart/standins/UnattributedRefusalTest.kt
+++ b/standins/src/test/kotlin/gypsumcart/standins/UnattributedRefusalTest.kt
@@ -59,8 +59,7 @@
         expectThat(executed.toList()).isEqualTo(executed.distinct())
     }
 
-    // Guards against a request that runs twice, or is refused although it runs, because of a refusal that belongs to none
-    // (TWICE, REFUSED).
+    // Guards against a request that runs twice, or is refused though it runs, by a refusal of none (TWICE, REFUSED).
     @ParameterizedTest
     @CsvSource("non_idempotent, 503", "streaming, 503", "non_idempotent, 421", "streaming, 421")
     fun `a refusal without an id after an earlier answer is no statement about the next request`(
