Bound what all messages hold in memory together

What callers saw: a replica's bytes without end, in a head or a body, took all memory of the node, and requests of other clients ended with it. Three replicas that send bodies without end (64 KiB each 8 ms) to 240 clients of a node with its deploy command: 13 to 33 OutOfMemoryErrors in 20 s (four runs: bodies in chunks, with a length, of rejections); in the last one 240 requests that had run got no answer in 6 s, and 218 of 250 requests to a sound service got none in time.

Cause: each message has a bound (8 MiB), their sum had none; a growing buffer and the final copy took up to three times as much, and rejected responses were read whole to be dropped.

Change: one MemoryBudget for each SocketLoop, a quarter of the heap. Heads, bodies and events reserve what they allocate. A message may hold as much as is left free, so that endless ones get equal shares; there is a reserve for small messages and one for each of forwarded and control traffic (store, cloud interface, peers). What does not fit is given up at once: a response is invalid, a request gets 503 before it is sent anywhere. Bodies are kept in pieces without a copy and written in pieces; rejected ones are dropped as they arrive, up to 64 KiB. Two metrics and a log line once a second.

--- a/http/src/main/kotlin/gypsumcart/http/ChunkReader.kt
+++ b/http/src/main/kotlin/gypsumcart/http/ChunkReader.kt
@@ -20,13 +20,14 @@
         private set
 
     /**
-     * Reads some bytes into [buffer] and returns their number, or -1 after the last chunk.
+     * Reads some bytes into [buffer] from [offset], at most [length], and returns their number, or -1 after the last
+     * chunk.
      *
      * @throws IOException if the input ends before the last chunk, or is not in chunked transfer coding
      */
-    suspend fun read(buffer: ByteArray): Int {
+    suspend fun read(buffer: ByteArray, offset: Int, length: Int): Int {
         if (isEnded || remainingInChunk == 0L && !readChunkHeader()) return -1
-        val n = input.readAvailable(buffer, 0, minOf(remainingInChunk, buffer.size.toLong()).toInt())
+        val n = input.readAvailable(buffer, offset, minOf(remainingInChunk, length.toLong()).toInt())
         if (n < 0) throw EOFException("connection closed $remainingInChunk bytes before the end of the chunk")
         remainingInChunk -= n
         if (remainingInChunk == 0L && readLine().isNotEmpty()) {
--- a/http/src/main/kotlin/gypsumcart/http/EventStreamSplitter.kt
+++ b/http/src/main/kotlin/gypsumcart/http/EventStreamSplitter.kt
@@ -6,17 +6,31 @@
  * Lines may end with LF or CRLF.
  *
  * @property maxEventBytes the size above which an incomplete event is not collected any further
+ * @property reservation holds the memory that events take beyond a small initial buffer
  */
-public class EventStreamSplitter(private val maxEventBytes: Int = DEFAULT_MAX_EVENT_BYTES) {
+public class EventStreamSplitter(
+    private val maxEventBytes: Int = DEFAULT_MAX_EVENT_BYTES,
+    private val reservation: Reservation = MemoryBudget.unlimited().open(Traffic.Forwarded),
+) {
     private var pending = ByteArray(INITIAL_BYTES)
     private var size = 0
 
+    /** What is reserved for [pending], which is nothing for the initial buffer. */
+    private var pendingReserved = 0
+
+    /** What is reserved for the events returned last. */
+    private var returnedReserved = 0
+    private var isRefused = false
+
     /** The value of the last `id` field in the events returned so far, or null if none had one. */
     public var lastEventId: String? = null
         private set
 
-    /** Whether the buffered event is larger than allowed; the stream is then not to be read any further. */
-    public val isOversized: Boolean get() = size > maxEventBytes
+    /**
+     * Whether the buffered event is larger than allowed or does not fit in the memory for messages; the stream is then
+     * not to be read any further.
+     */
+    public val isOversized: Boolean get() = size > maxEventBytes || isRefused
 
     /** Whether bytes of an incomplete event are buffered. */
     public val hasIncompleteEvent: Boolean get() = size > 0
@@ -25,22 +39,47 @@
      * Appends the first [length] bytes of [bytes] to the buffer, and removes and returns its complete events.
      *
      * The returned bytes are those of the stream, unchanged; they are empty if no event is complete. The time is in
-     * proportion to [length] and to the number of bytes returned, whatever the size of the buffer.
+     * proportion to [length] and to the number of bytes returned, whatever the size of the buffer. The memory of the
+     * returned events counts as held until the next call.
      */
     public fun append(bytes: ByteArray, length: Int): ByteArray {
+        reservation.shrink(returnedReserved)
+        returnedReserved = 0
         val oldSize = size
-        if (pending.size < oldSize + length) pending = pending.copyOf(2 * (oldSize + length))
+        if (!ensureCapacity(oldSize + length)) return EMPTY
         bytes.copyInto(pending, oldSize, 0, length)
         size += length
         val end = endOfLastEvent(oldSize)
         if (end == 0) return EMPTY
+        if (!tryReserve(end)) return EMPTY
+        returnedReserved = end
         val complete = pending.copyOf(end)
         pending.copyInto(pending, 0, end, size)
         size -= end
+        if (pending.size > MAX_KEPT_BYTES && size <= INITIAL_BYTES) resize(INITIAL_BYTES, 0)
         complete.lastEventIdOrNull()?.let { lastEventId = it }
         return complete
     }
 
+    private fun ensureCapacity(capacity: Int): Boolean {
+        if (pending.size >= capacity) return true
+        val newCapacity = maxOf(capacity, minOf(2 * capacity, maxEventBytes))
+        if (!tryReserve(newCapacity)) return false
+        resize(newCapacity, newCapacity)
+        return true
+    }
+
+    private fun resize(capacity: Int, reserved: Int) {
+        pending = pending.copyOf(capacity)
+        reservation.shrink(pendingReserved)
+        pendingReserved = reserved
+    }
+
+    private fun tryReserve(bytes: Int): Boolean {
+        isRefused = !reservation.tryGrow(bytes)
+        return !isRefused
+    }
+
     /** Returns the index after the last empty line that ends at [from] or later, or 0 if there is none. */
     private fun endOfLastEvent(from: Int): Int {
         for (i in size - 1 downTo from) {
@@ -56,6 +95,9 @@
 
         /** The initial size of the buffer, which grows for a larger event. */
         private const val INITIAL_BYTES = 1_024
+
+        /** The size of a buffer that is kept after its events were returned; larger events are rare. */
+        private const val MAX_KEPT_BYTES = 16_384
     }
 }
 
--- a/http/src/main/kotlin/gypsumcart/http/HeadLimiter.kt
+++ b/http/src/main/kotlin/gypsumcart/http/HeadLimiter.kt
@@ -9,16 +9,22 @@
 /** Reports that a peer sent more than the head of a message may have, as [limit] says. */
 internal class HeadTooLargeException(limit: String) : IOException("the head exceeds $limit")
 
+/** Reports that the head of a message does not fit in the memory that is left for it. */
+internal class NoMemoryException : IOException("no memory is left for the head")
+
 /**
  * Lets a parser read the head of a message from [input], and fails once [maxBytes] were received and it needs more, or
  * once the head has more than [MAX_LINES] lines.
  *
+ * Reserves the memory that the parser takes for the head.
+ *
  * The library's parser collects header fields as long as they come, in a time that grows with the square of their
  * number. Bytes of the body that arrive together with the end of the head count for neither bound.
  */
 internal class HeadLimiter(
     private val input: ByteReadChannel,
     private val maxBytes: Int,
+    private val reservation: Reservation,
 ) : ByteReadChannel by input {
     private var remaining = maxBytes - input.availableForRead
     private val lines = HeadLines()
@@ -46,11 +52,19 @@
         if (added <= 0 || lines.areComplete) return
         val unread = input.readBuffer.peek()
         unread.skip(known.toLong())
+        val oldBytes = lines.headBytes
         lines.add(unread.readByteArray(added))
+        if (!reservation.tryGrow((lines.headBytes - oldBytes) * PARSER_COST)) throw NoMemoryException()
         if (lines.count > MAX_LINES) throw HeadTooLargeException("$MAX_LINES lines")
     }
 
+    /** Releases what the parser has taken beyond the text of the head. */
+    fun releaseParser(): Unit = reservation.shrink(lines.headBytes * (PARSER_COST - 1))
+
     private companion object {
+        /** The bytes in memory for one of the head: in the connection's buffer, as a character, and in a string. */
+        const val PARSER_COST = 4
+
         /** Twice the number of fields that common HTTP servers accept. */
         const val MAX_LINES = 200
     }
@@ -64,6 +78,10 @@
     var count = 0
         private set
 
+    /** The number of bytes of the head that were seen. */
+    var headBytes = 0
+        private set
+
     /** Whether the empty line at the end of the head was seen. */
     var areComplete = false
         private set
@@ -71,6 +89,7 @@
     fun add(bytes: ByteArray) {
         for (byte in bytes) {
             if (areComplete) return
+            headBytes++
             addByte(byte)
         }
     }
--- a/http/src/main/kotlin/gypsumcart/http/HttpClient.kt
+++ b/http/src/main/kotlin/gypsumcart/http/HttpClient.kt
@@ -4,9 +4,9 @@
 import com.github.michaelbull.result.Ok
 import com.github.michaelbull.result.Result
 import com.github.michaelbull.result.getOrElse
+import com.github.michaelbull.result.onSuccess
 import io.ktor.http.HttpMethod
 import io.ktor.http.cio.RequestResponseBuilder
-import io.ktor.utils.io.writeByteArray
 import io.ktor.utils.io.writePacket
 import kotlinx.coroutines.cancelChildren
 import kotlinx.coroutines.coroutineScope
@@ -26,6 +26,7 @@
  * [HttpClient] adds `Host` if it is missing, and `Content-Length` if there is a body or the method usually has one.
  *
  * @property onNewConnection whether the request is sent on a connection of its own, which carries no other
+ * @property traffic the kind of messages to which the response belongs
  * @property isWanted returns whether the request is still to be sent; called on the thread of the client, right before
  */
 public class OutgoingRequest(
@@ -34,6 +35,7 @@
     public val headers: Headers,
     public val body: ByteArray,
     public val onNewConnection: Boolean = false,
+    public val traffic: Traffic = Traffic.Forwarded,
     public val isWanted: () -> Boolean = { true },
 )
 
@@ -56,12 +58,19 @@
     /** The connection closed before the end of the response. */
     public data object ConnectionLost : ExchangeFailure()
 
-    /** The received bytes are not a valid response. */
+    /** The received bytes are not a valid response, or do not fit in the memory for messages. */
     public data object Malformed : ExchangeFailure()
 }
 
-/** Reads the body of a response. */
-public class ResponseBody internal constructor(private val source: BodySource) {
+/**
+ * Reads the body of a response.
+ *
+ * @property reservation holds the memory that the response takes, until the end of the exchange
+ */
+public class ResponseBody internal constructor(
+    private val source: BodySource,
+    public val reservation: Reservation,
+) {
     internal var isComplete = false
         private set
 
@@ -75,10 +84,17 @@
      *   [HttpClient.exchange] converts it to [ExchangeFailure.ConnectionLost]
      */
     public suspend fun read(buffer: ByteArray): Int {
-        val n = source.read(buffer)
+        val n = source.read(buffer, 0, buffer.size)
         if (n < 0) isComplete = true
         return n
     }
+
+    internal suspend fun readPieces(maxBytes: Int): Result<BodyPieces, ReadFailure> =
+        source.readPieces(maxBytes, reservation).onSuccess { isComplete = true }
+
+    internal suspend fun discard(maxBytes: Int) {
+        isComplete = source.discard(maxBytes)
+    }
 }
 
 /**
@@ -136,11 +152,12 @@
         val idle = if (request.onNewConnection) null else takeIdleOrNull(endpoint)
         val connection = idle ?: connectOrNull(endpoint) ?: return Err(ExchangeFailure.NotConnected)
         var reusable = false
+        val reservation = loop.memory.open(request.traffic)
         try {
             if (!request.isWanted()) return Err(ExchangeFailure.NotWanted)
             return coroutineScope {
                 val writer = launch { connection.write(endpoint, request) }
-                val result = connection.receive(request.method, receive)
+                val result = connection.receive(request.method, reservation, receive)
                 reusable = result.reusable && writer.isCompleted && connection.isOpenAndEmpty
                 coroutineContext.cancelChildren()
                 result.value
@@ -149,6 +166,7 @@
             log.debug("event=exchange_cut endpoint={}:{} error={}", endpoint.host, endpoint.port, e.message)
             return Err(ExchangeFailure.ConnectionLost)
         } finally {
+            reservation.close()
             if (reusable && !request.onNewConnection) addIdle(endpoint, connection) else connection.close()
         }
     }
@@ -168,14 +186,16 @@
 
     private suspend fun <T> Connection.receive(
         method: String,
+        reservation: Reservation,
         receive: suspend (ReceivedResponse) -> T,
     ): Received<T> {
         val isFirst = !isUsed
         isUsed = true
         val input = socket.input
-        val head = input.readResponseHead().getOrElse { return Received(Err(it.toExchangeFailure()), false) }
+        val head =
+            input.readResponseHead(reservation).getOrElse { return Received(Err(it.toExchangeFailure()), false) }
         val source = input.bodySourceOrNull(head, method) ?: return Received(Err(ExchangeFailure.Malformed), false)
-        val body = ResponseBody(source)
+        val body = ResponseBody(source, reservation)
         val value = receive(ReceivedResponse(head, body, isFirst))
         head.headers.keepAliveTimeoutOrNull()?.let { idleTimeout = it }
         val keepAlive = "close" !in head.headers.tokens("Connection")
@@ -194,7 +214,7 @@
         val output = socket.output
         try {
             output.writePacket(builder.build())
-            output.writeByteArray(request.body)
+            output.writeInPieces(request.body)
             output.flush()
         } catch (e: IOException) {
             // Reading the response fails on the closed connection too, and reports the failure.
@@ -256,5 +276,6 @@
 private fun ReadFailure.toExchangeFailure(): ExchangeFailure =
     when (this) {
         ReadFailure.Ended, ReadFailure.Truncated, ReadFailure.TooSlow -> ExchangeFailure.ConnectionLost
-        ReadFailure.HeaderTooLarge, ReadFailure.BodyTooLarge, ReadFailure.Malformed -> ExchangeFailure.Malformed
+        ReadFailure.HeaderTooLarge, ReadFailure.BodyTooLarge -> ExchangeFailure.Malformed
+        ReadFailure.NoMemory, ReadFailure.Malformed -> ExchangeFailure.Malformed
     }
--- a/http/src/main/kotlin/gypsumcart/http/HttpServer.kt
+++ b/http/src/main/kotlin/gypsumcart/http/HttpServer.kt
@@ -29,6 +29,7 @@
  *
  * @property name identifies the server in log lines
  * @property limits called for each request, so that the limits may change while the server runs
+ * @property traffic the kind of messages to which the requests belong
  */
 public class HttpServer(
     private val name: String,
@@ -38,6 +39,7 @@
     private val scope: CoroutineScope,
     private val limits: () -> MessageLimits,
     private val handler: RequestHandler,
+    private val traffic: Traffic = Traffic.Forwarded,
 ) {
     private sealed class Phase {
         /** Waits for a request. */
@@ -129,7 +131,7 @@
     /** Sends [refusal] and no more; the client may still be sending, and a close with unread bytes would reset it. */
     private suspend fun refuse(output: ByteWriteChannel, refusal: ResponseHead) {
         try {
-            ResponseWriter(output, "GET") { true }.send(refusal, ByteArray(0))
+            loop.memory.open(traffic).use { ResponseWriter(output, "GET", it) { true }.send(refusal, ByteArray(0)) }
             output.flushAndClose()
         } catch (_: ClientDisconnectedException) {
             log.debug("event=client_gone server={}", name)
@@ -180,15 +182,27 @@
         connection.phase = Phase.Idle
         val hasContent = withTimeoutOrNull(limits.idleTimeout) { input.awaitContent() } ?: false
         if (!hasContent) return false
+        return loop.memory.open(traffic).use { serveRequest(connection, limits, it) }
+    }
+
+    private suspend fun serveRequest(
+        connection: ServedConnection,
+        limits: MessageLimits,
+        reservation: Reservation,
+    ): Boolean {
+        val input = connection.socket.input
+        val output = connection.socket.output
         connection.phase = Phase.Reading
-        val read = input.readRequest(limits)
+        val read = input.readRequest(limits, reservation)
         if (connection.phase == Phase.Refused) return false
         connection.phase = Phase.Handling
-        val request = read.getOrElse { return reject(it, output) }
+        val request = read.getOrElse { return reject(it, output, reservation) }
         val closeRequested = "close" in request.headers.tokens("Connection")
         // While the server drains, requests that have arrived behind this one are answered before the close.
         val response =
-            ResponseWriter(output, request.method) { closeRequested || draining && input.availableForRead == 0 }
+            ResponseWriter(output, request.method, reservation) {
+                closeRequested || draining && input.availableForRead == 0
+            }
         handleUntilDisconnect(request, response, input)
         return response.isEnded && response.isConnectionReusable
     }
@@ -216,10 +230,10 @@
             false
         }
 
-    private suspend fun reject(failure: ReadFailure, output: ByteWriteChannel): Boolean {
+    private suspend fun reject(failure: ReadFailure, output: ByteWriteChannel, reservation: Reservation): Boolean {
         val status = failure.statusOrNull() ?: return false
         log.info("event=request_unreadable server={} reason={} status={}", name, failure::class.simpleName, status)
-        ResponseWriter(output, "GET") { true }.send(ResponseHead(status, Headers.EMPTY), ByteArray(0))
+        ResponseWriter(output, "GET", reservation) { true }.send(ResponseHead(status, Headers.EMPTY), ByteArray(0))
         return false
     }
 
@@ -240,6 +254,7 @@
         ReadFailure.TooSlow -> HTTP_REQUEST_TIMEOUT
         ReadFailure.HeaderTooLarge -> HTTP_HEADER_TOO_LARGE
         ReadFailure.BodyTooLarge -> HTTP_BODY_TOO_LARGE
+        ReadFailure.NoMemory -> HTTP_UNAVAILABLE
         ReadFailure.Malformed -> HTTP_BAD_REQUEST
     }
 
@@ -247,3 +262,4 @@
 private const val HTTP_REQUEST_TIMEOUT = 408
 private const val HTTP_BODY_TOO_LARGE = 413
 private const val HTTP_HEADER_TOO_LARGE = 431
+private const val HTTP_UNAVAILABLE = 503
--- a/http/src/main/kotlin/gypsumcart/http/ReadFailure.kt
+++ b/http/src/main/kotlin/gypsumcart/http/ReadFailure.kt
@@ -25,6 +25,9 @@
     /** The body exceeds [MessageLimits.maxBodyBytes]. */
     public data object BodyTooLarge : ReadFailure()
 
+    /** The message does not fit in the memory that is left for it; see [MemoryBudget]. */
+    public data object NoMemory : ReadFailure()
+
     /** The bytes are not a valid message, or the end of its body is ambiguous. */
     public data object Malformed : ReadFailure()
 }
@@ -41,6 +44,8 @@
         Err(ReadFailure.Truncated)
     } catch (_: HeadTooLargeException) {
         Err(ReadFailure.HeaderTooLarge)
+    } catch (_: NoMemoryException) {
+        Err(ReadFailure.NoMemory)
     } catch (_: ParserException) {
         Err(ReadFailure.Malformed)
     } catch (_: IOException) {
--- a/http/src/main/kotlin/gypsumcart/http/RequestReader.kt
+++ b/http/src/main/kotlin/gypsumcart/http/RequestReader.kt
@@ -5,19 +5,29 @@
 import com.github.michaelbull.result.Result
 import com.github.michaelbull.result.andThen
 import com.github.michaelbull.result.map
+import com.github.michaelbull.result.onFailure
+import com.github.michaelbull.result.toResultOr
 import io.ktor.http.cio.Request
 import io.ktor.http.cio.parseRequest
 import io.ktor.utils.io.ByteReadChannel
-import io.ktor.utils.io.readByteArray
 import kotlinx.coroutines.TimeoutCancellationException
 import kotlinx.coroutines.withTimeout
-import java.io.ByteArrayOutputStream
 
-/** Reads a request with its whole body; a request with ambiguous framing is [ReadFailure.Malformed]. */
-internal suspend fun ByteReadChannel.readRequest(limits: MessageLimits): Result<HttpRequest, ReadFailure> =
+/**
+ * Reads a request with its whole body and reserves what it takes; a request with ambiguous framing is
+ * [ReadFailure.Malformed].
+ *
+ * The body of a request that is [ReadFailure.NoMemory] is read without keeping it, so that its client can read the
+ * response.
+ */
+internal suspend fun ByteReadChannel.readRequest(
+    limits: MessageLimits,
+    reservation: Reservation,
+): Result<HttpRequest, ReadFailure> =
     readCatching {
         try {
-            withTimeout(limits.headerTimeout) { readHead(limits) }.andThen { head -> readBody(head, limits) }
+            withTimeout(limits.headerTimeout) { readHead(limits, reservation) }
+                .andThen { head -> readBody(head, limits, reservation) }
         } catch (_: TimeoutCancellationException) {
             Err(ReadFailure.TooSlow)
         }
@@ -31,12 +41,17 @@
     data object Chunked : BodyFraming()
 }
 
-private suspend fun ByteReadChannel.readHead(limits: MessageLimits): Result<RequestHead, ReadFailure> {
-    val request = parseRequest(HeadLimiter(this, limits.maxHeaderBytes)) ?: return Err(ReadFailure.Ended)
+private suspend fun ByteReadChannel.readHead(
+    limits: MessageLimits,
+    reservation: Reservation,
+): Result<RequestHead, ReadFailure> {
+    val limiter = HeadLimiter(this, limits.maxHeaderBytes, reservation)
+    val request = parseRequest(limiter) ?: return Err(ReadFailure.Ended)
     try {
         return validateHead(request, limits)
     } finally {
         request.release()
+        limiter.releaseParser()
     }
 }
 
@@ -76,33 +91,35 @@
 private suspend fun ByteReadChannel.readBody(
     head: RequestHead,
     limits: MessageLimits,
-): Result<HttpRequest, ReadFailure> =
-    when (val framing = head.framing) {
-        is BodyFraming.FixedLength -> readFixedLengthBody(framing.bytes, limits)
-        BodyFraming.Chunked -> readChunkedBody(limits)
-    }.map { HttpRequest(head.method, head.target, head.headers, it) }
-
-private suspend fun ByteReadChannel.readFixedLengthBody(
-    bytes: Long,
-    limits: MessageLimits,
-): Result<ByteArray, ReadFailure> {
-    if (bytes > limits.maxBodyBytes) return Err(ReadFailure.BodyTooLarge)
-    if (bytes == 0L) return Ok(ByteArray(0))
-    return Ok(withTimeout(limits.idleTimeout) { readByteArray(bytes.toInt()) })
+    reservation: Reservation,
+): Result<HttpRequest, ReadFailure> {
+    val source =
+        when (val framing = head.framing) {
+            is BodyFraming.FixedLength -> BodySource.FixedLength(this, framing.bytes)
+            BodyFraming.Chunked -> BodySource.Chunked(this)
+        }
+    return withTimeout(limits.idleTimeout) {
+        source
+            .readWhole(limits.maxBodyBytes, reservation)
+            .map { HttpRequest(head.method, head.target, head.headers, it) }
+            .onFailure { if (it == ReadFailure.NoMemory) source.discard(limits.maxBodyBytes) }
+    }
 }
 
-private suspend fun ByteReadChannel.readChunkedBody(limits: MessageLimits): Result<ByteArray, ReadFailure> =
-    withTimeout(limits.idleTimeout) {
-        val chunks = ChunkReader(this@readChunkedBody)
-        val body = ByteArrayOutputStream()
-        val buffer = ByteArray(BUFFER_BYTES)
-        while (body.size() <= limits.maxBodyBytes) {
-            val n = chunks.read(buffer)
-            if (n < 0) return@withTimeout Ok(body.toByteArray())
-            body.write(buffer, 0, n)
+private suspend fun BodySource.readWhole(maxBytes: Int, reservation: Reservation): Result<ByteArray, ReadFailure> {
+    val declared = declaredBytes ?: 0
+    if (declared > maxBytes) return Err(ReadFailure.BodyTooLarge)
+    // A body that would be given up halfway takes no memory from others.
+    val whole =
+        if (reservation.canGrow(declared.toInt())) {
+            readPieces(maxBytes, reservation).andThen {
+                it.joinOrNull(reservation).toResultOr { ReadFailure.NoMemory }
+            }
+        } else {
+            Err(ReadFailure.NoMemory)
         }
-        Err(ReadFailure.BodyTooLarge)
-    }
+    return whole.onFailure { reservation.close() }
+}
 
 /** The colon, the space and the line break (CRLF) of a header field. */
 private const val FIELD_OVERHEAD_BYTES = 4
--- a/http/src/main/kotlin/gypsumcart/http/ResponseReader.kt
+++ b/http/src/main/kotlin/gypsumcart/http/ResponseReader.kt
@@ -13,16 +13,18 @@
  * [ReadFailure.Malformed].
  */
 internal suspend fun ByteReadChannel.readResponseHead(
+    reservation: Reservation,
     maxBytes: Int = MAX_RESPONSE_HEAD_BYTES,
 ): Result<ResponseHead, ReadFailure> =
     readCatching {
-        val limiter = HeadLimiter(this, maxBytes)
+        val limiter = HeadLimiter(this, maxBytes, reservation)
         val response = parseResponse(limiter)
         if (response == null) {
             Err(ReadFailure.Ended)
         } else {
             val head = ResponseHead(response.status, response.headers.toHeaders())
             response.release()
+            limiter.releaseParser()
             when {
                 // The parser returns a head without any fields if the input ends between two lines.
                 !limiter.isHeadComplete -> Err(ReadFailure.Truncated)
@@ -32,20 +34,28 @@
         }
     }
 
-/** Reads the body of a response up to the end that its framing defines. */
+/** Reads the body of a message up to the end that its framing defines. */
 internal sealed class BodySource {
-    /** Reads some bytes into [buffer] and returns their number, or -1 at the end of a complete body. */
-    abstract suspend fun read(buffer: ByteArray): Int
+    /**
+     * Reads some bytes into [buffer] from [offset], at most [length], and returns their number, or -1 at the end of a
+     * complete body.
+     */
+    abstract suspend fun read(buffer: ByteArray, offset: Int, length: Int): Int
+
+    /** The size of the whole body, or null if its framing does not say it in advance. */
+    open val declaredBytes: Long? get() = null
 
     /** Whether the whole body was read and the connection can carry another message after it. */
     abstract val isConnectionReusable: Boolean
 
-    class FixedLength(private val input: ByteReadChannel, private var remaining: Long) : BodySource() {
+    class FixedLength(private val input: ByteReadChannel, override val declaredBytes: Long) : BodySource() {
+        private var remaining = declaredBytes
+
         override val isConnectionReusable: Boolean get() = remaining == 0L
 
-        override suspend fun read(buffer: ByteArray): Int {
+        override suspend fun read(buffer: ByteArray, offset: Int, length: Int): Int {
             if (remaining == 0L) return -1
-            val n = input.readAvailable(buffer, 0, minOf(remaining, buffer.size.toLong()).toInt())
+            val n = input.readAvailable(buffer, offset, minOf(remaining, length.toLong()).toInt())
             if (n < 0) throw EOFException("connection closed $remaining bytes before the end of the body")
             remaining -= n
             return n
@@ -57,15 +67,19 @@
 
         override val isConnectionReusable: Boolean get() = chunks.isEnded
 
-        override suspend fun read(buffer: ByteArray): Int = chunks.read(buffer)
+        override suspend fun read(buffer: ByteArray, offset: Int, length: Int): Int = chunks.read(
+            buffer,
+            offset,
+            length,
+        )
     }
 
     /** A body that ends when the server closes the connection; a reset is a failure and not the end of the body. */
     class UntilClose(private val input: ByteReadChannel) : BodySource() {
         override val isConnectionReusable: Boolean get() = false
 
-        override suspend fun read(buffer: ByteArray): Int {
-            val n = input.readAvailable(buffer)
+        override suspend fun read(buffer: ByteArray, offset: Int, length: Int): Int {
+            val n = input.readAvailable(buffer, offset, length)
             if (n < 0) input.closedCause?.let { throw it }
             return n
         }
--- a/http/src/main/kotlin/gypsumcart/http/ResponseWriter.kt
+++ b/http/src/main/kotlin/gypsumcart/http/ResponseWriter.kt
@@ -18,12 +18,14 @@
  * The functions throw [ClientDisconnectedException] if the connection is broken. [send] and [startChunked] throw
  * [IllegalStateException] if a response has been started, as a client would take a second head for a part of the body.
  *
+ * @property reservation holds the memory that the request takes, until its response has ended
  * @property closesConnection returns whether the connection closes after this response; called when the head is
  *   written
  */
 public class ResponseWriter internal constructor(
     private val output: ByteWriteChannel,
     private val method: String,
+    public val reservation: Reservation,
     private val closesConnection: () -> Boolean,
 ) {
     /** Whether bytes of the response may have been written. */
@@ -39,12 +41,15 @@
         private set
 
     /** Writes a whole response, without the body if the request's method is HEAD. */
-    public suspend fun send(head: ResponseHead, body: ByteArray) {
+    public suspend fun send(head: ResponseHead, body: ByteArray): Unit = send(head, BodyPieces(listOf(body)))
+
+    /** Writes a whole response, without the body if the request's method is HEAD. */
+    public suspend fun send(head: ResponseHead, body: BodyPieces) {
         checkNotStarted()
-        val length = HeaderField("Content-Length", body.size.toString())
+        val length = HeaderField("Content-Length", body.sizeBytes.toString())
         write {
             output.writeHead(head, listOf(length))
-            if (method != "HEAD") output.writeByteArray(body)
+            if (method != "HEAD") body.pieces.forEach { output.writeInPieces(it) }
         }
         isEnded = true
     }
@@ -60,7 +65,7 @@
         if (length == 0) return
         write {
             output.writeByteArray("${length.toString(HEX_RADIX)}\r\n".encodeToByteArray())
-            output.writeFully(bytes, 0, length)
+            output.writeInPieces(bytes, length)
             output.writeByteArray(LINE_END)
         }
     }
@@ -101,3 +106,18 @@
         val LAST_CHUNK = "0\r\n\r\n".encodeToByteArray()
     }
 }
+
+/**
+ * Writes the first [length] bytes of [bytes], and flushes before it holds more than one piece.
+ *
+ * The channel copies what it holds, so a slow receiver of a large body would double its memory.
+ */
+internal suspend fun ByteWriteChannel.writeInPieces(bytes: ByteArray, length: Int = bytes.size) {
+    for (start in 0 until length step MAX_PIECE_BYTES) {
+        val end = minOf(start + MAX_PIECE_BYTES, length)
+        writeFully(bytes, start, end)
+        if (length > MAX_PIECE_BYTES) flush()
+    }
+}
+
+private const val MAX_PIECE_BYTES = 16_384
--- a/http/src/main/kotlin/gypsumcart/http/SocketLoop.kt
+++ b/http/src/main/kotlin/gypsumcart/http/SocketLoop.kt
@@ -26,9 +26,14 @@
  *
  * The thread sleeps in the selector until a socket is ready, a timer is due or another thread dispatches a coroutine.
  * A coroutine that continues after a socket became ready therefore runs without a hand-over between threads.
+ *
+ * @property memory bounds what the messages on all connections hold in memory
  */
 @OptIn(InternalCoroutinesApi::class)
-public class SocketLoop(name: String) : CoroutineDispatcher(), Delay {
+public class SocketLoop(
+    name: String,
+    public val memory: MemoryBudget = MemoryBudget.ofHeap(),
+) : CoroutineDispatcher(), Delay {
     private class Timer(val dueNanos: Long, val order: Long, val block: Runnable) : Comparable<Timer> {
         override fun compareTo(other: Timer): Int {
             val byTime = (dueNanos - other.dueNanos).compareTo(0)
--- a/http/src/test/kotlin/gypsumcart/http/EventStreamSplitterTest.kt
+++ b/http/src/test/kotlin/gypsumcart/http/EventStreamSplitterTest.kt
@@ -7,6 +7,7 @@
 import strikt.api.expectThat
 import strikt.assertions.isEqualTo
 import strikt.assertions.isFalse
+import strikt.assertions.isGreaterThanOrEqualTo
 import strikt.assertions.isLessThan
 import strikt.assertions.isNull
 import strikt.assertions.isTrue
@@ -33,6 +34,28 @@
         expectThat(elapsed).isLessThan(500.milliseconds)
     }
 
+    // Guards against many events, each within its bound, that together take all memory of the process (LOST).
+    @Test
+    fun `an event that does not fit in memory is given up`() {
+        val memory = MemoryBudget(100_000)
+        val splitter = EventStreamSplitter(reservation = memory.open(Traffic.Forwarded))
+        val piece = ByteArray(1_000) { 'x'.code.toByte() }
+        repeat(100) { if (!splitter.isOversized) splitter.append(piece, piece.size) }
+        expectThat(splitter.isOversized).isTrue()
+        expectThat(memory.heldBytes).isLessThan(100_000)
+    }
+
+    @Test
+    fun `a large event holds memory only until the next one`() {
+        val memory = MemoryBudget(1_000_000)
+        val splitter = EventStreamSplitter(reservation = memory.open(Traffic.Forwarded))
+        splitter.append("data: ${"x".repeat(100_000)}")
+        expectThat(splitter.append("\n\n").length).isEqualTo(100_008)
+        expectThat(memory.heldBytes).isGreaterThanOrEqualTo(100_008)
+        splitter.append("id")
+        expectThat(memory.heldBytes).isEqualTo(0)
+    }
+
     private fun EventStreamSplitter.append(text: String): String =
         append(text.toByteArray(), text.length).decodeToString()
 
--- a/http/src/test/kotlin/gypsumcart/http/HttpServerTest.kt
+++ b/http/src/test/kotlin/gypsumcart/http/HttpServerTest.kt
@@ -26,12 +26,15 @@
 import kotlin.time.Duration.Companion.seconds
 
 class HttpServerTest {
-    private val received = CopyOnWriteArrayList<String>()
-    private val loopback =
-        LoopbackServer { request, response ->
+    private class Echo(private val received: MutableList<String>) : RequestHandler {
+        override suspend fun handle(request: HttpRequest, response: ResponseWriter) {
             received += "${request.method} ${request.target} ${request.body.decodeToString()}"
             response.send(ResponseHead(200, Headers.EMPTY), request.body)
         }
+    }
+
+    private val received = CopyOnWriteArrayList<String>()
+    private val loopback = LoopbackServer(Echo(received))
 
     @AfterEach
     fun close(): Unit = loopback.close()
@@ -122,6 +125,32 @@
         expectThat(loopback.sendRaw(oversizedBody)).startsWith("HTTP/1.1 413")
     }
 
+    // Guards against many requests, each within its bound, that together take all memory of the process (LOST).
+    @Test
+    fun `a request that does not fit in memory gets status 503 and is not handled`() {
+        val body = "x".repeat(9_000)
+        val memory = MemoryBudget(12_000)
+        LoopbackServer(memory, Echo(received)).use { server ->
+            val withLength = server.sendRaw("POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 9000\r\n\r\n$body")
+            val chunks = "2328\r\n$body\r\n0\r\n\r\n"
+            val inChunks = server.sendRaw("POST /b HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n$chunks")
+            expectThat(withLength)
+                .startsWith("HTTP/1.1 503")
+                .contains("Connection: close")
+                .not()
+                .contains(RESET)
+            expectThat(inChunks)
+                .startsWith("HTTP/1.1 503")
+                .contains("Connection: close")
+                .not()
+                .contains(RESET)
+            expectThat(received.size).isEqualTo(0)
+            val small = server.sendRaw("POST /c HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n")
+            expectThat(small).startsWith("HTTP/1.1 200")
+            expectThat(memory.heldBytes).isEqualTo(0)
+        }
+    }
+
     @Test
     fun `a header that is incomplete after the timeout gets status 408`() {
         expectThat(loopback.sendRaw("GET /a HTTP/1.1\r\nHo")).startsWith("HTTP/1.1 408")
--- a/http/src/test/kotlin/gypsumcart/http/LoopbackServer.kt
+++ b/http/src/test/kotlin/gypsumcart/http/LoopbackServer.kt
@@ -11,9 +11,11 @@
 import kotlin.time.Duration.Companion.seconds
 
 /** Runs an [HttpServer] on the loopback interface for a test, and provides a client for it. */
-internal class LoopbackServer(handler: RequestHandler) : AutoCloseable {
+internal class LoopbackServer(memory: MemoryBudget, handler: RequestHandler) : AutoCloseable {
+    constructor(handler: RequestHandler) : this(MemoryBudget.ofHeap(), handler)
+
     val scope = CoroutineScope(SupervisorJob() + Dispatchers.Default)
-    val loop = SocketLoop("test")
+    val loop = SocketLoop("test", memory)
     val client = HttpClient(loop, 1.seconds)
     val port: Int = freePort()
     private val limits = MessageLimits(2_000, 10_000, 500.milliseconds, 2.seconds)
--- a/http/src/test/kotlin/gypsumcart/http/MessageReadersTest.kt
+++ b/http/src/test/kotlin/gypsumcart/http/MessageReadersTest.kt
@@ -46,6 +46,7 @@
     }
 
     private val limits = MessageLimits(10_000, 10_000, 5.seconds, 5.seconds)
+    private val reservation = MemoryBudget.unlimited().open(Traffic.Forwarded)
 
     @Provide
     fun request(): Arbitrary<SentRequest> =
@@ -69,9 +70,11 @@
             measureTime {
                 runBlocking {
                     val response = ByteReadChannel("HTTP/1.1 200 OK\r\n$fields\r\n".toByteArray())
-                    expectThat(response.readResponseHead().getError()).isEqualTo(ReadFailure.HeaderTooLarge)
+                    expectThat(response.readResponseHead(reservation).getError()).isEqualTo(ReadFailure.HeaderTooLarge)
                     val request = ByteReadChannel("GET / HTTP/1.1\r\nHost: h\r\n$fields\r\n".toByteArray())
-                    expectThat(request.readRequest(largeHeads).getError()).isEqualTo(ReadFailure.HeaderTooLarge)
+                    expectThat(
+                        request.readRequest(largeHeads, reservation).getError(),
+                    ).isEqualTo(ReadFailure.HeaderTooLarge)
                 }
             }
         expectThat(elapsed).isLessThan(500.milliseconds)
@@ -96,7 +99,7 @@
     private fun ByteArray.readRequests(count: Int): List<Result<HttpRequest, ReadFailure>> =
         runBlocking {
             val channel = ByteReadChannel(this@readRequests)
-            List(count) { channel.readRequest(limits) }
+            List(count) { channel.readRequest(limits, reservation) }
         }
 
     @Property(tries = TRIES, seed = SEED)
@@ -112,7 +115,7 @@
             runBlocking {
                 val channel = ByteChannel()
                 launch { channel.sendInPieces(bytes, cuts) }
-                requests.map { channel.readRequest(limits).get() }
+                requests.map { channel.readRequest(limits, reservation).get() }
             }
         expectThat(read.map { it?.path to it?.body?.decodeToString() }).isEqualTo(requests.map { it.path to it.body })
     }
@@ -173,7 +176,7 @@
     ) {
         val bytes = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\nX-Id: 1\r\n\r\n".toByteArray()
         bytes[at % bytes.size] = garbled
-        val result = runBlocking { ByteReadChannel(bytes).readResponseHead() }
+        val result = runBlocking { ByteReadChannel(bytes).readResponseHead(reservation) }
         if (result.get() == null) expectThat(result.getError()).isNotNull()
     }
 
--- a/http/src/test/kotlin/gypsumcart/http/SocketLoopTest.kt
+++ b/http/src/test/kotlin/gypsumcart/http/SocketLoopTest.kt
@@ -110,7 +110,8 @@
                 val connection = connected.await()
                 val writing =
                     scope.launch {
-                        val writer = ResponseWriter(connection.output, "GET") { false }
+                        val writer =
+                            ResponseWriter(connection.output, "GET", loop.memory.open(Traffic.Forwarded)) { false }
                         writer.send(ResponseHead(200, Headers.EMPTY), ByteArray(64 * 1024 * 1024))
                     }
                 delay(100.milliseconds)
--- a/http/src/test/kotlin/gypsumcart/http/TruncatedResponseTest.kt
+++ b/http/src/test/kotlin/gypsumcart/http/TruncatedResponseTest.kt
@@ -24,6 +24,7 @@
 /** Cuts responses at each byte, where the server closes or resets the connection. */
 class TruncatedResponseTest {
     private val loop = SocketLoop("test")
+    private val reservation = MemoryBudget.unlimited().open(Traffic.Forwarded)
     private val client = HttpClient(loop, 1.seconds)
     private val listener = ServerSocket(0, 50, InetAddress.getByName(LoopbackServer.HOST))
 
@@ -76,7 +77,7 @@
         val accepted =
             bytes.indices.filter { cut ->
                 val input = ByteReadChannel(bytes.copyOf(cut))
-                runBlocking { input.readResponseHead() }.getError() !in
+                runBlocking { input.readResponseHead(reservation) }.getError() !in
                     listOf(ReadFailure.Ended, ReadFailure.Truncated, ReadFailure.Malformed)
             }
         expectThat(accepted).isEmpty()
@@ -101,7 +102,7 @@
                     ByteReadChannel(head.toByteArray()),
                 ).map {
                     it
-                        .readResponseHead()
+                        .readResponseHead(reservation)
                         .get()
                         ?.status
                         .toString()
--- a/node/src/main/kotlin/gypsumcart/node/BackEndCalls.kt
+++ b/node/src/main/kotlin/gypsumcart/node/BackEndCalls.kt
@@ -18,7 +18,8 @@
 import gypsumcart.http.ReceivedResponse
 import gypsumcart.http.ResponseBody
 import gypsumcart.http.ResponseHead
-import gypsumcart.http.readAtMost
+import gypsumcart.http.discardAtMost
+import gypsumcart.http.readPiecesAtMost
 import gypsumcart.http.withoutHopByHop
 import gypsumcart.pipeline.MonotonicClock
 import kotlinx.coroutines.withTimeoutOrNull
@@ -163,7 +164,7 @@
     /** Reads a body that nobody needs, so that its connection can be used again; a failure costs no more than that. */
     private suspend fun discard(body: ResponseBody) {
         try {
-            withTimeoutOrNull(DISCARD_TIMEOUT) { body.readAtMost(MAX_DISCARDED_BYTES) }
+            withTimeoutOrNull(DISCARD_TIMEOUT) { body.discardAtMost(MAX_DISCARDED_BYTES) }
         } catch (e: IOException) {
             log.debug("event=body_discarded error={}", e.message)
         }
@@ -176,15 +177,15 @@
         response: ForwardedResponse,
     ): CallResult {
         reportStart(call)
-        val bytes =
-            body.readAtMost(responseLimits.maxBodyBytes)
+        val content =
+            body.readPiecesAtMost(responseLimits.maxBodyBytes)
                 ?: return CallResult.Failed(CallFailure.InvalidResponse, response.progress)
         val forwardedHead = ResponseHead(head.status, head.headers.withoutHopByHop())
         if (head.status >= FIRST_SERVER_ERROR && call.admitted.route.kind.isRetryable) {
-            response.storeFallback(forwardedHead, bytes)
+            response.storeFallback(forwardedHead, content, body.reservation)
             return CallResult.Failed(CallFailure.ServerError(head.status), response.progress)
         }
-        response.send(forwardedHead, bytes)
+        response.send(forwardedHead, content)
         return CallResult.Answered(head.status)
     }
 
@@ -194,7 +195,7 @@
         body: ResponseBody,
         response: ForwardedResponse,
     ): CallResult {
-        val events = EventStreamSplitter(responseLimits.maxEventBytes)
+        val events = EventStreamSplitter(responseLimits.maxEventBytes, body.reservation)
         val buffer = ByteArray(EVENT_BUFFER_BYTES)
         var started = false
         while (true) {
--- a/node/src/main/kotlin/gypsumcart/node/ForwardedResponse.kt
+++ b/node/src/main/kotlin/gypsumcart/node/ForwardedResponse.kt
@@ -1,12 +1,14 @@
 package gypsumcart.node
 
 import gypsumcart.core.dispatch.DeliveryProgress
+import gypsumcart.http.BodyPieces
+import gypsumcart.http.Reservation
 import gypsumcart.http.ResponseHead
 import gypsumcart.http.ResponseWriter
 
 /** Writes the response to one client request, to which several upstream calls may contribute. */
 internal class ForwardedResponse(private val response: ResponseWriter) {
-    private class BufferedResponse(val head: ResponseHead, val body: ByteArray)
+    private class BufferedResponse(val head: ResponseHead, val body: BodyPieces)
 
     private var lastEventId: String? = null
     private var fallback: BufferedResponse? = null
@@ -18,12 +20,17 @@
     val progress: DeliveryProgress
         get() = if (isStarted) DeliveryProgress.Started(lastEventId) else DeliveryProgress.None
 
-    /** Stores a back end's error response, which [conclude] sends if no later call succeeds. */
-    fun storeFallback(head: ResponseHead, body: ByteArray) {
+    /**
+     * Stores a back end's error response, which [conclude] sends if no later call succeeds.
+     *
+     * The memory that [held] holds for it counts for the request from then on.
+     */
+    fun storeFallback(head: ResponseHead, body: BodyPieces, held: Reservation) {
+        response.reservation.takeOver(held)
         fallback = BufferedResponse(head, body)
     }
 
-    suspend fun send(head: ResponseHead, body: ByteArray): Unit = response.send(head, body)
+    suspend fun send(head: ResponseHead, body: BodyPieces): Unit = response.send(head, body)
 
     /** Writes the head of a stream, unless an earlier call has already written it and this one resumes the stream. */
     suspend fun startStream(head: ResponseHead) {
--- a/node/src/main/kotlin/gypsumcart/node/Metrics.kt
+++ b/node/src/main/kotlin/gypsumcart/node/Metrics.kt
@@ -7,9 +7,11 @@
 import gypsumcart.core.leases.FencedCommand
 import gypsumcart.http.HeaderField
 import gypsumcart.http.Headers
+import gypsumcart.http.MemoryBudget
 import gypsumcart.http.RequestHandler
 import gypsumcart.http.ResponseHead
 import gypsumcart.pipeline.Ring
+import io.micrometer.core.instrument.FunctionCounter
 import io.micrometer.core.instrument.Gauge
 import io.micrometer.core.instrument.Meter
 import io.micrometer.core.instrument.Tag
@@ -64,6 +66,12 @@
         registry.gauge("gypsumcart.ring.events", listOf(tag("ring", ring.name)), ring) { it.size.toDouble() }
     }
 
+    /** Registers meters for what messages hold of [memory], and for those that did not fit. */
+    fun registerGauges(memory: MemoryBudget) {
+        registry.gauge("gypsumcart.memory.held.bytes", memory) { it.heldBytes.toDouble() }
+        FunctionCounter.builder("gypsumcart.memory.refused", memory) { it.refusals.toDouble() }.register(registry)
+    }
+
     /**
      * Registers gauges for [state], for the number of requests in progress and for the number of back ends that have
      * asked this node for a pause.
--- a/node/src/main/kotlin/gypsumcart/node/Node.kt
+++ b/node/src/main/kotlin/gypsumcart/node/Node.kt
@@ -22,9 +22,11 @@
 import gypsumcart.core.usage.UsageEvent
 import gypsumcart.http.HttpClient
 import gypsumcart.http.HttpServer
+import gypsumcart.http.MemoryBudget
 import gypsumcart.http.MessageLimits
 import gypsumcart.http.RequestHandler
 import gypsumcart.http.SocketLoop
+import gypsumcart.http.Traffic
 import gypsumcart.pipeline.Duty
 import gypsumcart.pipeline.MonotonicClock
 import gypsumcart.pipeline.TimerService
@@ -38,10 +40,14 @@
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 
-/** Provides the thread of network I/O. */
-public class EdgeRuntime {
+/**
+ * Provides the thread of network I/O.
+ *
+ * @param memory bounds what the messages on all connections hold in memory
+ */
+public class EdgeRuntime(memory: MemoryBudget = MemoryBudget.ofHeap()) {
     /** Runs all coroutines and sockets of the edge. */
-    public val loop: SocketLoop = SocketLoop("edge")
+    public val loop: SocketLoop = SocketLoop("edge", memory)
 
     /** The scope of the coroutines of servers and clients. */
     public val scope: CoroutineScope = CoroutineScope(SupervisorJob() + loop)
@@ -111,7 +117,7 @@
             ).all
     private val fleetClock = FleetClock(platform.rowStore)
 
-    private val clientServer = createServer("clients", settings.clients, edge)
+    private val clientServer = createServer("clients", settings.clients, edge, traffic = Traffic.Forwarded)
     private val readinessServer =
         createServer("readiness", settings.readiness, platform.readinessHandler { state.isReady })
     private val directoryServer =
@@ -149,6 +155,7 @@
             peerServer?.start()
         }
         metrics.registerGauges(state, { edge.inProgress }, { statedAvailability.pausedBackEnds })
+        metrics.registerGauges(runtime.loop.memory)
         rings.all.forEach(metrics::registerGauges)
         timers.start()
         (duties + shutdown.duty).forEach(Duty::start)
@@ -243,9 +250,10 @@
         address: String,
         handler: RequestHandler,
         limits: () -> MessageLimits = ::messageLimits,
+        traffic: Traffic = Traffic.Control,
     ): HttpServer {
         val (host, port) = address.toAddress()
-        return HttpServer(name, host, port, runtime.loop, runtime.scope, limits, handler)
+        return HttpServer(name, host, port, runtime.loop, runtime.scope, limits, handler, traffic)
     }
 
     private fun peerLimits(): MessageLimits = PEER_LIMITS
--- a/node/src/main/kotlin/gypsumcart/node/PeerLink.kt
+++ b/node/src/main/kotlin/gypsumcart/node/PeerLink.kt
@@ -17,6 +17,7 @@
 import gypsumcart.http.RequestHandler
 import gypsumcart.http.ResponseHead
 import gypsumcart.http.ResponseWriter
+import gypsumcart.http.Traffic
 import gypsumcart.http.readAtMost
 import gypsumcart.pipeline.EventSink
 import kotlinx.coroutines.CompletableDeferred
@@ -101,7 +102,8 @@
     private suspend fun exchangeOrNull(effect: MembershipEffect.Send): PeerMessage? {
         val target = effect.target
         val endpoint = Endpoint(target.address.host, target.address.port)
-        val request = OutgoingRequest("POST", PATH, JSON, effect.message.encode().encodeToByteArray())
+        val body = effect.message.encode().encodeToByteArray()
+        val request = OutgoingRequest("POST", PATH, JSON, body, traffic = Traffic.Control)
         val exchange =
             withTimeoutOrNull(EXCHANGE_TIMEOUT) {
                 client.exchange(endpoint, request) { (head, body) ->
--- a/standins/src/main/kotlin/gypsumcart/standins/StandInFleet.kt
+++ b/standins/src/main/kotlin/gypsumcart/standins/StandInFleet.kt
@@ -4,6 +4,7 @@
 import gypsumcart.core.addressOrNull
 import gypsumcart.http.HttpClient
 import gypsumcart.http.HttpServer
+import gypsumcart.http.MemoryBudget
 import gypsumcart.http.MessageLimits
 import gypsumcart.http.RequestHandler
 import gypsumcart.node.Bounds
@@ -57,8 +58,17 @@
         )
     }
 
-    /** Starts a node that listens on free ports and stops within [graceSeconds], and returns it with its settings. */
-    public fun startNode(name: String, graceSeconds: Double = BOUNDS.graceSeconds): RunningNode {
+    /**
+     * Starts a node that listens on free ports, and returns it with its settings.
+     *
+     * @param graceSeconds the time within which the node stops
+     * @param memory what its messages may hold
+     */
+    public fun startNode(
+        name: String,
+        graceSeconds: Double = BOUNDS.graceSeconds,
+        memory: MemoryBudget = MemoryBudget.ofHeap(),
+    ): RunningNode {
         val settings =
             NodeSettings(
                 node = name,
@@ -71,7 +81,7 @@
                 store = storeAddress.toString(),
                 bounds = BOUNDS.copy(graceSeconds = graceSeconds),
             )
-        val nodeRuntime = EdgeRuntime()
+        val nodeRuntime = EdgeRuntime(memory)
         val client = HttpClient(nodeRuntime.loop, 1.seconds)
         val platform = HttpPlatform(name, storeAddress, null, client)
         val node = Node(settings, platform, nodeRuntime, client)
