Let a stop that ends early use its grace period for the last answers

Seen once with a real node, 150 clients, on a machine with a load of 20: a request whose body was still arriving found its connection closed without a byte, half a second after the last request in progress had ended. By reading: the process ended at a limit that counted from the start of the last phase, also when most of a second of the grace period was left. It counts from the end of the grace period now.

--- a/core/src/main/kotlin/gypsumcart/core/shutdown/Shutdown.kt
+++ b/core/src/main/kotlin/gypsumcart/core/shutdown/Shutdown.kt
@@ -107,17 +107,17 @@
         inProgress: Int,
         now: MonotonicTime,
     ): List<ShutdownEffect> {
-        if (now >= callsEndAt) return listOf(ShutdownEffect.AbortRequests, finish(now))
+        if (now >= callsEndAt) return listOf(ShutdownEffect.AbortRequests, finish(callsEndAt))
         val idleFrom = if (inProgress == 0) idleSince ?: now else null
-        if (idleFrom != null && now - idleFrom >= IDLE_PERIOD) return listOf(finish(now))
+        if (idleFrom != null && now - idleFrom >= IDLE_PERIOD) return listOf(finish(callsEndAt))
         phase = Phase.Refusing(callsEndAt, idleFrom)
         return listOf(ShutdownEffect.CheckAt(minOf(now + CHECK_PERIOD, callsEndAt)))
     }
 
-    private fun finish(now: MonotonicTime): ShutdownEffect {
+    private fun finish(callsEndAt: MonotonicTime): ShutdownEffect {
         phase = Phase.Finishing
         val patience = limits.exitMargin / FINISH_STEPS
-        return ShutdownEffect.Finish(patience, now + patience * (FINISH_STEPS - 1))
+        return ShutdownEffect.Finish(patience, callsEndAt + patience * (FINISH_STEPS - 1))
     }
 
     private companion object {
--- a/core/src/test/kotlin/gypsumcart/core/shutdown/ShutdownTest.kt
+++ b/core/src/test/kotlin/gypsumcart/core/shutdown/ShutdownTest.kt
@@ -6,6 +6,7 @@
 import strikt.api.expectThat
 import strikt.assertions.isEmpty
 import strikt.assertions.isEqualTo
+import strikt.assertions.isGreaterThan
 import strikt.assertions.isLessThan
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
@@ -39,6 +40,13 @@
         )
     }
 
+    // Guards against a process that ends before a slow machine has written the last refusals.
+    @Test
+    fun `a node that finishes early may use the rest of the grace period for it`() {
+        val finish = effectsOfStop { 0 }.last().second as ShutdownEffect.Finish
+        expectThat(finish.processEndsAt).isGreaterThan(at(7.5.seconds)).isLessThan(at(8.seconds))
+    }
+
     @Test
     fun `a busy node finishes when its last request has ended`() {
         val effects = effectsOfStop { if (it < 4.seconds) 1 else 0 }
