Close the listener for clients after that of the directory

Cause: the first close of a listener in a process takes about 0.55 ms, later ones 0.03 ms (three starts of the Java virtual machine with the options of the deploy file), as classes are loaded. Connections that are established between the last accept and the close are reset.

Change: the directory, which has few connections, is closed first.

The time between the two system calls remains.

--- a/node/src/main/kotlin/gypsumcart/node/Node.kt
+++ b/node/src/main/kotlin/gypsumcart/node/Node.kt
@@ -130,7 +130,7 @@
         ShutdownDuty(
             rings,
             edge,
-            listOf(clientServer, directoryServer),
+            listOf(directoryServer, clientServer),
             platform.codec,
             runtime.scope,
             timers,
--- a/node/src/main/kotlin/gypsumcart/node/ShutdownDuty.kt
+++ b/node/src/main/kotlin/gypsumcart/node/ShutdownDuty.kt
@@ -26,7 +26,8 @@
 /**
  * Runs the decider of a node's shutdown.
  *
- * @param servers the servers whose connections are ended before the process
+ * @param servers the servers whose connections are ended before the process, the busiest one last: closing the first
+ *   listener takes longer, as classes are loaded, and resets the connections that are opened meanwhile
  */
 internal class ShutdownDuty(
     private val rings: Rings,
