Explain the state of each back end that a node heard of

Of the lines about back ends that belong to no request, such as pause_stated and back_end_leaving, explain showed only the latest of each kind, so that the statement of one back end hid those of the others. They are now told apart by the back end, as quarantined prompt parts are.

Measured: ExplainCommandTest failed before with [pause_stated i-2, back_end_leaving i-1], where i-1 had asked for a pause too, and passes now.

--- a/cli/src/main/kotlin/gypsumcart/cli/explain/RequestTraces.kt
+++ b/cli/src/main/kotlin/gypsumcart/cli/explain/RequestTraces.kt
@@ -49,8 +49,8 @@
 /**
  * Returns the state of the nodes that handled the request of [trace] when it ended.
  *
- * For each node and kind of line, and each prompt part if the line names one, this is the latest line since the node's
- * last start, because a node that restarts loses its earlier state. The result is sorted by time.
+ * For each node and kind of line, and each prompt part or back end if the line names one, this is the latest line since
+ * the node's last start, because a node that restarts loses its earlier state. The result is sorted by time.
  */
 internal fun List<LogLine>.nodeStateAtEnd(trace: RequestTrace): List<StateLine> {
     val sources = trace.lines.mapTo(HashSet()) { it.source }
@@ -62,7 +62,7 @@
             .mapValues { (_, lines) -> lines.maxOf { it.time } }
     return stateLines
         .filter { line -> starts[line.source]?.let { line.time >= it } ?: true }
-        .groupBy { Triple(it.source, it.event, it["part"]) }
+        .groupBy { listOf(it.source, it.event, it["part"], it["back_end"]) }
         .map { (_, lines) -> lines.maxBy { it.time } }
         .sortedBy { it.time }
         .map { StateLine(it, Duration.between(it.time, trace.endedAt)) }
--- a/cli/src/test/kotlin/gypsumcart/cli/explain/ExplainCommandTest.kt
+++ b/cli/src/test/kotlin/gypsumcart/cli/explain/ExplainCommandTest.kt
@@ -65,6 +65,24 @@
         ).isEqualTo(listOf("aa", "bb"))
     }
 
+    // Guards against a statement of one back end that hides those of the others in the explanation of a request.
+    @Test
+    fun `the node state names each back end that leaves or has asked for a pause`() {
+        val lines =
+            """
+            time=2026-06-17T06:23:00.100 level=INFO logger=StatedAvailability event=pause_stated back_end=i-1 pause_ms=900
+            time=2026-06-17T06:23:00.200 level=INFO logger=StatedAvailability event=pause_stated back_end=i-2 pause_ms=800
+            time=2026-06-17T06:23:00.300 level=INFO logger=StatedAvailability event=pause_stated back_end=i-2 pause_ms=700
+            time=2026-06-17T06:23:00.400 level=INFO logger=StatedAvailability event=back_end_leaving back_end=i-1
+            time=2026-06-17T06:23:00.500 level=INFO logger=ClientEdge event=concluded request=r-1 outcome=not_run:paused
+            """.trimIndent().lines().mapNotNull {
+                logLineOrNull(it, "node-1")
+            }
+        expectThat(
+            lines.nodeStateAtEnd(lines.toTraces().single()).map { "${it.line.event.text} ${it.line["back_end"]}" },
+        ).isEqualTo(listOf("pause_stated i-1", "pause_stated i-2", "back_end_leaving i-1"))
+    }
+
     @Test
     fun `the word before the time is the source of the line`() {
         val line =
