--- a/standins/src/test/kotlin/gypsumcart/standins/EndlessResponsesTest.kt
+++ b/standins/src/test/kotlin/gypsumcart/standins/EndlessResponsesTest.kt
@@ -55,7 +55,8 @@
         exchange(
             settings.clients,
             "POST $path HTTP/1.1\r\nHost: bookings.example\r\nX-Attempt-Id: $requestId\r\n" +
-                "X-Deadline-Ms: $CLIENT_DEADLINE_MILLIS\r\nApi-Key: key-1\r\nContent-Length: 0\r\nConnection: close\r\n\r\n",
+                "X-Deadline-Ms: $CLIENT_DEADLINE_MILLIS\r\nApi-Key: key-1\r\nContent-Length: 0\r\n" +
+                "Connection: close\r\n\r\n",
         )
 
     private fun startNode(routeType: String, endless: ScriptedBackEnd): RunningNode {
@@ -70,7 +71,8 @@
         fleet.store.put(
             "servers",
             "d-1",
-            """{"service":"drafts","address":"${endless.address}","zone":"a","batchSlots":400,"state":"ready","born":1}""",
+            """{"service":"drafts","address":"${endless.address}","zone":"a","batchSlots":400,""" +
+                """"state":"ready","born":1}""",
         )
         val node = fleet.startNode("node-1", memory = memory)
         awaitCondition { node.send("/checks/0").startsWith("HTTP/1.1 200") }
@@ -78,9 +80,10 @@
     }
 
     private fun success(request: ScriptedRequest) =
-        "HTTP/1.1 200 OK\r\nX-Attempt-Id: ${request.id}\r\nX-Response-Signature: s\r\nTransfer-Encoding: chunked\r\n\r\n"
+        "HTTP/1.1 200 OK\r\nX-Attempt-Id: ${request.id}\r\nX-Response-Signature: s\r\n" +
+            "Transfer-Encoding: chunked\r\n\r\n"
 
-    private fun chunk(bytes: Int) = "${bytes.toString(16)}\r\n${"x".repeat(bytes)}\r\n"
+    private fun chunk(bytes: Int) = "${bytes.toString(HEX_RADIX)}\r\n${"x".repeat(bytes)}\r\n"
 
     /** All that the node has not given up must fit in its memory together. */
     private fun expectBounded(givenUp: Int) {
@@ -114,6 +117,7 @@
         /** Within the bounds of a body and of an event; all together are five times the capacity. */
         const val PER_RESPONSE = 200_000
 
+        const val HEX_RADIX = 16
         const val CLIENT_DEADLINE_MILLIS = 3_500L
     }
 }
