--- a/core/src/test/kotlin/gypsumcart/core/routing/ServingFleet.kt
+++ b/core/src/test/kotlin/gypsumcart/core/routing/ServingFleet.kt
@@ -202,10 +202,7 @@
                         is DispatchEffect.Reassign -> error("no call is withheld in this simulation")
                         is DispatchEffect.Retry ->
                             route(RoutingEvent.RetryRequested(it.admitted, it.attempt, it.excluded, it.fallbackOutcome))
-                        is DispatchEffect.Abort, is DispatchEffect.ReportDurations ->
-                            error(
-                                "no node of the fleet stops",
-                            )
+                        is DispatchEffect.Abort, is DispatchEffect.ReportDurations -> error("no node stops")
                     }
                 }
         }
--- a/node/src/main/kotlin/gypsumcart/node/BackEndCalls.kt
+++ b/node/src/main/kotlin/gypsumcart/node/BackEndCalls.kt
@@ -120,7 +120,7 @@
         }
     }
 
-    /** Logs what ties a refusal or an invalid response to its request, and so decides whether that may run again. */
+    /** Logs a refusal or an invalid response, with what shows whether it belongs to its request. */
     private fun logRefusal(call: DispatchEffect.Call, received: ReceivedResponse, kind: ResponseKind) {
         log.info(
             "event=refusal_received request={} attempt={} back_end={} incarnation={} status={} kind={} bears_id={} " +
