--- a/core/src/main/kotlin/gypsumcart/core/shutdown/Shutdown.kt
+++ b/core/src/main/kotlin/gypsumcart/core/shutdown/Shutdown.kt
@@ -48,10 +48,10 @@
     /**
      * Stops listening, ends the connections and then the process, which ends at [processEndsAt] in any case.
      *
-     * @property patience how long to wait for connections to end, first by themselves and then after they were closed
+     * @property closeTimeout how long to wait for connections to end, first by themselves and then after a close
      */
     public data class Finish(
-        public val patience: Duration,
+        public val closeTimeout: Duration,
         public val processEndsAt: MonotonicTime,
     ) : ShutdownEffect()
 
@@ -116,8 +116,8 @@
 
     private fun finish(callsEndAt: MonotonicTime): ShutdownEffect {
         phase = Phase.Finishing
-        val patience = limits.exitMargin / FINISH_STEPS
-        return ShutdownEffect.Finish(patience, callsEndAt + patience * (FINISH_STEPS - 1))
+        val closeTimeout = limits.exitMargin / FINISH_STEPS
+        return ShutdownEffect.Finish(closeTimeout, callsEndAt + closeTimeout * (FINISH_STEPS - 1))
     }
 
     private companion object {
--- a/http/src/main/kotlin/gypsumcart/http/HttpServer.kt
+++ b/http/src/main/kotlin/gypsumcart/http/HttpServer.kt
@@ -87,17 +87,17 @@
     /**
      * Stops listening, ends all connections and returns when they are closed.
      *
-     * Serves what arrives on open connections for up to [patience]. Then closes idle connections without reading from
-     * them, and answers requests that have not arrived completely with [refusal]. After [patience] once more, closes
-     * the others.
+     * Serves what arrives on open connections for up to [closeTimeout]. Then closes idle connections without reading
+     * from them, and answers requests that have not arrived completely with [refusal]. After [closeTimeout] once more,
+     * closes the others.
      */
-    public suspend fun finish(patience: Duration, refusal: ResponseHead): Unit =
+    public suspend fun finish(closeTimeout: Duration, refusal: ResponseHead): Unit =
         withContext(loop) {
             drain()
             stopListening()
-            awaitConnections(patience)
+            awaitConnections(closeTimeout)
             connections.keys.toList().forEach { endUnserved(it, refusal) }
-            awaitConnections(patience)
+            awaitConnections(closeTimeout)
             connections.keys.toList().forEach { it.socket.close() }
         }
 
@@ -111,8 +111,8 @@
         }
     }
 
-    private suspend fun awaitConnections(patience: Duration) {
-        withTimeoutOrNull(patience) { connections.values.toList().joinAll() }
+    private suspend fun awaitConnections(closeTimeout: Duration) {
+        withTimeoutOrNull(closeTimeout) { connections.values.toList().joinAll() }
     }
 
     private fun endUnserved(connection: ServedConnection, refusal: ResponseHead) {
--- a/node/src/main/kotlin/gypsumcart/node/ShutdownDuty.kt
+++ b/node/src/main/kotlin/gypsumcart/node/ShutdownDuty.kt
@@ -82,7 +82,7 @@
         timers.after(timeUntil(effect.processEndsAt), finished::countDown)
         val refusal = codec.outcomeHead(Outcome.NotRun.STOPPING, id = null)
         scope.launch {
-            servers.map { launch { it.finish(effect.patience, refusal) } }.joinAll()
+            servers.map { launch { it.finish(effect.closeTimeout, refusal) } }.joinAll()
             finished.countDown()
         }
     }
--- a/standins/src/test/kotlin/gypsumcart/standins/EndlessResponsesTest.kt
+++ b/standins/src/test/kotlin/gypsumcart/standins/EndlessResponsesTogetherTest.kt
@@ -13,7 +13,7 @@
 import kotlin.time.measureTime
 
 /** Guards against many responses, each within its bound, that together take all memory of a node (LOST). */
-class EndlessResponsesTest {
+class EndlessResponsesTogetherTest {
     private val fleet = StandInFleet()
     private val memory = MemoryBudget(CAPACITY)
 
