--- a/core/src/main/kotlin/gypsumcart/core/membership/Membership.kt
+++ b/core/src/main/kotlin/gypsumcart/core/membership/Membership.kt
@@ -48,6 +48,7 @@
     private var lastLinkedAt = MonotonicTime(0)
     private var distributedPosition = TablePosition.START
     private val own = OwnReport(settings, table)
+    private val lossReports = LossReports(table)
 
     override fun decide(event: MembershipEvent, now: MonotonicTime): List<MembershipEffect> =
         when (event) {
@@ -70,11 +71,6 @@
             MembershipEvent.ReportDue -> report(now)
         }
 
-    private inline fun noEffects(change: () -> Unit): List<MembershipEffect> {
-        change()
-        return emptyList()
-    }
-
     private fun changeAccepting(accepting: Boolean, now: MonotonicTime): List<MembershipEffect> {
         own.update { it.copy(accepting = accepting) }
         own.renew(now)
@@ -86,7 +82,7 @@
         val shared = if (linked) listOf(MembershipEffect.ShareQuotaUse(own.report.quotaUse)) else emptyList()
         val period = if (linked) LINKED_PUBLISH_PERIOD else PUBLISH_PERIOD
         val published = if (isPublishDue(now, period)) listOf(publish(now)) else emptyList()
-        return shared + published + distribute(now) + distributeReports(now) + removeExpired(now)
+        return shared + published + reportLosses(now) + distribute(now) + distributeReports(now) + removeExpired(now)
     }
 
     /** Shares what is new with the next exchange, and through the store for nodes that the link doesn't reach. */
@@ -165,7 +161,8 @@
         if (isLinked) lastLinkedAt = now
         if (isLinked == linked) return emptyList()
         linked = isLinked
-        return listOf(MembershipEffect.LinkChanged(isLinked))
+        val silent = exchanges.silentZones(live.mapNotNull { it.target }, now)
+        return listOf(MembershipEffect.LinkChanged(isLinked, silent))
     }
 
     private fun sendMessages(now: MonotonicTime): List<MembershipEffect> {
@@ -221,6 +218,11 @@
         )
     }
 
+    private fun reportLosses(now: MonotonicTime): List<MembershipEffect> {
+        val live = table.peers.filter { isLive(it, now) }.mapTo(HashSet()) { it.key }
+        return lossReports.update(live, storeAnsweredAt, linked, now)
+    }
+
     private fun distributeReports(now: MonotonicTime): List<MembershipEffect> {
         val reports =
             table.peers
@@ -300,6 +302,11 @@
     }
 }
 
+private inline fun noEffects(change: () -> Unit): List<MembershipEffect> {
+    change()
+    return emptyList()
+}
+
 /** Every call to the store has its price, and nodes with a link read the reports there only as a second path. */
 internal val LINKED_PUBLISH_PERIOD: Duration = 5.seconds
 
--- a/core/src/main/kotlin/gypsumcart/core/membership/MembershipEvents.kt
+++ b/core/src/main/kotlin/gypsumcart/core/membership/MembershipEvents.kt
@@ -5,6 +5,7 @@
 import gypsumcart.core.TeamName
 import gypsumcart.core.UnixMillis
 import gypsumcart.core.WindowNumber
+import gypsumcart.core.ZoneName
 import gypsumcart.core.admission.QuotaPeers
 import gypsumcart.core.admission.QuotaUse
 import gypsumcart.core.leases.LeaseRow
@@ -119,6 +120,30 @@
     /** Reads the reports in the store at once instead of at the next due time. */
     public data object ReadStore : MembershipEffect()
 
-    /** Reports that this node is now in contact with all zones over the peer link, or no longer is. */
-    public data class LinkChanged(public val linked: Boolean) : MembershipEffect()
+    /**
+     * Reports that this node is now in contact with all zones over the peer link, or no longer is.
+     *
+     * @property silentZones the zones of live nodes with which this node itself has no contact; other than these, its
+     * relay may have lost contact
+     */
+    public data class LinkChanged(
+        public val linked: Boolean,
+        public val silentZones: List<ZoneName> = emptyList(),
+    ) : MembershipEffect()
+
+    /**
+     * Reports that the node [peer] no longer counts as running, and on what evidence.
+     *
+     * @property reportAge the time since it sent its last known report
+     * @property linkAge the time since it sent the last report that came over the link, or null if none did
+     * @property storeAge the time since the store last answered
+     */
+    public data class PeerLost(
+        public val peer: NodeKey,
+        public val zone: ZoneName,
+        public val reportAge: Duration,
+        public val linkAge: Duration?,
+        public val storeAge: Duration,
+        public val linked: Boolean,
+    ) : MembershipEffect()
 }
--- a/core/src/main/kotlin/gypsumcart/core/membership/PeerExchanges.kt
+++ b/core/src/main/kotlin/gypsumcart/core/membership/PeerExchanges.kt
@@ -97,7 +97,19 @@
     fun isLinked(live: List<PeerTarget>, now: MonotonicTime): Boolean {
         val ownRelay = relayOrNull(live, zone, now)
         if (ownRelay != null && ownRelay.key < self) return relayIsLinked && hadContact(zone, now)
-        return live.map { it.zone }.distinct().all { it == zone || hadContact(it, now) }
+        return silentZones(live, now).isEmpty()
+    }
+
+    /** Returns the zones of [live] nodes with which this node is to exchange messages and had no contact lately. */
+    fun silentZones(live: List<PeerTarget>, now: MonotonicTime): List<ZoneName> {
+        val ownRelay = relayOrNull(live, zone, now)
+        val expected =
+            if (ownRelay != null && ownRelay.key < self) {
+                listOf(zone)
+            } else {
+                live.map { it.zone }.distinct().filter { it != zone }
+            }
+        return expected.filterNot { hadContact(it, now) }
     }
 
     private fun hadContact(zone: ZoneName, now: MonotonicTime): Boolean =
--- a/node/src/main/kotlin/gypsumcart/node/FleetDuties.kt
+++ b/node/src/main/kotlin/gypsumcart/node/FleetDuties.kt
@@ -95,7 +95,9 @@
 
             MembershipEffect.ReadStore -> readPace.wakeUp()
 
-            is MembershipEffect.LinkChanged -> changeLink(effect.linked)
+            is MembershipEffect.LinkChanged -> changeLink(effect)
+
+            is MembershipEffect.PeerLost -> logLostPeer(effect)
 
             is MembershipEffect.DistributeReports -> {
                 rings.usage.put(UsageEvent.ReportsUpdated(effect.reports))
@@ -106,11 +108,24 @@
         }
     }
 
-    private fun changeLink(linked: Boolean) {
-        state.linked = linked
-        readPace.linked = linked
-        if (!linked) readPace.wakeUp()
-        log.info("event=link_changed linked={}", linked)
+    private fun changeLink(effect: MembershipEffect.LinkChanged) {
+        state.linked = effect.linked
+        readPace.linked = effect.linked
+        if (!effect.linked) readPace.wakeUp()
+        log.info("event=link_changed linked={} silent_zones={}", effect.linked, effect.silentZones.joinToString(","))
+    }
+
+    private fun logLostPeer(effect: MembershipEffect.PeerLost) {
+        log.info(
+            "event=peer_lost peer={} incarnation={} zone={} report_age_ms={} link_age_ms={} store_age_ms={} linked={}",
+            effect.peer.node,
+            effect.peer.incarnation,
+            effect.zone,
+            effect.reportAge.inWholeMilliseconds,
+            effect.linkAge?.inWholeMilliseconds,
+            effect.storeAge.inWholeMilliseconds,
+            effect.linked,
+        )
     }
 
     private suspend fun publishReport(effect: MembershipEffect.Publish) {
