--- a/core/src/test/kotlin/gypsumcart/core/membership/SimulatedFleet.kt
+++ b/core/src/test/kotlin/gypsumcart/core/membership/SimulatedFleet.kt
@@ -5,6 +5,7 @@
 import gypsumcart.core.MonotonicTime
 import gypsumcart.core.NodeId
 import gypsumcart.core.ZoneName
+import gypsumcart.core.admission.QuotaPeers
 import gypsumcart.core.at
 import java.util.PriorityQueue
 import kotlin.random.Random
@@ -37,10 +38,12 @@
 ) {
     private class Task(val at: Duration, val order: Long, val run: () -> Unit)
 
+    private class StoredRow(val report: NodeReport, val writtenAt: Duration)
+
     private val random = Random(seed)
     private val tasks = PriorityQueue<Task>(compareBy<Task> { it.at }.thenBy { it.order })
     private var lastOrder = 0L
-    private val storeRows = LinkedHashMap<NodeKey, NodeReport>()
+    private val storeRows = LinkedHashMap<NodeKey, StoredRow>()
 
     /** The virtual time. */
     var now: Duration = Duration.ZERO
@@ -49,6 +52,9 @@
     /** Whether the store answers. */
     var storeAnswers = true
 
+    /** Nodes that do not reach the store. */
+    val storeCuts = HashSet<NodeId>()
+
     /** Pairs of nodes between which no message passes, in the direction from the first to the second. */
     val cuts = HashSet<Pair<NodeId, NodeId>>()
 
@@ -72,8 +78,12 @@
         var storeReads = 0
         var storeWrites = 0
         val refused = ArrayList<NodeKey>()
+        var quotaPeers: QuotaPeers? = null
         var onEffect: (MembershipEffect) -> Unit = {}
 
+        /** Whether the store answers this node. */
+        val reachesStore: Boolean get() = storeAnswers && id !in storeCuts
+
         fun start() {
             repeatEvery(250.milliseconds) { decide(MembershipEvent.ExchangeDue) }
             repeatEvery(500.milliseconds) { decide(MembershipEvent.ReportDue) }
@@ -97,9 +107,10 @@
         }
 
         private fun readStore() {
-            if (!storeAnswers) return
+            if (!reachesStore) return
             storeReads++
-            decide(MembershipEvent.ReportsReceived(storeRows.values.toList(), emptyList()))
+            val ages = storeRows.mapValues { (_, row) -> now - row.writtenAt }
+            decide(MembershipEvent.ReportsReceived(storeRows.values.map { it.report }, emptyList(), ages))
         }
 
         fun decide(event: MembershipEvent) {
@@ -109,15 +120,16 @@
         private fun execute(effect: MembershipEffect) {
             when (effect) {
                 is MembershipEffect.Publish ->
-                    if (storeAnswers) {
+                    if (reachesStore) {
                         storeWrites++
-                        storeRows[effect.report.key] = effect.report
+                        storeRows[effect.report.key] = StoredRow(effect.report, now)
                     }
 
                 is MembershipEffect.RemoveReports -> effect.nodes.forEach(storeRows::remove)
                 is MembershipEffect.UpdateMembers -> members = effect.members.map { it.node }
                 is MembershipEffect.DistributeReports -> reports = effect.reports.associateBy { it.key }
-                is MembershipEffect.LinkChanged -> linked = effect.linked
+                is MembershipEffect.LinkChanged -> changeLink(effect.linked)
+                is MembershipEffect.UpdateQuotaPeers -> quotaPeers = effect.peers
                 is MembershipEffect.Refuse -> refused += effect.sender
                 is MembershipEffect.Send -> send(effect)
                 MembershipEffect.ReadStore -> schedule(5.milliseconds) { if (running) readStore() }
@@ -126,12 +138,19 @@
             onEffect(effect)
         }
 
+        private fun changeLink(linked: Boolean) {
+            this.linked = linked
+            if (!linked) schedule(5.milliseconds) { if (running) readStore() }
+        }
+
         private fun send(effect: MembershipEffect.Send) {
             val recipient = nodes.firstOrNull { it.id == effect.target.key.node && it.running }
             if (recipient != null) {
                 transmit(id, recipient.id) { recipient.receive(effect, this) }
             }
-            schedule(600.milliseconds) { decide(MembershipEvent.ExchangeEnded(effect.exchange, null)) }
+            schedule(600.milliseconds) {
+                if (running) decide(MembershipEvent.ExchangeEnded(effect.exchange, null))
+            }
         }
 
         private fun receive(effect: MembershipEffect.Send, sender: SimulatedNode) {
@@ -165,6 +184,9 @@
         }
     }
 
+    /** Returns whether a message and its response pass between two running nodes. */
+    fun connects(one: NodeId, other: NodeId): Boolean = one to other !in cuts && other to one !in cuts
+
     fun start() {
         nodes.toList().forEach { it.start() }
     }
