Count a node as gone by what this node would have heard of it

Cause: a node took the silence of a zone for the loss of its own link, and in that state allowed five seconds more for every peer, because linked nodes write to the store seldom: 3.5 s and 5 s, from periods that belong to different situations. The same state isolated the survivors (even shares of the quotas), made them read and write the store often for 7 s, and ended only with the zone.

Change: - Liveness ages reports only while a path, the link to any peer or the store, has been in use for long enough to have brought what there is to hear. There is one timeout. A node that was suspended or cut off keeps what it knew until a path has settled again, instead of dropping all others at once. - What made the five seconds necessary is gone: while a peer is silent on the link, the relays tell the store each second which nodes of their zone they hear (heard), so that a node that reaches the store alone need not wait for the seldom writes of the others; and a node that lacks reports asks for those of all zones, so that a cut between two zones is bridged by a third. - Quotas: a node is isolated if it hears no peer, not if a zone is silent. Shares of silent nodes are reserved as long as the store can't show that they have gone. - An incarnation whose node has started again no longer counts as running, and a refusal by a node that does not know the sender yet is no sign that it is out of reach: both sent nodes that had just started from relay to relay. - Zones that were dropped are looked for each second.

--- a/core/src/main/kotlin/gypsumcart/core/membership/Membership.kt
+++ b/core/src/main/kotlin/gypsumcart/core/membership/Membership.kt
@@ -40,20 +40,22 @@
     private val table = PeerTable(self)
     private val exchanges = PeerExchanges(self, settings.zone, table)
     private val quotaView = PeerQuotaView(settings, table)
-    private var storeAnsweredAt = MonotonicTime(0)
-    private var firstReadAt: MonotonicTime? = null
+    private val liveness = Liveness(settings, table)
     private var publishedAt: MonotonicTime? = null
     private var storeReadRequestedAt: MonotonicTime? = null
     private var linked = false
-    private var lastLinkedAt = MonotonicTime(0)
     private var distributedPosition = TablePosition.START
     private val own = OwnReport(settings, table)
-    private val lossReports = LossReports(table)
 
-    override fun decide(event: MembershipEvent, now: MonotonicTime): List<MembershipEffect> =
+    override fun decide(event: MembershipEvent, now: MonotonicTime): List<MembershipEffect> {
+        liveness.step(now)
+        return handle(event, now)
+    }
+
+    private fun handle(event: MembershipEvent, now: MonotonicTime): List<MembershipEffect> =
         when (event) {
             is MembershipEvent.ReportsReceived -> receiveReports(event, now)
-            MembershipEvent.StoreAnswered -> noEffects { storeAnsweredAt = now }
+            MembershipEvent.StoreAnswered -> noEffects { liveness.recordStoreAnswer(isRead = false, now) }
             is MembershipEvent.AcceptingChanged -> changeAccepting(event.accepting, now)
             is MembershipEvent.QuotaUseMeasured -> noEffects { own.update { it.copy(quotaUse = event.use) } }
             is MembershipEvent.LoadMeasured ->
@@ -79,10 +81,12 @@
 
     private fun report(now: MonotonicTime): List<MembershipEffect> {
         own.renew(now)
-        val shared = if (linked) listOf(MembershipEffect.ShareQuotaUse(own.report.quotaUse)) else emptyList()
-        val period = if (linked) LINKED_PUBLISH_PERIOD else PUBLISH_PERIOD
+        val isShared = settings.peerAddress != null && !isIsolated(now)
+        val shared = if (isShared) listOf(MembershipEffect.ShareQuotaUse(own.report.quotaUse)) else emptyList()
+        val period = if (linked && !confirmsOthers(now)) LINKED_PUBLISH_PERIOD else PUBLISH_PERIOD
         val published = if (isPublishDue(now, period)) listOf(publish(now)) else emptyList()
-        return shared + published + reportLosses(now) + distribute(now) + distributeReports(now) + removeExpired(now)
+        val losses = liveness.reportLosses(linked, now)
+        return shared + published + losses + distribute(now) + distributeReports(now) + removeExpired(now)
     }
 
     /** Shares what is new with the next exchange, and through the store for nodes that the link doesn't reach. */
@@ -97,12 +101,26 @@
 
     private fun publish(now: MonotonicTime): MembershipEffect {
         publishedAt = now
-        return MembershipEffect.Publish(own.report)
+        val heard =
+            if (confirmsOthers(
+                    now,
+                )
+            ) {
+                table.heardWithin(settings.heartbeatTimeout, settings.zone, now)
+            } else {
+                emptyMap()
+            }
+        return MembershipEffect.Publish(own.report, heard)
     }
 
+    /** Returns whether this node tells the store which nodes of its zone run, for a node that hears it only there. */
+    private fun confirmsOthers(now: MonotonicTime): Boolean =
+        settings.peerAddress != null &&
+            exchanges.isRelay(liveness.liveTargets(now), now) &&
+            liveness.silentPeers(now, SILENCE).isNotEmpty()
+
     private fun receiveReports(event: MembershipEvent.ReportsReceived, now: MonotonicTime): List<MembershipEffect> {
-        storeAnsweredAt = now
-        if (firstReadAt == null) firstReadAt = now
+        liveness.recordStoreAnswer(isRead = true, now)
         event.removed.forEach(table::remove)
         val observed =
             event.reports.mapNotNull { report ->
@@ -111,6 +129,7 @@
                 // What a node found out is of use also after it has gone.
                 report.observedFindingsOrNull(writtenAt)
             }
+        for ((key, age) in event.heard) table[key]?.confirm(now - age)
         // With a link, the next exchange distributes the changes together with those that it brings.
         val distributed =
             if (settings.peerAddress == null) distribute(now) + distributeReports(now) else distributeMembers(now)
@@ -124,14 +143,15 @@
         if (zone == null || sender == self) {
             return listOf(MembershipEffect.Refuse(event.exchange, sender)) + requestStoreRead(now)
         }
+        liveness.recordPeerContact(now)
         val leases = applyItems(event.message, now)
         val response = exchanges.respond(event.message, zone, now, linked)
         return listOf(MembershipEffect.Respond(event.exchange, response)) + leases
     }
 
     private fun endExchange(event: MembershipEvent.ExchangeEnded, now: MonotonicTime): List<MembershipEffect> {
-        val response = event.response
-        if (!exchanges.end(event.exchange, response, now) || response == null) return emptyList()
+        val response = exchanges.end(event.exchange, event.result, now) ?: return emptyList()
+        liveness.recordPeerContact(now)
         return applyItems(response, now)
     }
 
@@ -148,27 +168,32 @@
 
     private fun exchange(now: MonotonicTime): List<MembershipEffect> {
         if (settings.peerAddress == null) return emptyList()
-        return updateLink(now) + sendMessages(now) + distribute(now) + checkSilentPeers(now)
+        val losses = liveness.reportLosses(linked, now)
+        return updateLink(now) +
+            losses +
+            sendMessages(now) +
+            distribute(now, isForced = losses.isNotEmpty()) +
+            checkSilentPeers(now)
     }
 
     private fun updateLink(now: MonotonicTime): List<MembershipEffect> {
-        val live = livePeers(now)
-        val othersAreKnown = firstReadAt?.let { now - it >= STARTUP_TIME } ?: false
+        val live = liveness.livePeers(now)
+        val targets = liveness.liveTargets(now)
         val isLinked =
-            othersAreKnown &&
-                live.all { it.peerAddress != null } &&
-                exchanges.isLinked(live.mapNotNull { it.target }, now)
-        if (isLinked) lastLinkedAt = now
+            liveness.othersAreKnown(now) && targets.size == live.size && exchanges.isLinked(targets, now)
         if (isLinked == linked) return emptyList()
         linked = isLinked
-        val silent = exchanges.silentZones(live.mapNotNull { it.target }, now)
-        return listOf(MembershipEffect.LinkChanged(isLinked, silent))
+        val changed = listOf(MembershipEffect.LinkChanged(isLinked, exchanges.silentZones(targets, now)))
+        // Nodes on the other side of a cut look for this one in the store.
+        return if (!isLinked && isPublishDue(now, PUBLISH_PERIOD)) changed + publish(now) else changed
     }
 
     private fun sendMessages(now: MonotonicTime): List<MembershipEffect> {
         if (settings.peerAddress == null) return emptyList()
-        return exchanges.dueTargets(livePeers(now).mapNotNull { it.target }, now).map { target ->
-            val (id, message) = exchanges.start(target, now, linked)
+        val lost = liveness.lostTargets(now)
+        val lacksReports = liveness.silentPeers(now, SILENCE).isNotEmpty()
+        return exchanges.dueTargets(liveness.liveTargets(now), lost, lacksReports, now).map { target ->
+            val (id, message) = exchanges.start(target, now, linked, lacksReports)
             MembershipEffect.Send(id, target, message)
         }
     }
@@ -176,8 +201,8 @@
     /** Looks for nodes of which the link has brought no report lately in the store. */
     private fun checkSilentPeers(now: MonotonicTime): List<MembershipEffect> {
         if (!linked) return emptyList()
-        val silent = table.peers.any { isLive(it, now) && now - it.heardAt > SILENCE_BEFORE_READ }
-        return if (silent) requestStoreRead(now) else emptyList()
+        val isSilent = liveness.livePeers(now).any { now - it.aliveAt > SILENCE_BEFORE_READ }
+        return if (isSilent) requestStoreRead(now) else emptyList()
     }
 
     private fun requestStoreRead(now: MonotonicTime): List<MembershipEffect> {
@@ -187,29 +212,41 @@
     }
 
     private fun quotaPeers(now: MonotonicTime): List<MembershipEffect> {
-        val readAt = firstReadAt ?: return emptyList()
-        val isCurrent: (PeerTable.Entry) -> Boolean =
-            if (settings.peerAddress == null) {
-                { isLive(it, now) }
-            } else {
-                { entry -> entry.linkedAt?.let { now - it <= LINK_REPORT_TIMEOUT } ?: false }
-            }
-        val isIsolated =
-            if (settings.peerAddress == null) now - storeAnsweredAt > settings.heartbeatTimeout else !linked
-        return listOf(
-            MembershipEffect.UpdateQuotaPeers(quotaView.peers(now, contactAt(now), readAt, isIsolated, isCurrent)),
-        )
+        val readAt = liveness.startedAt ?: return emptyList()
+        // A part of the fleet that is cut off may serve clients for as long as the store can't show that it has gone.
+        val contactAt = liveness.storeAnsweredAt
+        val peers = quotaView.peers(now, contactAt, readAt, isIsolated(now)) { isQuotaUseCurrent(it, now) }
+        return listOf(MembershipEffect.UpdateQuotaPeers(peers))
+    }
+
+    private fun isQuotaUseCurrent(entry: PeerTable.Entry, now: MonotonicTime): Boolean =
+        if (settings.peerAddress == null) {
+            liveness.isLive(entry, now)
+        } else {
+            entry.isHeardWithin(LINK_REPORT_TIMEOUT, now)
+        }
+
+    /**
+     * Returns whether this node may only use the share of the quotas that the others reserve for it.
+     *
+     * Nodes that hear each other divide what is left when the shares of all silent nodes are reserved, whether these
+     * have gone or are cut off.
+     */
+    private fun isIsolated(now: MonotonicTime): Boolean {
+        if (settings.peerAddress == null) return now - liveness.storeAnsweredAt > settings.heartbeatTimeout
+        val live = liveness.livePeers(now)
+        return !liveness.othersAreKnown(now) || live.isNotEmpty() && live.none { isQuotaUseCurrent(it, now) }
     }
 
     /** Passes on what has changed since the last call, and the quota use, which ages also without a change. */
-    private fun distribute(now: MonotonicTime): List<MembershipEffect> {
-        if (settings.peerAddress != null && table.position == distributedPosition) return emptyList()
+    private fun distribute(now: MonotonicTime, isForced: Boolean = false): List<MembershipEffect> {
+        if (!isForced && settings.peerAddress != null && table.position == distributedPosition) return emptyList()
         distributedPosition = table.position
         return distributeMembers(now) + quotaPeers(now)
     }
 
     private fun distributeMembers(now: MonotonicTime): List<MembershipEffect> {
-        val live = livePeers(now)
+        val live = liveness.livePeers(now).map { it.report }
         val members = (live + own.report).filter { it.accepting }.distinctBy { it.node }.map(NodeReport::toMember)
         val others = live.map { it.node }.distinct()
         return listOf(
@@ -218,60 +255,20 @@
         )
     }
 
-    private fun reportLosses(now: MonotonicTime): List<MembershipEffect> {
-        val live = table.peers.filter { isLive(it, now) }.mapTo(HashSet()) { it.key }
-        return lossReports.update(live, storeAnsweredAt, linked, now)
-    }
-
     private fun distributeReports(now: MonotonicTime): List<MembershipEffect> {
         val reports =
-            table.peers
-                .map {
-                    if (isLive(
-                            it,
-                            now,
-                        )
-                    ) {
-                        it.report
-                    } else {
-                        it.report.copy(load = emptyMap(), latency = emptyMap())
-                    }
-                }.toList()
-        return listOf(MembershipEffect.DistributeReports(reports + own.report))
-    }
-
-    private fun livePeers(now: MonotonicTime): List<NodeReport> =
-        table.peers
-            .filter { isLive(it, now) }
-            .map { it.report }
-            .toList()
-
-    /**
-     * Returns whether the node may still run.
-     *
-     * A report ages only while the store or the link answers, so that an outage of both removes no node. Without a link
-     * this node has to wait for what the others write to the store, which they may do seldom.
-     */
-    private fun isLive(entry: PeerTable.Entry, now: MonotonicTime): Boolean {
-        if (entry.report.node == settings.node) return false
-        val waitsForStore = !linked && settings.peerAddress != null && entry.report.peerAddress != null
-        val publishPeriod = if (waitsForStore) LINKED_PUBLISH_PERIOD else Duration.ZERO
-        return contactAt(now) - entry.heardAt <= settings.heartbeatTimeout + publishPeriod
+            table.peers.map { entry ->
+                val report = entry.report
+                if (liveness.isLive(entry, now)) report else report.copy(load = emptyMap(), latency = emptyMap())
+            }
+        return listOf(MembershipEffect.DistributeReports(reports.toList() + own.report))
     }
 
-    /** Returns when this node last had contact with the store or, over the link, with all zones. */
-    private fun contactAt(now: MonotonicTime): MonotonicTime =
-        if (linked) now else maxOf(storeAnsweredAt, lastLinkedAt)
-
     /** Removes reports of nodes that are gone for long; only one node removes them from the store too. */
     private fun removeExpired(now: MonotonicTime): List<MembershipEffect> {
-        val expired =
-            table.peers
-                .filter { contactAt(now) - it.heardAt > settings.heartbeatTimeout * REMOVAL_TIMEOUTS }
-                .map { it.key }
-                .toList()
+        val expired = liveness.expired()
         expired.forEach(table::remove)
-        val removes = table.peers.none { isLive(it, now) && it.key < self }
+        val removes = liveness.livePeers(now).none { it.key < self }
         return if (expired.isEmpty() || !removes) emptyList() else listOf(MembershipEffect.RemoveReports(expired))
     }
 
@@ -279,12 +276,12 @@
         /** If a host fails, the counts of at most this time are lost with it, if it has no link. */
         val PUBLISH_PERIOD: Duration = 1.seconds
 
-        /** After its first read of the store, a node allows this time for the reports of nodes that start with it. */
-        val STARTUP_TIME: Duration = 3.seconds
-
         /** Ticks come slightly early or late; a period counts as over when it nearly is. */
         val PERIOD_TOLERANCE: Duration = 0.25.seconds
 
+        /** Longer than a report takes over the link. */
+        val SILENCE: Duration = 1.5.seconds
+
         /** Four exchange periods more than the longest path of a report. */
         val SILENCE_BEFORE_READ: Duration = 2.seconds
 
@@ -293,12 +290,6 @@
 
         /** The age up to which the quota use in a report of the link counts as current. */
         val LINK_REPORT_TIMEOUT: Duration = 2.5.seconds
-
-        /**
-         * The age, in heartbeat timeouts, at which a report is removed; by then no usage window that it covers is still
-         * to be reported.
-         */
-        const val REMOVAL_TIMEOUTS = 15
     }
 }
 
@@ -310,7 +301,5 @@
 /** Every call to the store has its price, and nodes with a link read the reports there only as a second path. */
 internal val LINKED_PUBLISH_PERIOD: Duration = 5.seconds
 
-private val NodeReport.target: PeerTarget? get() = peerAddress?.let { PeerTarget(key, it, zone) }
-
 private fun NodeReport.observedFindingsOrNull(asOf: MonotonicTime): MembershipEffect? =
     findings.takeUnless { it.isEmpty }?.let { MembershipEffect.ObserveFindings(it, asOf) }
--- a/core/src/main/kotlin/gypsumcart/core/membership/MembershipEvents.kt
+++ b/core/src/main/kotlin/gypsumcart/core/membership/MembershipEvents.kt
@@ -18,11 +18,13 @@
      * The store returned new reports of nodes, possibly including this one, and the keys of removed reports.
      *
      * @property ages the time since each report was written, if known
+     * @property heard the time since each node was last heard over the link by another one, where a report says so
      */
     public data class ReportsReceived(
         public val reports: List<NodeReport>,
         public val removed: List<NodeKey>,
         public val ages: Map<NodeKey, Duration> = emptyMap(),
+        public val heard: Map<NodeKey, Duration> = emptyMap(),
     ) : MembershipEvent()
 
     /** The store responded without any new report. */
@@ -59,10 +61,10 @@
         public val message: PeerMessage,
     ) : MembershipEvent()
 
-    /** The [exchange] that this node started ended with [response], or with none if null. */
+    /** The [exchange] that this node started ended with [result]. */
     public data class ExchangeEnded(
         public val exchange: ExchangeId,
-        public val response: PeerMessage?,
+        public val result: ExchangeResult,
     ) : MembershipEvent()
 
     /** A timer tick, on which messages are exchanged with other nodes and changes are passed on to the other duties. */
@@ -74,8 +76,16 @@
 
 /** Represents an output of the [Membership] decider. */
 public sealed class MembershipEffect {
-    /** Writes this node's report to the store. */
-    public data class Publish(public val report: NodeReport) : MembershipEffect()
+    /**
+     * Writes this node's report to the store.
+     *
+     * @property heard the time since each node of this zone last sent a report over the link, for nodes that only reach
+     * the store; empty if there are none
+     */
+    public data class Publish(
+        public val report: NodeReport,
+        public val heard: Map<NodeKey, Duration> = emptyMap(),
+    ) : MembershipEffect()
 
     /** Removes the expired reports of [nodes] from the store. */
     public data class RemoveReports(public val nodes: List<NodeKey>) : MembershipEffect()
--- a/core/src/main/kotlin/gypsumcart/core/membership/PeerExchanges.kt
+++ b/core/src/main/kotlin/gypsumcart/core/membership/PeerExchanges.kt
@@ -28,92 +28,146 @@
         var pending: ExchangeId? = null
         var startedAt = MonotonicTime(0)
         var suspectedUntil: MonotonicTime? = null
+
+        /** The number of refusals in a row. */
+        var refusals = 0
     }
 
     private val partners = HashMap<NodeKey, Partner>()
     private val partnersByExchange = HashMap<ExchangeId, Partner>()
     private val contactAt = HashMap<ZoneName, MonotonicTime>()
+    private val liveSince = HashMap<ZoneName, MonotonicTime>()
     private var relayIsLinked = false
     private var lastExchange = 0L
 
-    /** The targets to exchange messages with now, given the [live] nodes other than this one. */
-    fun dueTargets(live: List<PeerTarget>, now: MonotonicTime): List<PeerTarget> {
-        forgetExcept(live)
+    /**
+     * The targets to exchange messages with now, given the [live] nodes other than this one and the [lost] ones.
+     *
+     * A relay that [lacksReports] also turns to a node of its own zone, whose other nodes may have another relay. It
+     * looks for zones of which no node counts as running, since a cut that separated both may have ended.
+     */
+    fun dueTargets(
+        live: List<PeerTarget>,
+        lost: List<PeerTarget>,
+        lacksReports: Boolean,
+        now: MonotonicTime,
+    ): List<PeerTarget> {
+        forgetExcept(live + lost)
+        recordLiveZones(live, now)
         val ownRelay = relayOrNull(live, zone, now)
-        val targets =
-            if (ownRelay == null || self < ownRelay.key) {
-                live
-                    .map { it.zone }
-                    .distinct()
-                    .filter { it != zone }
-                    .mapNotNull { relayOrNull(live, it, now) }
-            } else {
-                listOf(ownRelay)
-            }
-        return targets.filterNot { isPending(it.key, now) }
+        if (ownRelay != null && ownRelay.key < self) return listOf(ownRelay).filterNot { isPending(it.key, now) }
+        val zones = live.map { it.zone }.distinct()
+        val relays = zones.filter { it != zone }.mapNotNull { relayOrNull(live, it, now) }
+        val neighbours = listOfNotNull(ownRelay.takeIf { lacksReports })
+        val probes =
+            lost
+                .filter { it.zone !in zones }
+                .groupBy { it.zone }
+                .values
+                .mapNotNull { probeOrNull(it, now) }
+        return (relays + neighbours + probes).filterNot { isPending(it.key, now) }
+    }
+
+    /** Returns the one of [lost] that was tried least recently, if the last trial of any of them is long enough ago. */
+    private fun probeOrNull(lost: List<PeerTarget>, now: MonotonicTime): PeerTarget? {
+        val lastTrial = lost.mapNotNull { partners[it.key]?.startedAt }.maxOrNull()
+        if (lastTrial != null && now - lastTrial < PROBE_PERIOD) return null
+        return lost.minWithOrNull(compareBy({ partners[it.key]?.startedAt }, { it.key }))
     }
 
     /** Starts an exchange with [target] and returns the message to send. */
-    fun start(target: PeerTarget, now: MonotonicTime, linked: Boolean): Pair<ExchangeId, PeerMessage> {
+    fun start(
+        target: PeerTarget,
+        now: MonotonicTime,
+        linked: Boolean,
+        lacksReports: Boolean,
+    ): Pair<ExchangeId, PeerMessage> {
         val partner = partners.getOrPut(target.key) { Partner(target) }
         val id = ExchangeId(++lastExchange)
         partner.pending?.let { partnersByExchange -= it }
         partner.pending = id
         partner.startedAt = now
         partnersByExchange[id] = partner
-        return id to message(target.key, target.zone, partner.acknowledged, partner.received, now, linked)
+        val recipient = Recipient(target.key, target.zone, partner.acknowledged, wantsAll = false)
+        val message = message(recipient, partner.received, now, linked)
+        return id to message.copy(lacksReports = lacksReports)
     }
 
     /** Returns the response to [request], which came from a node in [senderZone]. */
     fun respond(request: PeerMessage, senderZone: ZoneName, now: MonotonicTime, linked: Boolean): PeerMessage =
-        message(request.sender, senderZone, request.received, request.position, now, linked)
+        message(
+            Recipient(request.sender, senderZone, request.received, request.lacksReports),
+            request.position,
+            now,
+            linked,
+        )
 
     /**
-     * Ends an exchange; [response] is null if none arrived.
+     * Ends an exchange and returns the message to apply, or null if there is none.
      *
-     * Returns whether the response is to be applied. A response to an exchange that has already ended is not.
+     * A response to an exchange that has already ended is not applied.
      */
-    fun end(id: ExchangeId, response: PeerMessage?, now: MonotonicTime): Boolean {
-        val partner = partnersByExchange.remove(id) ?: return false
-        if (partner.pending != id) return false
+    fun end(id: ExchangeId, result: ExchangeResult, now: MonotonicTime): PeerMessage? {
+        val partner = partnersByExchange.remove(id) ?: return null
+        if (partner.pending != id) return null
         partner.pending = null
-        if (response == null || response.sender != partner.target.key) {
-            partner.suspectedUntil = now + SUSPICION_TIME
-            return false
-        }
+        return when (result) {
+            is ExchangeResult.Answered -> result.message.takeIf { it.sender == partner.target.key }
+            ExchangeResult.Refused -> return null.also { refuse(partner, now) }
+            ExchangeResult.Failed -> null
+        }.also { response -> if (response == null) suspect(partner, now) else accept(partner, response, now) }
+    }
+
+    private fun accept(partner: Partner, response: PeerMessage, now: MonotonicTime) {
         partner.suspectedUntil = null
+        partner.refusals = 0
         partner.acknowledged = response.received
         partner.received = response.position
         contactAt[partner.target.zone] = now
         if (partner.target.zone == zone) relayIsLinked = response.linked
-        return true
     }
 
+    private fun refuse(partner: Partner, now: MonotonicTime) {
+        if (++partner.refusals >= MAX_REFUSALS) suspect(partner, now)
+    }
+
+    private fun suspect(partner: Partner, now: MonotonicTime) {
+        partner.refusals = 0
+        partner.suspectedUntil = now + SUSPICION_TIME
+    }
+
+    /** Returns whether this node is the relay of its zone. */
+    fun isRelay(live: List<PeerTarget>, now: MonotonicTime): Boolean =
+        relayOrNull(live, zone, now)?.let { self < it.key } ?: true
+
     /**
      * Returns whether reports of all [live] nodes reach this node over the link.
      *
      * A relay is linked if it has contact with all other zones, another node if its relay is linked.
      */
     fun isLinked(live: List<PeerTarget>, now: MonotonicTime): Boolean {
-        val ownRelay = relayOrNull(live, zone, now)
-        if (ownRelay != null && ownRelay.key < self) return relayIsLinked && hadContact(zone, now)
-        return silentZones(live, now).isEmpty()
+        val isSelfLinked = isRelay(live, now) || relayIsLinked
+        return isSelfLinked && silentZones(live, now).isEmpty()
     }
 
     /** Returns the zones of [live] nodes with which this node is to exchange messages and had no contact lately. */
     fun silentZones(live: List<PeerTarget>, now: MonotonicTime): List<ZoneName> {
-        val ownRelay = relayOrNull(live, zone, now)
         val expected =
-            if (ownRelay != null && ownRelay.key < self) {
-                listOf(zone)
-            } else {
-                live.map { it.zone }.distinct().filter { it != zone }
-            }
+            if (isRelay(live, now)) live.map { it.zone }.distinct().filter { it != zone } else listOf(zone)
         return expected.filterNot { hadContact(it, now) }
     }
 
-    private fun hadContact(zone: ZoneName, now: MonotonicTime): Boolean =
-        contactAt[zone]?.let { now - it <= CONTACT_TIMEOUT } ?: false
+    private fun recordLiveZones(live: List<PeerTarget>, now: MonotonicTime) {
+        val zones = live.mapTo(HashSet()) { it.zone }
+        liveSince.keys.retainAll(zones)
+        zones.forEach { liveSince.putIfAbsent(it, now) }
+    }
+
+    /** Returns whether [zone] was in contact lately, or has only just appeared so that none is due yet. */
+    private fun hadContact(zone: ZoneName, now: MonotonicTime): Boolean {
+        val latest = listOfNotNull(contactAt[zone], liveSince[zone] ?: now).max()
+        return now - latest <= CONTACT_TIMEOUT
+    }
 
     /**
      * The oldest node of [zone] that is not suspected to be out of reach.
@@ -135,41 +189,53 @@
     private fun isSuspected(key: NodeKey, now: MonotonicTime): Boolean =
         partners[key]?.suspectedUntil?.let { now < it } ?: false
 
-    private fun forgetExcept(live: List<PeerTarget>) {
-        if (partners.size <= live.size) return
-        val keys = live.mapTo(HashSet()) { it.key }
+    private fun forgetExcept(known: List<PeerTarget>) {
+        if (partners.size <= known.size) return
+        val keys = known.mapTo(HashSet()) { it.key }
         partners.keys.retainAll(keys)
         partnersByExchange.values.retainAll(partners.values.toSet())
     }
 
     private fun message(
-        recipient: NodeKey,
-        recipientZone: ZoneName,
-        after: TablePosition,
+        recipient: Recipient,
         received: TablePosition,
         now: MonotonicTime,
         linked: Boolean,
     ): PeerMessage {
-        val changes = table.changedAfter(after).take(MAX_ITEMS)
+        val changes = table.changedAfter(recipient.position).take(MAX_ITEMS)
         val items =
             changes
-                .filter { it.linkedAt != null && isWanted(it, recipient, recipientZone) }
-                .map { PeerItem(it.report, now - it.heardAt, it.usagePosition > after) }
-                .filter { it.age <= MAX_ITEM_AGE }
+                .filter { it.linkedAt != null && isWanted(it, recipient) }
+                .map {
+                    val hasUsage = recipient.wantsAll || it.usagePosition > recipient.position
+                    PeerItem(it.report, now - it.heardAt, hasUsage)
+                }.filter { it.age <= MAX_ITEM_AGE }
         val position = if (changes.size < MAX_ITEMS) table.position else changes.last().position
         return PeerMessage(self, items, position, received, linked)
     }
 
     /**
-     * Returns whether a recipient in [recipientZone] lacks [entry].
+     * Returns whether [recipient] lacks [entry].
      *
      * Between zones only reports of the sender's own zone are sent, as each relay receives those of the other zones
-     * from their own relays, and reports that came directly from their nodes.
+     * from their own relays, and reports that came directly from their nodes. A recipient that lacks reports gets all.
      */
-    private fun isWanted(entry: PeerTable.Entry, recipient: NodeKey, recipientZone: ZoneName): Boolean =
-        entry.key != recipient &&
-            entry.source != recipient &&
-            (recipientZone == zone || entry.report.zone == zone || entry.source == entry.key)
+    private fun isWanted(entry: PeerTable.Entry, recipient: Recipient): Boolean {
+        if (entry.key == recipient.key || entry.source == recipient.key) return false
+        if (recipient.wantsAll || recipient.zone == zone) return true
+        return entry.report.zone == zone || entry.source == entry.key
+    }
+
+    /**
+     * @property position the position of this node's table up to which the recipient has received the changes
+     * @property wantsAll whether the recipient wants the reports of all zones
+     */
+    private class Recipient(
+        val key: NodeKey,
+        val zone: ZoneName,
+        val position: TablePosition,
+        val wantsAll: Boolean,
+    )
 
     private companion object {
         /** Bounds the size of a message; what is left out follows in the next one. */
@@ -184,6 +250,12 @@
         /** How long a node that did not answer is passed over as a relay. */
         val SUSPICION_TIME: Duration = 3.seconds
 
+        /** A node that has not found this one in the store after so many exchanges probably does not reach it. */
+        const val MAX_REFUSALS = 3
+
+        /** How often a zone is looked for of which no node counts as running. */
+        val PROBE_PERIOD: Duration = 1.seconds
+
         /** Several exchange periods; a relay's loss is made up for within two of them. */
         val CONTACT_TIMEOUT: Duration = 1.5.seconds
     }
--- a/core/src/main/kotlin/gypsumcart/core/membership/PeerMessages.kt
+++ b/core/src/main/kotlin/gypsumcart/core/membership/PeerMessages.kt
@@ -38,6 +38,7 @@
  * @property position the position of the sender's table up to which [items] are complete
  * @property received the position of the recipient's table up to which the sender has received items
  * @property linked whether the sender is in contact with all zones
+ * @property lacksReports whether the sender wants the reports of all zones, because it lacks those of some node
  */
 public data class PeerMessage(
     public val sender: NodeKey,
@@ -45,7 +46,20 @@
     public val position: TablePosition,
     public val received: TablePosition,
     public val linked: Boolean,
+    public val lacksReports: Boolean = false,
 )
 
+/** Describes how an exchange ended for the node that started it. */
+public sealed class ExchangeResult {
+    /** The other node responded with [message]. */
+    public data class Answered(public val message: PeerMessage) : ExchangeResult()
+
+    /** The other node runs but does not know this one yet; it reads the store before it responds. */
+    public data object Refused : ExchangeResult()
+
+    /** No valid response arrived. */
+    public data object Failed : ExchangeResult()
+}
+
 /** Identifies a node to which this node sends messages. */
 public data class PeerTarget(public val key: NodeKey, public val address: Address, public val zone: ZoneName)
--- a/core/src/main/kotlin/gypsumcart/core/membership/PeerQuotaView.kt
+++ b/core/src/main/kotlin/gypsumcart/core/membership/PeerQuotaView.kt
@@ -13,7 +13,7 @@
      * A node whose reports stopped may only have lost its contact and still serve clients, so it keeps a share of the
      * quotas. What a node admitted before a restart counts as far as it still lies in the quota window.
      *
-     * @param contactAt when this node last had contact with others; reports do not age without
+     * @param contactAt when the store last answered; reports do not age without it
      * @param startedAt when this process first knew of the other nodes
      * @param isCurrent whether the quota use in an entry is what the node uses now
      */
--- a/core/src/main/kotlin/gypsumcart/core/membership/PeerTable.kt
+++ b/core/src/main/kotlin/gypsumcart/core/membership/PeerTable.kt
@@ -1,7 +1,9 @@
 package gypsumcart.core.membership
 
 import gypsumcart.core.MonotonicTime
+import gypsumcart.core.ZoneName
 import java.util.TreeMap
+import kotlin.time.Duration
 
 /**
  * Holds the latest report of each node, including this one, ordered by their last changes.
@@ -13,6 +15,7 @@
      * @property source the node from which the report was received over the link, or null if it came from the store
      * @property heardAt when the node sent the report, on this process's clock
      * @property linkedAt when the node sent the last report that came over the link, or null if none did
+     * @property aliveAt when the node was last known to run, by this report or by what others have heard of it
      * @property usagePosition the position of the last change of the usage counts
      */
     class Entry(
@@ -23,7 +26,18 @@
         val position: TablePosition,
         val usagePosition: TablePosition,
     ) {
+        var aliveAt = heardAt
+            private set
+
         val key: NodeKey get() = report.key
+
+        /** Records that the node ran at [time]. */
+        fun confirm(time: MonotonicTime) {
+            aliveAt = maxOf(aliveAt, time)
+        }
+
+        /** Returns whether the node sent a report over the link in the time of [span] before [now]. */
+        fun isHeardWithin(span: Duration, now: MonotonicTime): Boolean = linkedAt?.let { now - it <= span } ?: false
     }
 
     private val entries = HashMap<NodeKey, Entry>()
@@ -84,6 +98,13 @@
         entries.remove(key)?.let { entriesByPosition -= it.position }
     }
 
+    /** Returns the time since each node of [zone] sent a report over the link, if it did in the time of [span]. */
+    fun heardWithin(span: Duration, zone: ZoneName, now: MonotonicTime): Map<NodeKey, Duration> =
+        peers
+            .filter { it.report.zone == zone && it.isHeardWithin(span, now) }
+            .mapNotNull { entry -> entry.linkedAt?.let { entry.key to now - it } }
+            .toMap()
+
     /** Returns the entries that changed after [position], in the order of their changes. */
     fun changedAfter(position: TablePosition): Collection<Entry> = entriesByPosition.tailMap(position, false).values
 
@@ -105,6 +126,7 @@
         previous?.let { entriesByPosition -= it.position }
         val usagePosition = if (usageChanged || previous == null) position else previous.usagePosition
         val entry = Entry(report, source, heardAt, linkedAt, position, usagePosition)
+        previous?.let { entry.confirm(it.aliveAt) }
         entries[report.key] = entry
         entriesByPosition[position] = entry
         latestIncarnations.merge(report.node, report.incarnation, ::maxOf)
--- a/core/src/test/kotlin/gypsumcart/core/membership/LostHostScenariosTest.kt
+++ b/core/src/test/kotlin/gypsumcart/core/membership/LostHostScenariosTest.kt
@@ -111,32 +111,38 @@
 
         private fun check() {
             for (observer in fleet.nodes) {
-                val observed = timeInState(observer.key, observer.running)
-                val knows = timeInState("contact" to observer.key, observer.canKnow())
                 for (host in fleet.nodes) {
-                    if (host === observer) continue
-                    val inState = timeInState(host.key, host.running)
-                    val isMet = timeInState(observer.key to host.key, observer.canMeet(host))
-                    if (!observer.running) continue
-                    val isNamed = host.id in observer.members
-                    val inTouch = observer.canKnow() && minOf(observed, knows) >= CONTACT
-                    if (isNamed && !host.running && inTouch && inState > OFF_LIMIT) {
-                        violations += "${fleet.now}: ${observer.id} names ${host.id}, off for $inState"
-                    }
-                    val mustName = host.running && observer.canMeet(host) && minOf(isMet, observed) >= RETURN_LIMIT
-                    if (!isNamed && mustName && (isCalm() || inState < OFF_LIMIT)) {
-                        violations += "${fleet.now}: ${observer.id} lacks ${host.id}, running for $inState"
-                    }
+                    if (host !== observer) check(observer, host)
                 }
             }
         }
 
-        /** Nothing is changing and nodes and store are reachable but for hosts that are off or cut off as a whole. */
+        private fun check(observer: SimulatedFleet.SimulatedNode, host: SimulatedFleet.SimulatedNode) {
+            val observed = timeInState(observer.key, observer.running)
+            val knows = timeInState("contact" to observer.key, observer.canKnow())
+            val inState = timeInState(host.key, host.running)
+            val met = timeInState(observer.key to host.key, observer.canMeet(host))
+            if (!observer.running) return
+            val isNamed = host.id in observer.members
+            val inTouch = observer.canKnow() && minOf(observed, knows) >= CONTACT
+            val mustNotName = !host.running && inTouch && inState > OFF_LIMIT
+            if (isNamed && mustNotName) violations += "${fleet.now}: ${observer.id} names ${host.id}, off for $inState"
+            val isMet = observer.canMeet(host) && minOf(met, observed) >= RETURN_LIMIT
+            val mustName = isMet && (isCalm() || inState < OFF_LIMIT)
+            if (!isNamed &&
+                mustName
+            ) {
+                violations += "${fleet.now}: ${observer.id} lacks ${host.id}, running for $inState"
+            }
+        }
+
+        /** Returns whether no cut is in force and no fault has begun or ended lately. */
         private fun isCalm(): Boolean = fleet.cuts.isEmpty() && fleet.now - faultsChangedAt >= OFF_LIMIT
 
-        /** Whether the node hears of the fleet: from the store, or from any other node. */
+        /** Whether the node knows others, from the store, and hears of them: from the store, or from any other node. */
         private fun SimulatedFleet.SimulatedNode.canKnow(): Boolean =
-            reachesStore || fleet.nodes.any { it !== this && it.running && fleet.connects(id, it.id) }
+            storeReads > 0 &&
+                (reachesStore || fleet.nodes.any { it !== this && it.running && fleet.connects(id, it.id) })
 
         private fun SimulatedFleet.SimulatedNode.canMeet(host: SimulatedFleet.SimulatedNode): Boolean =
             host.running && running && reachesStore && host.reachesStore && fleet.connects(id, host.id)
--- a/core/src/test/kotlin/gypsumcart/core/membership/LostZoneTest.kt
+++ b/core/src/test/kotlin/gypsumcart/core/membership/LostZoneTest.kt
@@ -115,6 +115,18 @@
         expectThat(fleet.running).all { get { members }.contains(NodeId("z1-1")) }
     }
 
+    @Test
+    fun `the return of a zone does not unlink the other nodes`() {
+        val fleet = startedFleet(2, 1, 2)
+        fleet.stopZone("z1")
+        fleet.runUntil(lossAt + 14.seconds)
+        val changes = ArrayList<MembershipEffect>()
+        fleet.running.forEach { node -> node.onEffect = { if (it is MembershipEffect.LinkChanged) changes += it } }
+        fleet.restart(NodeId("z1-1"))
+        fleet.runUntil(lossAt + 20.seconds)
+        expectThat(changes).hasSize(0)
+    }
+
     @Test
     fun `zones that were cut from each other while the store was away name each other again`() {
         val fleet = startedFleet(2, 2)
@@ -148,6 +160,19 @@
         expectThat(fleet.node("z0-1").quotaPeers?.isolated).isEqualTo(false)
     }
 
+    @Test
+    fun `zones that are cut from each other while the store is away keep the shares of the quotas apart`() {
+        val fleet = startedFleet(2, 2)
+        fleet.storeAnswers = false
+        for (id in listOf("z0-1", "z0-2")) fleet.isolate(NodeId(id))
+        for ((one, other) in listOf("z0-1" to "z0-2", "z0-2" to "z0-1")) fleet.cuts -= NodeId(one) to NodeId(other)
+        fleet.runUntil(lossAt + 80.seconds)
+        expectThat(fleet.running).all {
+            get { quotaPeers?.nodeCount }.isEqualTo(4)
+            get { quotaPeers?.unreachable?.size }.isEqualTo(2)
+        }
+    }
+
     @Test
     fun `the loss of a zone costs each node at most the calls to the store of four seconds without a link`() {
         val fleet = startedFleet(4, 1, 4)
--- a/core/src/test/kotlin/gypsumcart/core/membership/SimulatedFleet.kt
+++ b/core/src/test/kotlin/gypsumcart/core/membership/SimulatedFleet.kt
@@ -38,7 +38,7 @@
 ) {
     private class Task(val at: Duration, val order: Long, val run: () -> Unit)
 
-    private class StoredRow(val report: NodeReport, val writtenAt: Duration)
+    private class StoredRow(val report: NodeReport, val heard: Map<NodeKey, Duration>, val writtenAt: Duration)
 
     private val random = Random(seed)
     private val tasks = PriorityQueue<Task>(compareBy<Task> { it.at }.thenBy { it.order })
@@ -79,6 +79,7 @@
         var storeWrites = 0
         val refused = ArrayList<NodeKey>()
         var quotaPeers: QuotaPeers? = null
+        private var readRound = 0
         var onEffect: (MembershipEffect) -> Unit = {}
 
         /** Whether the store answers this node. */
@@ -103,14 +104,19 @@
 
         private fun readStorePeriodically() {
             if (running) readStore()
-            schedule(if (linked) 4.seconds else 700.milliseconds, ::readStorePeriodically)
+            val round = ++readRound
+            schedule(if (linked) 4.seconds else 700.milliseconds) { if (round == readRound) readStorePeriodically() }
         }
 
         private fun readStore() {
             if (!reachesStore) return
             storeReads++
             val ages = storeRows.mapValues { (_, row) -> now - row.writtenAt }
-            decide(MembershipEvent.ReportsReceived(storeRows.values.map { it.report }, emptyList(), ages))
+            val heard = HashMap<NodeKey, Duration>()
+            for (row in storeRows.values) {
+                row.heard.forEach { (key, age) -> heard.merge(key, age + (now - row.writtenAt), ::minOf) }
+            }
+            decide(MembershipEvent.ReportsReceived(storeRows.values.map { it.report }, emptyList(), ages, heard))
         }
 
         fun decide(event: MembershipEvent) {
@@ -122,7 +128,7 @@
                 is MembershipEffect.Publish ->
                     if (reachesStore) {
                         storeWrites++
-                        storeRows[effect.report.key] = StoredRow(effect.report, now)
+                        storeRows[effect.report.key] = StoredRow(effect.report, effect.heard, now)
                     }
 
                 is MembershipEffect.RemoveReports -> effect.nodes.forEach(storeRows::remove)
@@ -140,7 +146,7 @@
 
         private fun changeLink(linked: Boolean) {
             this.linked = linked
-            if (!linked) schedule(5.milliseconds) { if (running) readStore() }
+            if (!linked) schedule(5.milliseconds, ::readStorePeriodically)
         }
 
         private fun send(effect: MembershipEffect.Send) {
@@ -149,7 +155,7 @@
                 transmit(id, recipient.id) { recipient.receive(effect, this) }
             }
             schedule(600.milliseconds) {
-                if (running) decide(MembershipEvent.ExchangeEnded(effect.exchange, null))
+                if (running) decide(MembershipEvent.ExchangeEnded(effect.exchange, ExchangeResult.Failed))
             }
         }
 
@@ -158,8 +164,9 @@
             val effects = membership.decide(MembershipEvent.MessageReceived(effect.exchange, effect.message), time())
             val response = effects.filterIsInstance<MembershipEffect.Respond>().singleOrNull()
             effects.filterNot { it is MembershipEffect.Respond }.forEach(::execute)
+            val result = response?.let { ExchangeResult.Answered(it.message) } ?: ExchangeResult.Refused
             transmit(id, sender.id) {
-                if (sender.running) sender.decide(MembershipEvent.ExchangeEnded(effect.exchange, response?.message))
+                if (sender.running) sender.decide(MembershipEvent.ExchangeEnded(effect.exchange, result))
             }
         }
     }
--- a/node/src/main/kotlin/gypsumcart/node/FleetDuties.kt
+++ b/node/src/main/kotlin/gypsumcart/node/FleetDuties.kt
@@ -133,7 +133,7 @@
             rows.put(
                 Tables.FLEET,
                 effect.report.toRowKey(),
-                effect.report.encode(storeMillis()),
+                effect.report.encode(storeMillis(), effect.heard),
                 expected = null,
             )
         written.mapBoth(
--- a/node/src/main/kotlin/gypsumcart/node/FleetListener.kt
+++ b/node/src/main/kotlin/gypsumcart/node/FleetListener.kt
@@ -22,11 +22,13 @@
     override fun onChanged(written: List<Row>, removed: List<RowKey>) {
         val reportRows = written.filter { it.key.isNodeReport }
         val reports = reportRows.mapNotNull { row -> row.toReportOrNull() ?: row.logUnreadable() }
+        val ages = agesOf(reports)
         rings.membership.put(
             MembershipEvent.ReportsReceived(
                 reports.map { it.report },
                 removed.mapNotNull { it.toNodeKeyOrNull() },
-                agesOf(reports),
+                ages,
+                heardBy(reports, ages),
             ),
         )
         written.filterNot { it.key.isNodeReport }.forEach(::forward)
@@ -40,6 +42,16 @@
             .associate { (key, age) -> key to age.coerceAtLeast(Duration.ZERO) }
     }
 
+    /** Returns the time since each node was last heard by the writer of any of [reports] whose age is known. */
+    private fun heardBy(reports: List<StoredReport>, ages: Map<NodeKey, Duration>): Map<NodeKey, Duration> {
+        val heard = HashMap<NodeKey, Duration>()
+        for (stored in reports) {
+            val age = ages[stored.report.key] ?: continue
+            stored.heard.forEach { (key, heardAge) -> heard.merge(key, heardAge + age, ::minOf) }
+        }
+        return heard
+    }
+
     override fun onUnchanged(): Unit = rings.membership.put(MembershipEvent.StoreAnswered)
 
     private fun forward(row: Row) {
--- a/node/src/main/kotlin/gypsumcart/node/PeerCodec.kt
+++ b/node/src/main/kotlin/gypsumcart/node/PeerCodec.kt
@@ -35,6 +35,7 @@
     val position: Long,
     val received: Long,
     val linked: Boolean,
+    val lacking: Boolean = false,
 )
 
 /** Represents a report; [usage] and [until] are null if the recipient has the current counts already. */
@@ -82,6 +83,7 @@
             position.number,
             received.number,
             linked,
+            lacksReports,
         ),
     )
 
@@ -100,6 +102,7 @@
             TablePosition(wire.position),
             TablePosition(wire.received),
             wire.linked,
+            wire.lacking,
         ),
     )
 }
--- a/node/src/main/kotlin/gypsumcart/node/PeerLink.kt
+++ b/node/src/main/kotlin/gypsumcart/node/PeerLink.kt
@@ -4,6 +4,7 @@
 import com.github.michaelbull.result.getOrElse
 import com.github.michaelbull.result.mapBoth
 import gypsumcart.core.membership.ExchangeId
+import gypsumcart.core.membership.ExchangeResult
 import gypsumcart.core.membership.MembershipEffect
 import gypsumcart.core.membership.MembershipEvent
 import gypsumcart.core.membership.NodeKey
@@ -46,12 +47,12 @@
     private val received = AtomicLong()
     private val replies = ConcurrentHashMap<ExchangeId, CompletableDeferred<Reply>>()
 
-    /** Sends the message, and passes the response or its absence to the membership duty. */
+    /** Sends the message, and passes the result to the membership duty. */
     fun send(effect: MembershipEffect.Send) {
         scope.launch {
-            val response = exchangeOrNull(effect)
-            metrics.countPeerExchange(succeeded = response != null)
-            membership.offer(MembershipEvent.ExchangeEnded(effect.exchange, response))
+            val result = exchange(effect)
+            metrics.countPeerExchange(succeeded = result is ExchangeResult.Answered)
+            membership.offer(MembershipEvent.ExchangeEnded(effect.exchange, result))
         }
     }
 
@@ -99,7 +100,7 @@
         }
     }
 
-    private suspend fun exchangeOrNull(effect: MembershipEffect.Send): PeerMessage? {
+    private suspend fun exchange(effect: MembershipEffect.Send): ExchangeResult {
         val target = effect.target
         val endpoint = Endpoint(target.address.host, target.address.port)
         val body = effect.message.encode().encodeToByteArray()
@@ -115,13 +116,21 @@
             return failed(target.key, "no_answer")
         }
         val (status, bytes) = exchange.getOrElse { return failed(target.key, it.toString()) }
+        if (status == FORBIDDEN) return failed(target.key, "refused", ExchangeResult.Refused)
         if (status != OK || bytes == null) return failed(target.key, "status_$status")
-        return decodePeerMessage(bytes).mapBoth({ it }, { failed(target.key, it.toString()) })
+        return decodePeerMessage(bytes).mapBoth(
+            { ExchangeResult.Answered(it) },
+            { failed(target.key, it.toString()) },
+        )
     }
 
-    private fun failed(peer: NodeKey, cause: String): PeerMessage? {
+    private fun failed(
+        peer: NodeKey,
+        cause: String,
+        result: ExchangeResult = ExchangeResult.Failed,
+    ): ExchangeResult {
         log.info("event=exchange_failed peer={} incarnation={} cause={}", peer.node, peer.incarnation, cause)
-        return null
+        return result
     }
 
     private companion object {
--- a/node/src/main/kotlin/gypsumcart/node/RowCodecs.kt
+++ b/node/src/main/kotlin/gypsumcart/node/RowCodecs.kt
@@ -19,6 +19,8 @@
 import kotlinx.serialization.KSerializer
 import kotlinx.serialization.SerialName
 import kotlinx.serialization.Serializable
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
 
 @Serializable
 private class ReportRow(
@@ -35,6 +37,7 @@
     @SerialName("written") val writtenMillis: Long? = null,
     val lost: Map<String, Double> = emptyMap(),
     val findings: WireFindings? = null,
+    val heard: Map<String, Long> = emptyMap(),
 )
 
 @Serializable
@@ -83,8 +86,12 @@
 
 internal fun NodeReport.toRowKey(): RowKey = key.toRowKey()
 
-/** Returns the value of the report's row, written when the store's clock shows [writtenMillis]. */
-internal fun NodeReport.encode(writtenMillis: Long?): ByteArray =
+/**
+ * Returns the value of the report's row, written when the store's clock shows [writtenMillis].
+ *
+ * @param heard the time since each node was last heard over the link, for those that are to be confirmed
+ */
+internal fun NodeReport.encode(writtenMillis: Long?, heard: Map<NodeKey, Duration> = emptyMap()): ByteArray =
     encode(
         ReportRow.serializer(),
         ReportRow(
@@ -104,11 +111,17 @@
             writtenMillis = writtenMillis,
             lost = lostCapacity.mapKeys { it.key.text },
             findings = findings.toWireOrNull(),
+            heard = heard.entries.associate { (key, age) -> key.toRowKey().text to age.inWholeMilliseconds },
         ),
     )
 
-/** Holds a report of the store, with the time of the store's clock at which it was written, if it says so. */
-internal class StoredReport(val report: NodeReport, val writtenMillis: Long?)
+/**
+ * Holds a report of the store.
+ *
+ * @property writtenMillis the time of the store's clock at which the report was written, if it says so
+ * @property heard the time since each node was last heard over the link, when the report was written
+ */
+internal class StoredReport(val report: NodeReport, val writtenMillis: Long?, val heard: Map<NodeKey, Duration>)
 
 /**
  * Returns the report in the row, or null if this version can't decode the key or the value.
@@ -140,9 +153,15 @@
             lostCapacity = row.lost.mapKeys { ServiceName(it.key) },
             findings = row.findings.toFindings(),
         )
-    return StoredReport(report, row.writtenMillis)
+    return StoredReport(report, row.writtenMillis, row.heard.toHeard())
 }
 
+private fun Map<String, Long>.toHeard(): Map<NodeKey, Duration> =
+    entries
+        .mapNotNull { (key, millis) -> RowKey(key).toNodeKeyOrNull()?.let { it to millis.milliseconds } }
+        .filter { (_, age) -> age >= Duration.ZERO }
+        .toMap()
+
 internal fun encodeLease(holder: NodeId, incarnation: Incarnation, token: FencingToken?): ByteArray =
     encode(LeaseHolderRow.serializer(), LeaseHolderRow(holder.text, incarnation.number, token?.number))
 
