--- a/core/src/test/kotlin/gypsumcart/core/admission/QuotaSharesTest.kt
+++ b/core/src/test/kotlin/gypsumcart/core/admission/QuotaSharesTest.kt
@@ -4,6 +4,7 @@
 import gypsumcart.core.NodeId
 import gypsumcart.core.Quota
 import gypsumcart.core.QuotaUnit
+import gypsumcart.core.ZoneName
 import gypsumcart.core.configuration
 import gypsumcart.core.membership.MembershipEffect
 import gypsumcart.core.membership.MembershipEvent
@@ -16,6 +17,7 @@
 import org.junit.jupiter.params.provider.MethodSource
 import org.junit.jupiter.params.provider.ValueSource
 import strikt.api.expectThat
+import strikt.assertions.isEmpty
 import strikt.assertions.isGreaterThan
 import strikt.assertions.isLessThanOrEqualTo
 import kotlin.random.Random
@@ -28,14 +30,21 @@
  * whatever happens to their messages, their processes and the store.
  */
 class QuotaSharesTest {
+    /**
+     * @property interval the time between two requests
+     * @property favorPeriod the time after which other nodes get most requests
+     */
+    private class Load(val interval: Duration, val favorPeriod: Duration)
+
     private class Charge(val at: Duration, val tokens: Double)
 
     /** Runs admission and membership of several nodes, and clients of one team that move between the nodes. */
-    private inner class QuotaFleet(val seed: Long, network: SimulatedNetwork) {
+    private inner class QuotaFleet(val seed: Long, network: SimulatedNetwork, private val load: Load) {
         val random = Random(seed)
         val fleet = SimulatedFleet(listOf(3, 3, 2), network, seed)
         val admissions = HashMap<NodeId, Admission>()
         val admitted = ArrayList<Charge>()
+        val refusedAt = ArrayList<Duration>()
         private var lastRequest = 0L
 
         fun start() {
@@ -71,9 +80,9 @@
             fleet.schedule(500.milliseconds, ::measureUse)
         }
 
-        /** Sends four times what the quota allows, most of it to two nodes, which change every few seconds. */
+        /** Sends most requests to two nodes, which change as [load] says. */
         private fun sendRequests() {
-            val favored = (fleet.now.inWholeSeconds / 3).toInt()
+            val favored = (fleet.now / load.favorPeriod).toInt()
             val index =
                 if (random.nextDouble() < 0.7) favored + random.nextInt(2) else random.nextInt(fleet.nodes.size)
             val node = fleet.nodes[index % fleet.nodes.size]
@@ -83,9 +92,11 @@
                     admissions.getValue(node.id).decide(AdmissionEvent.Submitted(request), node.time())
                 if (effects.single() is AdmissionEffect.Route) {
                     admitted += Charge(fleet.now, REQUEST_TOKENS.toDouble())
+                } else {
+                    refusedAt += fleet.now
                 }
             }
-            fleet.schedule(REQUEST_INTERVAL, ::sendRequests)
+            fleet.schedule(load.interval, ::sendRequests)
         }
 
         fun maxInWindow(): Double {
@@ -101,8 +112,13 @@
         }
     }
 
-    private fun run(seed: Long, network: SimulatedNetwork, disturb: QuotaFleet.() -> Unit = {}): QuotaFleet {
-        val run = QuotaFleet(seed, network)
+    private fun run(
+        seed: Long,
+        network: SimulatedNetwork,
+        load: Load = SHIFTING_OVERLOAD,
+        disturb: QuotaFleet.() -> Unit = {},
+    ): QuotaFleet {
+        val run = QuotaFleet(seed, network, load)
         run.start()
         run.disturb()
         run.fleet.runUntil(60.seconds)
@@ -162,6 +178,51 @@
         expectThat(run.maxInWindow()).isLessThanOrEqualTo(limitOfWindow())
     }
 
+    @ParameterizedTest
+    @MethodSource("seeds")
+    fun `zones that are cut from each other never add up to more than the quota`(seed: Long) {
+        val run =
+            run(seed, SimulatedNetwork()) {
+                for (second in 20..50 step 6) {
+                    fleet.schedule(second.seconds) {
+                        fleet.cuts.clear()
+                        val (one, other) =
+                            fleet.nodes
+                                .map { it.target.zone }
+                                .distinct()
+                                .shuffled(random)
+                        cutZones(one, other)
+                        fleet.storeAnswers = random.nextBoolean()
+                    }
+                }
+            }
+        expectThat(run.maxInWindow()).isLessThanOrEqualTo(limitOfWindow())
+    }
+
+    private fun QuotaFleet.cutZones(one: ZoneName, other: ZoneName) {
+        for (node in fleet.nodes.filter { it.target.zone == one }) {
+            for (peer in fleet.nodes.filter { it.target.zone == other }) {
+                fleet.cuts += node.id to peer.id
+                fleet.cuts += peer.id to node.id
+            }
+        }
+    }
+
+    @ParameterizedTest
+    @MethodSource("seeds")
+    fun `the loss of a zone refuses no request of the other nodes within what is not reserved for the zone`(
+        seed: Long,
+    ) {
+        val run =
+            run(seed, SimulatedNetwork(), STEADY_LOAD) {
+                fleet.schedule(25.seconds) {
+                    fleet.nodes.filter { it.target.zone == ZoneName("z2") }.forEach { it.running = false }
+                }
+            }
+        expectThat(run.refusedAt.filter { it > 25.seconds }).isEmpty()
+        expectThat(run.maxInWindow()).isLessThanOrEqualTo(limitOfWindow())
+    }
+
     private companion object {
         /** A few seeds, and those that failed before. */
         @JvmStatic
@@ -173,7 +234,10 @@
         const val REQUEST_TOKENS = 20
 
         /** 200 requests a second of 20 tokens: four times the quota. */
-        val REQUEST_INTERVAL = 5.milliseconds
+        val SHIFTING_OVERLOAD = Load(interval = 5.milliseconds, favorPeriod = 3.seconds)
+
+        /** 25 requests a second of 20 tokens: half of the quota, and two thirds of what six of eight nodes may use. */
+        val STEADY_LOAD = Load(interval = 40.milliseconds, favorPeriod = 1_000.seconds)
 
         /** The fleet has started by then. */
         val TRAFFIC_START = 10.seconds
