Drop a back end that left while only this node did not reach the registry

Cause: an entry that had gone when a node regained the registry was taken for one that had expired in an outage of the registry and kept for 2.2 s more, though the registry had never been away.

Change: entries expire in an outage because no back end can renew them. If more than half of a service's entries are still there, the outage was this node's own, and those that are missing have left.

--- a/core/src/main/kotlin/gypsumcart/core/directory/BackEndDirectory.kt
+++ b/core/src/main/kotlin/gypsumcart/core/directory/BackEndDirectory.kt
@@ -5,6 +5,7 @@
 import gypsumcart.core.Decider
 import gypsumcart.core.Incarnation
 import gypsumcart.core.MonotonicTime
+import gypsumcart.core.ServiceName
 import gypsumcart.core.routing.InstanceKey
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.seconds
@@ -44,7 +45,8 @@
  *
  * Entries may expire during an outage of the registry and reappear shortly after it. An entry that turns out to have
  * disappeared in an outage is therefore kept until [expiryGracePeriod] after the registry is available again, unless
- * its back end was draining. An entry that disappears at any other time is dropped at once.
+ * its back end was draining. No back end can renew its entry in an outage, so if most of a service remain, only this
+ * node was cut off and the others have left. An entry that disappears at any other time is dropped at once.
  *
  * A back end that states in a response that it is about to stop is listed as draining from then on, whatever the
  * registry says of that incarnation or earlier ones.
@@ -90,15 +92,24 @@
     }
 
     private fun applyChange(event: DirectoryEvent.Changed, now: MonotonicTime): List<DirectoryEffect> {
-        for (id in event.removed) {
-            val backEnd = listed.remove(id) ?: continue
-            lastKnown[id] = LastKnown(backEnd, now)
-            if (mayHaveExpired(now) && !backEnd.draining) expired[id] = backEnd
+        val removed = event.removed.mapNotNull { listed[it] }
+        val expiredServices = if (mayHaveExpired(now)) servicesWithoutMost(removed) else emptySet()
+        for (backEnd in removed) {
+            listed -= backEnd.id
+            lastKnown[backEnd.id] = LastKnown(backEnd, now)
+            if (backEnd.service in expiredServices && !backEnd.draining) expired[backEnd.id] = backEnd
         }
         for (backEnd in event.listed) update(backEnd, now)
         return publish()
     }
 
+    /** Returns the services of which at least half of the listed back ends are among [removed]. */
+    private fun servicesWithoutMost(removed: List<BackEnd>): Set<ServiceName> {
+        val listedCounts = listed.values.groupingBy { it.service }.eachCount()
+        val removedCounts = removed.groupingBy { it.service }.eachCount()
+        return removedCounts.filter { (service, count) -> count * 2 >= listedCounts.getValue(service) }.keys
+    }
+
     /**
      * Lists [entry] unless it is older than the last known state of its back end.
      *
--- a/core/src/test/kotlin/gypsumcart/core/directory/BackEndDirectoryTest.kt
+++ b/core/src/test/kotlin/gypsumcart/core/directory/BackEndDirectoryTest.kt
@@ -47,6 +47,14 @@
         expectThat(publishedIds(directory.decide(DirectoryEvent.Sweep, at(8.seconds)))).containsExactly("y")
     }
 
+    /** Guards against requests to a back end that left while this node alone did not reach the registry. */
+    @Test
+    fun `an entry that disappears in an outage beside most others that stay is dropped at once`() {
+        snapshot("x", "y", "z")
+        directory.decide(DirectoryEvent.RegistryUnavailable, at(1.seconds))
+        expectThat(publishedIds(remove("x", 5))).containsExactly("y", "z")
+    }
+
     @Test
     fun `an entry that is removed after the outage is dropped at once`() {
         snapshot("x", "y")
--- a/node/src/main/kotlin/gypsumcart/node/PeerLink.kt
+++ b/node/src/main/kotlin/gypsumcart/node/PeerLink.kt
@@ -116,12 +116,15 @@
             return failed(target.key, "no_answer")
         }
         val (status, bytes) = exchange.getOrElse { return failed(target.key, it.toString()) }
-        if (status == FORBIDDEN) return failed(target.key, "refused", ExchangeResult.Refused)
-        if (status != OK || bytes == null) return failed(target.key, "status_$status")
-        return decodePeerMessage(bytes).mapBoth(
-            { ExchangeResult.Answered(it) },
-            { failed(target.key, it.toString()) },
-        )
+        return when {
+            status == FORBIDDEN -> failed(target.key, "refused", ExchangeResult.Refused)
+            status != OK || bytes == null -> failed(target.key, "status_$status")
+            else ->
+                decodePeerMessage(bytes).mapBoth(
+                    { ExchangeResult.Answered(it) },
+                    { failed(target.key, it.toString()) },
+                )
+        }
     }
 
     private fun failed(
