Test what nodes write of the nodes that they hear

The confirmations in a row, their ages and a message's request for all reports had tests in core only; a name lost between encoder and decoder would have shown in no test.

--- a/core/src/main/kotlin/gypsumcart/core/membership/Liveness.kt
+++ b/core/src/main/kotlin/gypsumcart/core/membership/Liveness.kt
@@ -33,6 +33,7 @@
     /** Whether the nodes that started together with this one are known by [now]. */
     fun othersAreKnown(now: MonotonicTime): Boolean = !hasStartedWithin(STARTUP_TIME, now)
 
+    /** Returns whether the store was first read in the time of [span] before [now], or has not been read. */
     private fun hasStartedWithin(span: Duration, now: MonotonicTime): Boolean =
         firstReadAt?.let { now - it < span } ?: true
 
--- a/core/src/main/kotlin/gypsumcart/core/membership/Membership.kt
+++ b/core/src/main/kotlin/gypsumcart/core/membership/Membership.kt
@@ -101,15 +101,8 @@
 
     private fun publish(now: MonotonicTime): MembershipEffect {
         publishedAt = now
-        val heard =
-            if (confirmsOthers(
-                    now,
-                )
-            ) {
-                table.heardWithin(settings.heartbeatTimeout, settings.zone, now)
-            } else {
-                emptyMap()
-            }
+        val isConfirming = confirmsOthers(now)
+        val heard = if (isConfirming) table.heardWithin(settings.heartbeatTimeout, settings.zone, now) else emptyMap()
         return MembershipEffect.Publish(own.report, heard)
     }
 
--- a/node/src/test/kotlin/gypsumcart/node/OddMessagesTest.kt
+++ b/node/src/test/kotlin/gypsumcart/node/OddMessagesTest.kt
@@ -49,7 +49,8 @@
     /** Each kind of text that a node reads from the store or from another node, with its decoder. */
     private val decoders: List<Pair<ByteArray, (ByteArray) -> Any?>> =
         listOf(
-            report.encode(5) to { bytes -> Row(report.toRowKey(), bytes, RowVersion(1)).toReportOrNull() },
+            report.encode(5, mapOf(report.key to 3.milliseconds)) to
+                { bytes -> Row(report.toRowKey(), bytes, RowVersion(1)).toReportOrNull() },
             encodeLease(NodeId("n"), Incarnation(1), FencingToken(2)) to
                 { bytes -> Row(LEASE_KEY, bytes, RowVersion(1)).toLeaseOrNull() },
             encodeUsageCounts(mapOf(TeamName("t") to 3)) to
@@ -66,6 +67,7 @@
             TablePosition(1),
             TablePosition(2),
             linked = true,
+            lacksReports = true,
         )
 
     @Test
