--- a/cli/src/main/kotlin/gypsumcart/cli/NodeCommand.kt
+++ b/cli/src/main/kotlin/gypsumcart/cli/NodeCommand.kt
@@ -12,6 +12,7 @@
 import gypsumcart.node.NodeSettings
 import gypsumcart.platform.HttpPlatform
 import gypsumcart.platform.StoreTiming
+import gypsumcart.platform.featuresOf
 import org.slf4j.LoggerFactory
 import sun.misc.Signal
 import java.nio.file.Path
@@ -39,7 +40,7 @@
         val store = checkNotNull(addressOrNull(settings.store)) { "invalid store address ${settings.store}" }
         val timing = StoreTiming.within(settings.bounds)
         val platform = HttpPlatform(settings.node, store, addressOrNull(settings.cloud), client, timing)
-        return Node(settings, platform, runtime, client)
+        return Node(settings, platform, runtime, client, featuresOf(settings))
     }
 
     /** Logs whether the settings file is valid; a node applies changed settings only when it restarts. */
--- a/node/src/main/kotlin/gypsumcart/node/Node.kt
+++ b/node/src/main/kotlin/gypsumcart/node/Node.kt
@@ -2,6 +2,7 @@
 
 import gypsumcart.core.Address
 import gypsumcart.core.AttemptNumber
+import gypsumcart.core.Features
 import gypsumcart.core.Incarnation
 import gypsumcart.core.MonotonicTime
 import gypsumcart.core.NodeId
@@ -59,6 +60,7 @@
     private val platform: Platform,
     private val runtime: EdgeRuntime,
     private val client: HttpClient,
+    private val features: Features = Features.NONE,
     private val clock: MonotonicClock = MonotonicClock.SYSTEM,
 ) {
     private val rings = Rings()
@@ -142,10 +144,11 @@
     /** Binds the addresses of all servers, then starts the duties and timers. */
     public fun start() {
         log.info(
-            "event=node_started node={} zone={} incarnation={}",
+            "event=node_started node={} zone={} incarnation={} features={}",
             identity.node,
             identity.zone,
             identity.incarnation,
+            features,
         )
         runBlocking(runtime.scope.coroutineContext) {
             clientServer.start()
--- a/node/src/main/kotlin/gypsumcart/node/Settings.kt
+++ b/node/src/main/kotlin/gypsumcart/node/Settings.kt
@@ -30,6 +30,8 @@
  * @property store the address of the store
  * @property metrics the address on which the metrics are served, or empty to serve none
  * @property responses the largest responses that are accepted from back ends
+ * @property policies the names of the rules that the platform holds the fleet to
+ * @property host what the host can carry
  * @property cloud the address to which orders and usage reports are sent, or empty if the fleet sends none; the address
  *   of the store then takes its place
  */
@@ -46,6 +48,20 @@
     public val cloud: String = "",
     public val bounds: Bounds,
     public val responses: ResponseLimits = ResponseLimits(),
+    public val policies: List<String> = emptyList(),
+    public val host: HostSize = HostSize(),
+)
+
+/**
+ * Describes what the host of a node can carry.
+ *
+ * @property cpu the processor time that the node may use, as a number of cores
+ * @property linkMegabits the bandwidth of its network link, in Mbit/s
+ */
+@Serializable
+public data class HostSize(
+    public val cpu: Double = 1.0,
+    @SerialName("link_mbps") public val linkMegabits: Double = DEFAULT_LINK_MEGABITS,
 )
 
 /**
@@ -76,6 +92,9 @@
     @SerialName("usage_late_s") public val usageLateSeconds: Double,
     @SerialName("contact_ms") public val contactMillis: Long = DEFAULT_CONTACT_MILLIS,
     @SerialName("drain_ms") public val drainMillis: Long = DEFAULT_DRAIN_MILLIS,
+    @SerialName("exposed_share") public val exposedShare: Double? = null,
+    @SerialName("exposed_extra") public val exposedExtra: Int? = null,
+    @SerialName("rollback_ms") public val rollbackMillis: Long? = null,
 ) {
     /** The time within which a process must stop after it was asked to. */
     public val grace: Duration get() = graceSeconds.seconds
@@ -158,5 +177,6 @@
 /** The values of the smallest deployments, for settings files that do not state them. */
 private const val DEFAULT_CONTACT_MILLIS = 3_000L
 private const val DEFAULT_DRAIN_MILLIS = 2_000L
+private const val DEFAULT_LINK_MEGABITS = 1_000.0
 
 private val yaml = Yaml(configuration = YamlConfiguration(strictMode = false))
