Divide the places of engines by demand and let requests wait in fair queues

Cause: each node could use the same part of 0.45 of the batch slots, whatever its callers asked, so that a node with a burst refused while others had places; waiting requests were sorted by priority alone. Change: with sharedRoom a node's part follows the load that the reports show, the fraction of slots in use follows the latency of late, waiting requests are ordered by start-time fair queueing over teams, and a request whose expected wait exceeds what its target leaves is refused at once with a time of its own. Places and WaitingRequests are split off Routing.

--- a/core/src/main/kotlin/gypsumcart/core/routing/Candidates.kt
+++ b/core/src/main/kotlin/gypsumcart/core/routing/Candidates.kt
@@ -38,7 +38,7 @@
  *
  * @property started whether the first piece of the response has arrived
  */
-internal class InFlightCall(val prompt: Prompt?, val cost: Double) {
+internal class InFlightCall(val prompt: Prompt?, val cost: Double, val startedAt: MonotonicTime) {
     var started = false
 }
 
@@ -63,9 +63,9 @@
 
     fun isEjected(now: MonotonicTime): Boolean = ejectedUntil?.let { now < it } ?: false
 
-    fun startCall(ticket: Ticket, prompt: Prompt?, cost: Double) {
+    fun startCall(ticket: Ticket, prompt: Prompt?, cost: Double, now: MonotonicTime) {
         limiter.take()
-        calls[ticket] = InFlightCall(prompt, cost)
+        calls[ticket] = InFlightCall(prompt, cost, now)
         load += cost
     }
 
--- a/core/src/main/kotlin/gypsumcart/core/routing/LatencyWindow.kt
+++ b/core/src/main/kotlin/gypsumcart/core/routing/LatencyWindow.kt
@@ -5,8 +5,13 @@
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.seconds
 
-/** Keeps the latencies of the recent past, as fractions of the latency targets of their requests. */
-internal class LatencyWindow {
+/**
+ * Keeps the latencies of the recent past, as fractions of the latency targets of their requests.
+ *
+ * @param span how far back it looks
+ * @param minSamples the number of latencies below which nothing is concluded from them
+ */
+internal class LatencyWindow(private val span: Duration = SPAN, private val minSamples: Int = MIN_SAMPLES) {
     private class Sample(val fraction: Double, val at: MonotonicTime)
 
     private val samples = ArrayDeque<Sample>()
@@ -18,8 +23,8 @@
 
     /** Returns the latency that nine tenths of the requests did not exceed, or null if there were too few. */
     fun slowestTenthOrNull(now: MonotonicTime): Double? {
-        while (samples.isNotEmpty() && now - samples.first().at > SPAN) samples.removeFirst()
-        if (samples.size < MIN_SAMPLES) return null
+        while (samples.isNotEmpty() && now - samples.first().at > span) samples.removeFirst()
+        if (samples.size < minSamples) return null
         return samples.map { it.fraction }.sorted()[(samples.size * QUANTILE).toInt()]
     }
 
--- a/core/src/main/kotlin/gypsumcart/core/routing/Routing.kt
+++ b/core/src/main/kotlin/gypsumcart/core/routing/Routing.kt
@@ -4,12 +4,11 @@
 import gypsumcart.core.AttemptNumber
 import gypsumcart.core.BackEnd
 import gypsumcart.core.Decider
+import gypsumcart.core.Features
 import gypsumcart.core.MonotonicTime
 import gypsumcart.core.Outcome
 import gypsumcart.core.RefusalReason
 import gypsumcart.core.ServiceName
-import gypsumcart.core.Ticket
-import kotlin.math.ceil
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.seconds
 
@@ -18,16 +17,15 @@
  *
  * A request for which no back end is available waits for one for a part of its latency target.
  */
-public class Routing(retryLimits: RetryLimits) : Decider<RoutingEvent, RoutingEffect> {
-    private data class WaitingRequest(
-        val admitted: AdmittedRequest,
-        val excluded: Set<InstanceKey>,
-        val deadline: MonotonicTime,
-    )
-
+public class Routing(
+    retryLimits: RetryLimits,
+    features: Features = Features.NONE,
+) : Decider<RoutingEvent, RoutingEffect> {
     private val candidates = HashMap<InstanceKey, Candidate>()
     private val candidatesByService = HashMap<ServiceName, List<Candidate>>()
-    private val waiting = LinkedHashMap<Ticket, WaitingRequest>()
+    private val places = Places(if (features.sharedRoom) RoomPolicy.ByDemand() else RoomPolicy.Even)
+    private val waiting =
+        WaitingRequests(if (features.sharedRoom) WaitingOrder.FairAmongTeams else WaitingOrder.ByPriority)
     private val retryBudgets = RetryBudgets(retryLimits)
     private val latencies = LatencyWindows()
     private val quarantine = Quarantine()
@@ -46,6 +44,7 @@
             is RoutingEvent.RequestCancelled -> noEffects { waiting -= event.ticket }
             is RoutingEvent.NodeCountUpdated ->
                 noEffects { place = NodePlace(event.nodeCount.coerceAtLeast(1), event.rank) }
+            is RoutingEvent.FleetLoadMeasured -> noEffects { places.update(event.loads, now) }
             is RoutingEvent.FindingsReceived -> learn(event.findings, event.asOf, now)
             is RoutingEvent.LimitStated -> hearLimit(event, now)
             is RoutingEvent.PauseStated -> pauseCalls(event, now)
@@ -96,18 +95,30 @@
         now: MonotonicTime,
         excluded: Set<InstanceKey> = emptySet(),
     ): List<RoutingEffect> {
-        val limiters = candidatesByService[admitted.service].orEmpty().limiters()
+        val ofService = candidatesByService[admitted.service].orEmpty()
+        val limiters = ofService.limiters()
         // Requests that wait for a limit go before new ones.
         val earlier = if (waiting.isEmpty() || limiters.none { it.isLimited }) emptyList() else assignWaiting(now)
-        if (waiting.isEmpty() || !isAtCapacity(admitted, now)) {
+        if (waiting.isEmpty() || !places.areFull(admitted, ofService, place, now)) {
             val assigned = assignOrNull(admitted, AttemptNumber.FIRST, excluded, now, isTrial)
             if (assigned != null) return earlier + assigned
         }
-        val limit = admitted.submission.arrivedAt + admitted.route.targetLatency / MAX_WAIT_DIVISOR
+        val limit = admitted.submission.arrivedAt + places.patienceFor(admitted, now)
         val request = WaitingRequest(admitted, excluded, minOf(limit, admitted.deadline))
         if (limiters.areUsedUp(place, now)) return earlier + awaitLimit(request, limiters, now)
-        waiting[admitted.ticket] = request
-        return earlier + RoutingEffect.SweepAt(request.deadline)
+        return earlier + awaitPlace(request, now)
+    }
+
+    /** Lets a request wait for a place, or refuses it at once if none is expected in time. */
+    private fun awaitPlace(request: WaitingRequest, now: MonotonicTime): RoutingEffect {
+        val admitted = request.admitted
+        val ahead = waiting.count(admitted.service)
+        val ofService = candidatesByService[admitted.service].orEmpty()
+        if (places.areFull(admitted, ofService, place, now) && places.isHopeless(request, ahead, now)) {
+            return RoutingEffect.Conclude(admitted, places.refusalOf(admitted, ahead, now))
+        }
+        waiting.add(request, costOf(admitted))
+        return RoutingEffect.SweepAt(request.deadline)
     }
 
     /** Lets a request wait for the next call that the limits allow, or refuses it at once if that comes too late. */
@@ -118,13 +129,13 @@
     ): List<RoutingEffect> {
         val admitted = request.admitted
         val nextCallAt = limiters.nextCallAtOrNull(place, now)
-        val ahead = waiting.values.count { it.admitted.service == admitted.service }
+        val ahead = waiting.count(admitted.service)
         val expectedAt = nextCallAt?.let { it + (ahead / limiters.rateOf(place)).seconds }
         if (nextCallAt == null || expectedAt == null || expectedAt >= request.deadline) {
             val ofService = candidatesByService[admitted.service].orEmpty()
             return listOf(RoutingEffect.Conclude(admitted, refusals.outcomeOf(admitted, ofService, place, now)))
         }
-        waiting[admitted.ticket] = request
+        waiting.add(request, costOf(admitted))
         return listOf(RoutingEffect.SweepAt(nextCallAt), RoutingEffect.SweepAt(request.deadline))
     }
 
@@ -178,32 +189,21 @@
         now: MonotonicTime,
         isTrial: Boolean = false,
     ): RoutingEffect? {
-        val available = candidatesByService[admitted.service].orEmpty().filter { it.isAvailable(excluded, place, now) }
-        if (available.isEmpty() || attempt == AttemptNumber.FIRST && isAtCapacity(admitted, now)) return null
+        val ofService = candidatesByService[admitted.service].orEmpty()
+        val available = ofService.filter { it.isAvailable(excluded, place, now) }
+        val needsPlace = attempt == AttemptNumber.FIRST
+        if (available.isEmpty() || needsPlace && places.areFull(admitted, ofService, place, now)) return null
         val eligible = available.filterNot { it.isEjected(now) }.ifEmpty { available }
         val cost = costOf(admitted)
         val chosen = if (isTrial) eligible.leastLoaded(admitted.ticket) else eligible.choose(admitted, cost)
-        chosen.startCall(admitted.ticket, admitted.submission.prompt, cost)
+        chosen.startCall(admitted.ticket, admitted.submission.prompt, cost, now)
         return RoutingEffect.Assign(admitted, attempt, chosen.backEnd, eligible.size)
     }
 
-    /**
-     * Returns whether this node uses its whole share of the batch slots of the engines that serve [admitted].
-     *
-     * A request beyond the share would wait for its first token longer than is allowed, and so would all requests
-     * queued behind it. A request without a prompt needs no batch slot.
-     */
-    private fun isAtCapacity(admitted: AdmittedRequest, now: MonotonicTime): Boolean {
-        if (admitted.submission.prompt == null) return false
-        val serviceCandidates = candidatesByService[admitted.service].orEmpty()
-        val accepting = serviceCandidates.filterNot { it.backEnd.draining || it.limiter.isPaused(now) }
-        val slots = accepting.sumOf { it.backEnd.slots }
-        return serviceCandidates.sumOf { it.inFlightCalls } >= ceil(slots * MAX_SLOT_UTILIZATION / place.nodeCount)
-    }
-
     private fun releaseCall(event: RoutingEvent.CallReleased, now: MonotonicTime): List<RoutingEffect> {
         val candidate = candidates[event.instance]
         val call = candidate?.endCall(event.ticket, event.health, now)
+        if (call?.prompt != null) places.recordEnd(candidate.backEnd.service, now)
         val learned = if (call == null) emptyList() else learnFrom(call, candidate.backEnd, event.health, now)
         return if (waiting.isEmpty()) learned else learned + assignWaiting(now)
     }
@@ -233,6 +233,7 @@
         event.fraction?.let { latencies.add(event.service, it, now) }
         val call = candidates[event.instance]?.callOrNull(event.ticket) ?: return emptyList()
         call.started = true
+        event.targetLatency?.let { places.recordStart(event.service, (now - call.startedAt) / it, now) }
         val prompt = call.prompt ?: return emptyList()
         return apply(quarantine.recordAnswer(prompt, event.instance, now), now)
     }
@@ -297,7 +298,7 @@
     private fun report(now: MonotonicTime): List<RoutingEffect> {
         val load =
             candidatesByService.mapValues { (service, ofService) ->
-                ofService.sumOf { it.load } + waiting.values.count { it.admitted.service == service }
+                ofService.sumOf { it.load } + waiting.count(service)
             }
         // The other nodes are assumed to have as many requests as this one.
         val lost = candidatesByService.lostCapacity { retryBudgets.requestRate(it, now) * place.nodeCount }
@@ -320,33 +321,27 @@
         val ofService = candidatesByService[admitted.service].orEmpty()
         return when {
             ofService.limiters().areUsedUp(place, now) -> refusals.outcomeOf(admitted, ofService, place, now)
-            isAtCapacity(admitted, now) -> Outcome.NotRun(RefusalReason.Overloaded("routing"), RETRY_AFTER)
+            places.areFull(admitted, ofService, place, now) ->
+                places.refusalOf(admitted, waiting.count(admitted.service), now)
             else -> Outcome.NotRun(RefusalReason.NoBackEnd, RETRY_AFTER)
         }
     }
 
-    /** Assigns back ends to waiting requests, the most urgent first. */
+    /** Assigns back ends to waiting requests, in the order that is due. */
     private fun assignWaiting(now: MonotonicTime): List<RoutingEffect> {
+        if (waiting.isEmpty()) return emptyList()
         val assigned =
-            waiting.values
-                .sortedBy { it.admitted.priority }
-                .mapNotNull { assignOrNull(it.admitted, AttemptNumber.FIRST, it.excluded, now) }
-        assigned.filterIsInstance<RoutingEffect.Assign>().forEach { waiting -= it.admitted.ticket }
+            waiting.inOrder().mapNotNull { assignOrNull(it.admitted, AttemptNumber.FIRST, it.excluded, now) }
+        assigned.filterIsInstance<RoutingEffect.Assign>().forEach { waiting.removeAssigned(it.admitted.ticket) }
         return assigned
     }
 
     private companion object {
-        /** A request waits for a back end for at most its latency target divided by this. */
-        const val MAX_WAIT_DIVISOR = 8
-
-        /** About the time until the directory lists a new back end or running requests have freed batch slots. */
+        /** About the time until the directory lists a new back end. */
         val RETRY_AFTER: Duration = 1.seconds
 
         /** Bounds the size of a report to other nodes. */
         const val MAX_SHARED_LIMITS = 256
-
-        /** The fraction of their batch slots that engines can use and still meet the latency targets. */
-        const val MAX_SLOT_UTILIZATION = 0.45
     }
 }
 
--- a/core/src/main/kotlin/gypsumcart/core/routing/RoutingEvents.kt
+++ b/core/src/main/kotlin/gypsumcart/core/routing/RoutingEvents.kt
@@ -7,6 +7,7 @@
 import gypsumcart.core.Outcome
 import gypsumcart.core.ServiceName
 import gypsumcart.core.Ticket
+import kotlin.time.Duration
 
 /** Represents an input of the [Routing] decider. */
 public sealed class RoutingEvent {
@@ -52,12 +53,14 @@
      *
      * @property fraction the time since the request's arrival as a fraction of its latency target, or null if an
      *   earlier call for it failed
+     * @property targetLatency the latency target of the request, or null if it is not known
      */
     public data class FirstPieceReceived(
         public val ticket: Ticket,
         public val service: ServiceName,
         public val instance: InstanceKey,
         public val fraction: Double?,
+        public val targetLatency: Duration? = null,
     ) : RoutingEvent()
 
     /** The client of the request with [ticket] disconnected, so that the request no longer waits for a back end. */
@@ -70,6 +73,9 @@
      */
     public data class NodeCountUpdated(public val nodeCount: Int, public val rank: Int = 0) : RoutingEvent()
 
+    /** The load of each service on all nodes was measured from their reports. */
+    public data class FleetLoadMeasured(public val loads: Map<ServiceName, FleetLoad>) : RoutingEvent()
+
     /** Another node reported [findings], whose ages count from [asOf]. */
     public data class FindingsReceived(
         public val findings: RoutingFindings,
--- a/node/src/main/kotlin/gypsumcart/node/FleetDuties.kt
+++ b/node/src/main/kotlin/gypsumcart/node/FleetDuties.kt
@@ -18,6 +18,7 @@
 import gypsumcart.core.membership.MembershipEffect
 import gypsumcart.core.membership.MembershipEvent
 import gypsumcart.core.membership.MembershipSettings
+import gypsumcart.core.membership.fleetLoads
 import gypsumcart.core.replicas.Autoscaler
 import gypsumcart.core.replicas.AutoscalerEffect
 import gypsumcart.core.replicas.AutoscalerEvent
@@ -104,6 +105,7 @@
                 val (loads, latencies) = effect.reports.map { it.load to it.latency }.unzip()
                 val lost = effect.reports.map { it.lostCapacity }
                 rings.orders.put(AutoscalerEvent.LoadMeasured(loads, latencies, lost))
+                rings.routing.offer(RoutingEvent.FleetLoadMeasured(effect.reports.fleetLoads(node)))
             }
         }
     }
