Keep the engines that the operator started with until demand shows that fewer suffice

Cause: the initial number was counted 2.5 s after the first entry, while entries still came in, fell at a load of zero before the first caller, and bounded all later orders at 1.5 times itself.

Change, behind `demandScaling` (ScalingPolicy.ByDemand; without it as before): the number is counted when no entry has come for 2.5 s, raised by on-demand entries that come later before traffic, and stored on the condition that no higher one is. It falls only after 20 s of observed demand without a gap, a silent node or an outage of the registry, by an eighth each 8 s, and rises at once. Orders are bounded by the limits of the zones alone. The spot engines of two zones count as lost against two thirds of the number. A zone that refuses orders is known to be dry until it accepts one. A process that joins late orders no fewer than it finds before it has seen a whole period. Autoscaler.kt is split into counting, requirement, division over zones, and orders.

--- /dev/null
+++ b/core/src/main/kotlin/gypsumcart/core/replicas/DemandDivision.kt
@@ -0,0 +1,68 @@
+package gypsumcart.core.replicas
+
+import gypsumcart.core.ZoneName
+import kotlin.math.ceil
+
+/**
+ * Divides [requirement] so that the loss of one zone's spot back ends leaves [Requirement.count], and the loss of two
+ * zones [Requirement.countAfterTwoLosses].
+ *
+ * While a zone is being reclaimed or refuses orders, its loss has happened: those that stay are the required number,
+ * and only the next zone counts as lost in addition.
+ */
+internal fun divideByDemand(orders: OrderBook, requirement: Requirement, fleet: ServiceFleet): Map<Pool, Int> {
+    val dry = fleet.zones.filter { it in fleet.reclaimedZones || orders.isDry(fleet.service, it) }.toSet()
+    val onDemand = onDemandByDemand(orders, requirement, fleet, dry)
+    return fleet.zones
+        .flatMap { zone ->
+            val spot = fleet.pool(zone, spot = true)
+            val other = fleet.pool(zone, spot = false)
+            listOf(
+                spot to held(spotTarget(zone, requirement, fleet, onDemand.getValue(zone)), spot, requirement, fleet),
+                other to held(onDemand.getValue(zone), other, requirement, fleet),
+            )
+        }.toMap()
+}
+
+private fun held(count: Int, pool: Pool, requirement: Requirement, fleet: ServiceFleet): Int =
+    if (requirement.allowsReduction) count else maxOf(count, fleet.staying.countOf(pool))
+
+/** Returns how many spot back ends [zone] gets; those of both kinds together stay within the limit of the zone. */
+private fun spotTarget(zone: ZoneName, requirement: Requirement, fleet: ServiceFleet, onDemand: Int): Int {
+    val zones = fleet.zones.size
+    val afterOne = requirement.count.dividedBy((zones - 1).coerceAtLeast(1))
+    val afterTwo = if (zones > 2) requirement.countAfterTwoLosses.dividedBy(zones - 2) else 0
+    val taken = maxOf(onDemand, fleet.staying.countOf(fleet.pool(zone, spot = false)))
+    val headroom = (fleet.scaling.max - taken).coerceAtLeast(0)
+    return maxOf(afterOne, afterTwo, fleet.scaling.min, 1).coerceAtMost(headroom)
+}
+
+private fun Int.dividedBy(zones: Int): Int = ceil(toDouble() / zones).toInt()
+
+/** Returns how many on-demand back ends make up for the spot ones that are missing, by zone. */
+private fun onDemandByDemand(
+    orders: OrderBook,
+    requirement: Requirement,
+    fleet: ServiceFleet,
+    dry: Set<ZoneName>,
+): Map<ZoneName, Int> {
+    val lost = if (dry.isEmpty()) 1 else 0
+    val forCount = requirement.count - fleet.spotByZone.afterLossOf(lost)
+    val forNextLoss = requirement.countAfterTwoLosses - fleet.spotByZone.afterLossOf(lost + 1)
+    var missing = maxOf(forCount, forNextLoss, 0)
+    val counts = HashMap<ZoneName, Int>()
+    for (zone in fleet.zones) {
+        val provisioned =
+            orders.provisionedCount(fleet.pool(zone, spot = false), fleet.staying, fleet.scaling, fleet.now)
+        counts[zone] = minOf(missing, provisioned)
+        missing -= counts.getValue(zone)
+    }
+    // A zone that refuses orders now gets them only if the others have no room left.
+    for (zone in fleet.zones.sortedBy { it in dry }) {
+        val headroom = fleet.scaling.max - (fleet.spotByZone[zone] ?: 0) - counts.getValue(zone)
+        val added = missing.coerceIn(0, headroom.coerceAtLeast(0))
+        counts[zone] = counts.getValue(zone) + added
+        missing -= added
+    }
+    return counts
+}
--- /dev/null
+++ b/core/src/main/kotlin/gypsumcart/core/replicas/Requirement.kt
@@ -0,0 +1,18 @@
+package gypsumcart.core.replicas
+
+/**
+ * Describes how many back ends a service requires.
+ *
+ * @property count the number that is to remain after the loss of one zone's spot back ends
+ * @property countAfterTwoLosses the number that is to remain after the loss of those of two zones
+ * @property allowsReduction whether fewer back ends than present may be ordered in a pool
+ * @property load the load that the number follows from
+ * @property loadPerBackEnd the load that each back end is expected to carry
+ */
+internal data class Requirement(
+    val count: Int,
+    val countAfterTwoLosses: Int,
+    val allowsReduction: Boolean,
+    val load: Double,
+    val loadPerBackEnd: Double,
+)
--- a/node/src/main/kotlin/gypsumcart/node/FleetDuties.kt
+++ b/node/src/main/kotlin/gypsumcart/node/FleetDuties.kt
@@ -1,11 +1,19 @@
 package gypsumcart.node
 
+import com.github.michaelbull.result.Err
+import com.github.michaelbull.result.Ok
+import com.github.michaelbull.result.Result
 import com.github.michaelbull.result.fold
+import com.github.michaelbull.result.getError
+import com.github.michaelbull.result.getOrElse
+import com.github.michaelbull.result.map
 import com.github.michaelbull.result.mapBoth
 import com.github.michaelbull.result.mapError
+import gypsumcart.core.Features
 import gypsumcart.core.FencingToken
 import gypsumcart.core.Incarnation
 import gypsumcart.core.NodeId
+import gypsumcart.core.ServiceName
 import gypsumcart.core.UnixMillis
 import gypsumcart.core.admission.AdmissionEvent
 import gypsumcart.core.leases.CommandResult
@@ -21,6 +29,7 @@
 import gypsumcart.core.replicas.Autoscaler
 import gypsumcart.core.replicas.AutoscalerEffect
 import gypsumcart.core.replicas.AutoscalerEvent
+import gypsumcart.core.replicas.ScalingPolicy
 import gypsumcart.core.routing.RoutingEvent
 import gypsumcart.core.usage.Usage
 import gypsumcart.core.usage.UsageEffect
@@ -51,12 +60,14 @@
     private val clock: MonotonicClock,
     private val identity: MembershipSettings,
     bounds: Bounds,
+    features: Features,
 ) {
     private val node: NodeId get() = identity.node
     private val incarnation: Incarnation get() = identity.incarnation
     private val rows: RowStore get() = platform.rowStore
 
     private val lease = Lease(node, incarnation, bounds.lease, bounds.clockJumpMillis.milliseconds)
+    private val scalingPolicy = if (features.demandScaling) ScalingPolicy.ByDemand else ScalingPolicy.ByLoad
     private val usage = Usage(UsageSettings(bounds.usageWindowSeconds.seconds, bounds.usageLateSeconds.seconds))
 
     val all: List<Duty> =
@@ -64,7 +75,7 @@
             deciderDuty(rings.membership, Membership(identity), clock, ::execute),
             deciderDuty(rings.lease, lease, clock, ::execute),
             deciderDuty(rings.usage, usage, clock, ::execute),
-            deciderDuty(rings.orders, Autoscaler(), clock, ::execute),
+            deciderDuty(rings.orders, Autoscaler(scalingPolicy), clock, ::execute),
         )
 
     private fun execute(effect: MembershipEffect) {
@@ -258,13 +269,36 @@
     }
 
     private suspend fun storeInitialCounts(effect: AutoscalerEffect.StoreInitialCounts) {
-        val written = rows.put(Tables.FLEET, INITIAL_COUNTS_KEY, encodeInitialCounts(effect.counts), expected = null)
+        val written =
+            when (scalingPolicy) {
+                ScalingPolicy.ByLoad ->
+                    rows.put(Tables.FLEET, INITIAL_COUNTS_KEY, encodeInitialCounts(effect.counts), expected = null)
+
+                ScalingPolicy.ByDemand -> raiseInitialCounts(effect.counts)
+            }
         written.mapError {
             metrics.countFailedWrite("initial_counts")
             log.info("event=initial_counts_unwritten counts={} cause={}", effect.counts, it.toLogValue())
         }
     }
 
+    /**
+     * Stores [counts] where they are higher than the stored ones, also if another node stores some at the same time.
+     */
+    private suspend fun raiseInitialCounts(counts: Map<ServiceName, Int>): Result<Unit, StoreFailure> {
+        val written = writeHigher(counts, rows.get(Tables.FLEET, INITIAL_COUNTS_KEY).getOrElse { return Err(it) })
+        val conflict = written.getError() as? StoreFailure.Conflict ?: return written
+        return writeHigher(counts, conflict.current)
+    }
+
+    private suspend fun writeHigher(counts: Map<ServiceName, Int>, current: Row?): Result<Unit, StoreFailure> {
+        val stored = current?.toInitialCountsOrNull().orEmpty()
+        val highest = (stored.keys + counts.keys).associateWith { maxOf(stored[it] ?: 0, counts[it] ?: 0) }
+        if (highest == stored) return Ok(Unit)
+        val expected = current?.version ?: RowVersion.ABSENT
+        return rows.put(Tables.FLEET, INITIAL_COUNTS_KEY, encodeInitialCounts(highest), expected).map {}
+    }
+
     private companion object {
         private val log = LoggerFactory.getLogger(FleetDuties::class.java)
     }
--- a/node/src/main/kotlin/gypsumcart/node/Node.kt
+++ b/node/src/main/kotlin/gypsumcart/node/Node.kt
@@ -116,6 +116,7 @@
                 clock,
                 identity,
                 settings.bounds,
+                features,
             ).all
     private val fleetClock = FleetClock(platform.rowStore)
 
@@ -188,12 +189,24 @@
 
     private fun followTables() {
         runtime.scope.launch { platform.followConfigurations(rings.configuration::put) }
-        runtime.scope.launch { platform.followBackEnds(rings.backEnds::put) }
+        runtime.scope.launch { platform.followBackEnds(::passOn) }
         runtime.scope.launch {
             platform.rowStore.follow(Tables.FLEET, readPace, FleetListener(rings, platform.rowStore::clockOrNull))
         }
     }
 
+    private fun passOn(event: DirectoryEvent) {
+        rings.backEnds.put(event)
+        when (event) {
+            DirectoryEvent.RegistryAvailable -> rings.orders.offer(AutoscalerEvent.RegistryChanged(isAvailable = true))
+            DirectoryEvent.RegistryUnavailable ->
+                rings.orders.offer(
+                    AutoscalerEvent.RegistryChanged(isAvailable = false),
+                )
+            else -> Unit
+        }
+    }
+
     private fun startTimers() {
         timers.every(SWEEP_PERIOD) { rings.routing.offer(RoutingEvent.Sweep) }
         timers.every(REPORT_PERIOD) { triggerReports() }
