Return the charges of requests that did not run

Cause: a request is charged to its team's quota when it is admitted, and the charge stayed when routing refused it, when its client left before a call or when back ends declined it, so that overload used up the quota of those who came back.

Change: behind quotaLoans, admission keeps each charge by ticket for one window and returns it when routing or dispatch concludes with NotRun, or when the edge ends a request that never received a call. A lost settlement leaves the charge, a repeated one finds none.

--- a/core/src/main/kotlin/gypsumcart/core/admission/Admission.kt
+++ b/core/src/main/kotlin/gypsumcart/core/admission/Admission.kt
@@ -6,64 +6,22 @@
 import gypsumcart.core.MonotonicTime
 import gypsumcart.core.Outcome
 import gypsumcart.core.RefusalReason
-import gypsumcart.core.RequestDurations
 import gypsumcart.core.Route
-import gypsumcart.core.RouteKey
 import gypsumcart.core.ServiceName
 import gypsumcart.core.Submission
 import gypsumcart.core.Team
-import gypsumcart.core.TeamName
-import gypsumcart.core.Ticket
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.seconds
 
-/** Represents an input of the [Admission] decider. */
-public sealed class AdmissionEvent {
-    /** A configuration came into force. */
-    public data class Configured(public val configuration: Configuration) : AdmissionEvent()
-
-    /** A client submitted a request. */
-    public data class Submitted(public val submission: Submission) : AdmissionEvent()
-
-    /** The state of the other nodes, among which quotas are divided, was updated to [peers]. */
-    public data class PeersUpdated(public val peers: QuotaPeers) : AdmissionEvent()
-
-    /** A report with [use], the use of quotas through this node, was written where the other nodes can read it. */
-    public data class UsePublished(public val use: Map<TeamName, QuotaUse>) : AdmissionEvent()
-
-    /** The node shuts down; its calls end at [callsEndAt] at the latest. */
-    public data class Draining(public val callsEndAt: MonotonicTime) : AdmissionEvent()
-
-    /** Recent requests through this node took the times in [durations], by route. */
-    public data class DurationsMeasured(public val durations: Map<RouteKey, RequestDurations>) : AdmissionEvent()
-
-    /** A timer tick, on which the use of quotas through this node is reported. */
-    public data object ReportDue : AdmissionEvent()
-}
-
-/** Represents an output of the [Admission] decider. */
-public sealed class AdmissionEffect {
-    /** Passes an admitted request on to be routed to a back end. */
-    public data class Route(public val admitted: AdmittedRequest) : AdmissionEffect()
-
-    /** Responds to the client that its request was refused and will not run. */
-    public data class Refuse(
-        public val submission: Submission,
-        public val team: TeamName?,
-        public val outcome: Outcome.NotRun,
-    ) : AdmissionEffect()
-
-    /** Reports the use of quotas through this node, by team. */
-    public data class Report(public val use: Map<TeamName, QuotaUse>) : AdmissionEffect()
-}
-
 /**
  * Decides whether a request is admitted, and to which service it goes.
  *
  * @param quotaBounds how the quotas of teams are counted, and by how much they may be exceeded
+ * @param sharing what nodes do for each other within the quotas
  */
-public class Admission(quotaBounds: QuotaBounds) : Decider<AdmissionEvent, AdmissionEffect> {
-    private val quotas = Quotas(quotaBounds)
+public class Admission(quotaBounds: QuotaBounds, sharing: QuotaSharing = QuotaSharing.Separate) :
+    Decider<AdmissionEvent, AdmissionEffect> {
+    private val quotas = Quotas(quotaBounds, sharing)
     private var configuration: Configuration? = null
 
     /** Is null unless the node shuts down. */
@@ -95,6 +53,11 @@
                 emptyList()
             }
 
+            is AdmissionEvent.Settled -> {
+                quotas.settle(event.ticket, now)
+                emptyList()
+            }
+
             AdmissionEvent.ReportDue -> listOf(AdmissionEffect.Report(quotas.use(now)))
         }
 
@@ -130,7 +93,13 @@
     private fun chargeQuota(submission: Submission, route: Route, team: Team?, now: MonotonicTime): AdmissionEffect {
         val quota = team?.quota
         if (quota != null) {
-            val retryAfter = quotas.chargeOrRetryAfter(team.name, quota.unit.costOf(submission.prompt), now)
+            val retryAfter =
+                quotas.chargeOrRetryAfter(
+                    team.name,
+                    quota.unit.costOf(submission.prompt),
+                    submission.ticket,
+                    now,
+                )
             if (retryAfter != null) return refuse(submission, RefusalReason.QuotaExceeded, retryAfter, team)
         }
         return AdmissionEffect.Route(admit(submission, route, team))
@@ -179,6 +148,3 @@
         const val HASH_MULTIPLIER = -0x61c88647
     }
 }
-
-/** Identifies the refused request within the process. */
-public val AdmissionEffect.Refuse.ticket: Ticket get() = submission.ticket
--- /dev/null
+++ b/core/src/main/kotlin/gypsumcart/core/admission/AdmissionEvents.kt
@@ -0,0 +1,57 @@
+package gypsumcart.core.admission
+
+import gypsumcart.core.AdmittedRequest
+import gypsumcart.core.Configuration
+import gypsumcart.core.MonotonicTime
+import gypsumcart.core.Outcome
+import gypsumcart.core.RequestDurations
+import gypsumcart.core.RouteKey
+import gypsumcart.core.Submission
+import gypsumcart.core.TeamName
+import gypsumcart.core.Ticket
+
+/** Represents an input of the [Admission] decider. */
+public sealed class AdmissionEvent {
+    /** A configuration came into force. */
+    public data class Configured(public val configuration: Configuration) : AdmissionEvent()
+
+    /** A client submitted a request. */
+    public data class Submitted(public val submission: Submission) : AdmissionEvent()
+
+    /** The state of the other nodes, among which quotas are divided, was updated to [peers]. */
+    public data class PeersUpdated(public val peers: QuotaPeers) : AdmissionEvent()
+
+    /** A report with [use], the use of quotas through this node, was written where the other nodes can read it. */
+    public data class UsePublished(public val use: Map<TeamName, QuotaUse>) : AdmissionEvent()
+
+    /** The node shuts down; its calls end at [callsEndAt] at the latest. */
+    public data class Draining(public val callsEndAt: MonotonicTime) : AdmissionEvent()
+
+    /** Recent requests through this node took the times in [durations], by route. */
+    public data class DurationsMeasured(public val durations: Map<RouteKey, RequestDurations>) : AdmissionEvent()
+
+    /** The admitted request with [ticket] has ended, and it is proven that it neither ran nor will run. */
+    public data class Settled(public val ticket: Ticket) : AdmissionEvent()
+
+    /** A timer tick, on which the use of quotas through this node is reported. */
+    public data object ReportDue : AdmissionEvent()
+}
+
+/** Represents an output of the [Admission] decider. */
+public sealed class AdmissionEffect {
+    /** Passes an admitted request on to be routed to a back end. */
+    public data class Route(public val admitted: AdmittedRequest) : AdmissionEffect()
+
+    /** Responds to the client that its request was refused and will not run. */
+    public data class Refuse(
+        public val submission: Submission,
+        public val team: TeamName?,
+        public val outcome: Outcome.NotRun,
+    ) : AdmissionEffect()
+
+    /** Reports the use of quotas through this node, by team. */
+    public data class Report(public val use: Map<TeamName, QuotaUse>) : AdmissionEffect()
+}
+
+/** Identifies the refused request within the process. */
+public val AdmissionEffect.Refuse.ticket: Ticket get() = submission.ticket
--- a/core/src/main/kotlin/gypsumcart/core/admission/QuotaMeters.kt
+++ b/core/src/main/kotlin/gypsumcart/core/admission/QuotaMeters.kt
@@ -34,17 +34,31 @@
 
 /** Sums the amounts spent in a sliding [window]. */
 internal class SpendMeter(private val window: Duration) {
-    private class Charge(val at: MonotonicTime, var amount: Double)
+    /** Holds what was spent at nearly the same time. */
+    class Charge(val at: MonotonicTime, amount: Double) {
+        var amount = amount
+            private set
+
+        fun add(amount: Double) {
+            this.amount += amount
+        }
+
+        /** Takes back [amount], which was added before and turned out not to be spent. */
+        fun refund(amount: Double) {
+            this.amount -= amount
+        }
+    }
 
     private val charges = ArrayDeque<Charge>()
 
-    fun add(amount: Double, now: MonotonicTime) {
+    /** Adds [amount] and returns the charge that now includes it. */
+    fun add(amount: Double, now: MonotonicTime): Charge {
         val last = charges.lastOrNull()
         if (last != null && now - last.at < MERGE_INTERVAL) {
-            last.amount += amount
-        } else {
-            charges.addLast(Charge(now, amount))
+            last.add(amount)
+            return last
         }
+        return Charge(now, amount).also(charges::addLast)
     }
 
     /** Returns the amount spent in the last [span], which must not exceed the window. */
--- a/core/src/main/kotlin/gypsumcart/core/admission/Quotas.kt
+++ b/core/src/main/kotlin/gypsumcart/core/admission/Quotas.kt
@@ -4,6 +4,7 @@
 import gypsumcart.core.Quota
 import gypsumcart.core.Team
 import gypsumcart.core.TeamName
+import gypsumcart.core.Ticket
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.seconds
 import kotlin.time.DurationUnit
@@ -58,7 +59,7 @@
  * together stay within the quota; what one node does not spend soon becomes available to all. An isolated node uses an
  * even share of the limit, which the other nodes reserve for it.
  */
-internal class Quotas(private val bounds: QuotaBounds) {
+internal class Quotas(private val bounds: QuotaBounds, private val sharing: QuotaSharing) {
     private val window: Duration get() = bounds.window
 
     private inner class Account(quota: Quota) {
@@ -92,6 +93,7 @@
         }
     }
 
+    private val openCharges = OpenCharges(window)
     private val accounts = HashMap<TeamName, Account>()
     private var peers = QuotaPeers(emptyMap(), emptyList(), INITIAL_NODE_COUNT, isolated = true)
 
@@ -119,21 +121,28 @@
     }
 
     /**
-     * Charges [cost] to [team] and returns null.
+     * Charges [cost] to [team] for the request with [ticket] and returns null.
      *
      * If the quota of the team is exhausted, charges nothing and returns the time after which to retry.
      */
-    fun chargeOrRetryAfter(team: TeamName, cost: Double, now: MonotonicTime): Duration? {
+    fun chargeOrRetryAfter(team: TeamName, cost: Double, ticket: Ticket, now: MonotonicTime): Duration? {
         val account = accounts[team] ?: return null
         account.demand.add(cost, now)
         val available = availableTo(team, account, now)
         if (available <= 0) {
             return account.spent.timeUntilFreed(-available, now).coerceIn(MIN_RETRY_AFTER, MAX_RETRY_AFTER)
         }
-        account.spent.add(cost, now)
+        val charge = account.spent.add(cost, now)
+        when (sharing) {
+            QuotaSharing.Separate -> Unit
+            QuotaSharing.Lending -> openCharges.add(ticket, charge, cost, now)
+        }
         return null
     }
 
+    /** Returns what the request with [ticket] was charged; has no effect if nothing is known of such a charge. */
+    fun settle(ticket: Ticket, now: MonotonicTime): Unit = openCharges.refund(ticket, now)
+
     /** Returns how much this node may still admit for [team]; negative if it has exceeded its share. */
     private fun availableTo(team: TeamName, account: Account, now: MonotonicTime): Double {
         val limit = account.limitAt(now)
--- a/node/src/main/kotlin/gypsumcart/node/ClientEdge.kt
+++ b/node/src/main/kotlin/gypsumcart/node/ClientEdge.kt
@@ -71,6 +71,9 @@
             )
         val response = ForwardedResponse(writer)
 
+        /** Whether the request has received a call, which may have been sent to a back end. */
+        var isCalled = false
+
         @Volatile
         private var aborted = false
 
@@ -136,10 +139,17 @@
         } finally {
             pendingRequests -= ticket
             pending.commands.cancel()
-            if (!concluded) rings.routing.reply(RoutingEvent.RequestCancelled(ticket))
+            if (!concluded) cancel(pending)
         }
     }
 
+    /** Ends a request whose client has left; if it has received no call until now, none is sent. */
+    private fun cancel(pending: PendingRequest) {
+        val ticket = pending.submission.ticket
+        rings.routing.reply(RoutingEvent.RequestCancelled(ticket))
+        if (!pending.isCalled) rings.admission.offer(AdmissionEvent.Settled(ticket))
+    }
+
     /**
      * Passes [command] to the request with [ticket].
      *
@@ -185,6 +195,7 @@
 
     private suspend fun call(pending: PendingRequest, call: DispatchEffect.Call): Boolean {
         var result: CallResult = CallResult.ClientGone
+        pending.isCalled = true
         try {
             result = pending.runUnlessAborted { calls.call(pending.request, call, pending.response) }
         } finally {
--- a/node/src/main/kotlin/gypsumcart/node/RequestDuties.kt
+++ b/node/src/main/kotlin/gypsumcart/node/RequestDuties.kt
@@ -1,10 +1,13 @@
 package gypsumcart.node
 
+import gypsumcart.core.AdmittedRequest
+import gypsumcart.core.Features
 import gypsumcart.core.Outcome
 import gypsumcart.core.RefusalReason
 import gypsumcart.core.admission.Admission
 import gypsumcart.core.admission.AdmissionEffect
 import gypsumcart.core.admission.AdmissionEvent
+import gypsumcart.core.admission.QuotaSharing
 import gypsumcart.core.admission.ticket
 import gypsumcart.core.directory.AdoptionEffect
 import gypsumcart.core.directory.BackEndDirectory
@@ -38,12 +41,14 @@
     private val timers: Timers,
     private val clock: MonotonicClock,
     bounds: Bounds,
+    features: Features,
 ) {
+    private val sharing = if (features.quotaLoans) QuotaSharing.Lending else QuotaSharing.Separate
     private val retryLimits = RetryLimits(bounds.retryRatio, bounds.retryExtra, bounds.retryWindowSeconds.seconds)
 
     val all: List<Duty> =
         listOf(
-            deciderDuty(rings.admission, Admission(bounds.quotas), clock, ::execute),
+            deciderDuty(rings.admission, Admission(bounds.quotas, sharing), clock, ::execute),
             deciderDuty(rings.routing, Routing(retryLimits), clock, ::execute),
             deciderDuty(rings.dispatch, Dispatch(), clock, ::execute),
             deciderDuty(rings.configuration, ConfigurationAdoption(), clock, ::execute),
@@ -86,6 +91,7 @@
 
             is RoutingEffect.Conclude -> {
                 logQuarantined(effect)
+                settle(effect.admitted, effect.outcome)
                 rings.dispatch.put(DispatchEvent.Concluded(effect.admitted.ticket))
                 edge.deliver(effect.admitted.ticket, EdgeCommand.Conclude(effect.outcome))
             }
@@ -111,6 +117,14 @@
         }
     }
 
+    /** Has the charge returned of a request that did not run; if the ring of admission is full, it stays charged. */
+    private fun settle(admitted: AdmittedRequest, outcome: Outcome) {
+        when (outcome) {
+            is Outcome.NotRun -> rings.admission.offer(AdmissionEvent.Settled(admitted.ticket))
+            is Outcome.Failed -> Unit
+        }
+    }
+
     private fun logQuarantined(effect: RoutingEffect.Conclude) {
         val outcome = effect.outcome as? Outcome.NotRun ?: return
         val reason = outcome.reason as? RefusalReason.Quarantined ?: return
@@ -159,8 +173,10 @@
         when (effect) {
             is DispatchEffect.Call -> edge.deliver(effect.admitted.ticket, EdgeCommand.Call(effect))
 
-            is DispatchEffect.Conclude ->
+            is DispatchEffect.Conclude -> {
+                settle(effect.admitted, effect.outcome)
                 edge.deliver(effect.admitted.ticket, EdgeCommand.Conclude(effect.outcome))
+            }
 
             is DispatchEffect.Abort -> edge.abort(effect.ticket)
 
--- a/node/src/test/kotlin/gypsumcart/node/ClientEdgeTest.kt
+++ b/node/src/test/kotlin/gypsumcart/node/ClientEdgeTest.kt
@@ -37,10 +37,12 @@
 import strikt.api.expectThat
 import strikt.assertions.isEqualTo
 import strikt.assertions.isNotNull
+import strikt.assertions.isNull
 import java.net.ServerSocket
 import java.net.Socket
 import java.util.concurrent.CountDownLatch
 import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 
 class ClientEdgeTest {
@@ -86,7 +88,7 @@
         return socket to submitted.submission
     }
 
-    private fun callFor(submission: Submission): DispatchEffect.Call {
+    private fun callFor(submission: Submission, port: Int = 1): DispatchEffect.Call {
         val route = Route("x", "/a/", CallKind.Idempotent, 1.seconds, 1.seconds, 3, emptyList(), 1, isPublic = true)
         val deadline = MonotonicClock.SYSTEM.now() + 5.seconds
         val admitted = AdmittedRequest(submission, route, ServiceName("s"), null, priority = 3, deadline)
@@ -95,7 +97,7 @@
                 id = BackEndId("i-1"),
                 incarnation = Incarnation(1),
                 service = ServiceName("s"),
-                address = checkNotNull(addressOrNull("127.0.0.1:1")),
+                address = checkNotNull(addressOrNull("127.0.0.1:$port")),
                 zone = ZoneName("a"),
                 slots = 1,
                 draining = false,
@@ -146,6 +148,29 @@
         expectThat(dispatch.takeOrNull(2.seconds)).isEqualTo(ended)
     }
 
+    // Pattern: what a request that never ran was charged never comes back.
+    @Test
+    fun `a request whose client leaves before a call is reported to admission as not run`() {
+        runBlocking { server.start() }
+        val (socket, submission) = sendRequest()
+        socket.close()
+        expectThat(admission.takeOrNull(2.seconds)).isEqualTo(AdmissionEvent.Settled(submission.ticket))
+    }
+
+    @Test
+    fun `a request whose client leaves during a call is not reported to admission`() {
+        ServerSocket(0).use { backEnd ->
+            runBlocking { server.start() }
+            val (socket, submission) = sendRequest()
+            edge.deliver(submission.ticket, EdgeCommand.Call(callFor(submission, backEnd.localPort)))
+            backEnd.accept().use {
+                socket.close()
+                expectThat(routing.takeOrNull(2.seconds)).isEqualTo(RoutingEvent.RequestCancelled(submission.ticket))
+            }
+            expectThat(admission.takeOrNull(NETWORK_MILLIS.milliseconds)).isNull()
+        }
+    }
+
     /** Decodes no more of a request than the edge needs. */
     private object Codec : CallCodec {
         override fun decode(request: HttpRequest, ticket: Ticket, arrivedAt: MonotonicTime): Submission =
