Encode each report once, share changed usage windows alone, choose relays by size

Cause: the relay of a zone, its oldest host whatever its size, encoded the reports of all nodes anew for each node of its zone, with the counts of all usage windows. Change: a message is a line of JSON and one line for each report, whose text is kept for the other recipients; usage goes along by changed window, in full every eighth report; names are short and numbers rounded; an unreadable report is left out instead of ending the exchange (protocol version 2). With relayed feeds, the relay is the host that can carry most, then the oldest.

--- a/core/src/main/kotlin/gypsumcart/core/membership/Liveness.kt
+++ b/core/src/main/kotlin/gypsumcart/core/membership/Liveness.kt
@@ -159,4 +159,4 @@
     }
 }
 
-private val NodeReport.target: PeerTarget? get() = peerAddress?.let { PeerTarget(key, it, zone) }
+private val NodeReport.target: PeerTarget? get() = peerAddress?.let { PeerTarget(key, it, zone, relayRank) }
--- a/core/src/main/kotlin/gypsumcart/core/membership/Membership.kt
+++ b/core/src/main/kotlin/gypsumcart/core/membership/Membership.kt
@@ -1,33 +1,11 @@
 package gypsumcart.core.membership
 
-import gypsumcart.core.Address
 import gypsumcart.core.Decider
-import gypsumcart.core.Incarnation
 import gypsumcart.core.MonotonicTime
-import gypsumcart.core.NodeId
-import gypsumcart.core.ZoneName
 import gypsumcart.core.routing.RoutingFindings
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.seconds
 
-/**
- * Specifies the identity of this node and the periods used by [Membership].
- *
- * @property peerAddress the address at which this node receives messages of others, or null to use the store alone
- * @property heartbeatTimeout how long a node may go without a new report, while the store or the link answers, before
- * it counts as gone
- * @property quotaWindow the window over which quotas are counted
- */
-public data class MembershipSettings(
-    public val node: NodeId,
-    public val incarnation: Incarnation,
-    public val clientAddress: Address,
-    public val peerAddress: Address?,
-    public val zone: ZoneName,
-    public val heartbeatTimeout: Duration,
-    public val quotaWindow: Duration,
-)
-
 /**
  * Detects which nodes are live from their reports, and provides this node with the state of the others.
  *
@@ -38,7 +16,7 @@
 public class Membership(private val settings: MembershipSettings) : Decider<MembershipEvent, MembershipEffect> {
     private val self = NodeKey(settings.node, settings.incarnation)
     private val table = PeerTable(self)
-    private val exchanges = PeerExchanges(self, settings.zone, table)
+    private val exchanges = PeerExchanges(self, settings.zone, settings.relayRank, table)
     private val quotaView = PeerQuotaView(settings, table)
     private val liveness = Liveness(settings, table)
     private var publishedAt: MonotonicTime? = null
--- a/core/src/main/kotlin/gypsumcart/core/membership/NodeReport.kt
+++ b/core/src/main/kotlin/gypsumcart/core/membership/NodeReport.kt
@@ -29,6 +29,7 @@
  * @property lostCapacity the capacity that limits of back ends take away as the node sees it, as a number of back ends
  * by service
  * @property lease the lease row as last written by the node, or null if it has not written one
+ * @property relayRank what the node's host can carry as the relay of its zone
  */
 public data class NodeReport(
     public val node: NodeId,
@@ -46,6 +47,7 @@
     public val lease: LeaseRow?,
     public val lostCapacity: Map<ServiceName, Double> = emptyMap(),
     public val findings: RoutingFindings = RoutingFindings.NONE,
+    public val relayRank: RelayRank = RelayRank.LOWEST,
 )
 
 /** Identifies one incarnation of a node. */
--- a/core/src/main/kotlin/gypsumcart/core/membership/OwnReport.kt
+++ b/core/src/main/kotlin/gypsumcart/core/membership/OwnReport.kt
@@ -8,7 +8,6 @@
 
 /** Collects what this node reports to the others, and records it in [table] with each renewal. */
 internal class OwnReport(settings: MembershipSettings, private val table: PeerTable) {
-    private var usageChanged = false
     private var findings = RoutingFindings.NONE
     private var findingsAt = MonotonicTime(0)
 
@@ -27,6 +26,7 @@
             load = emptyMap(),
             latency = emptyMap(),
             lease = null,
+            relayRank = settings.relayRank,
         )
         private set
 
@@ -37,7 +37,6 @@
 
     fun updateUsage(usage: Map<WindowNumber, Map<TeamName, Int>>, until: UnixMillis) {
         report = report.copy(usage = usage, usageUntil = until)
-        usageChanged = true
     }
 
     /** Replaces the findings; returns whether they say something else than before. */
@@ -55,7 +54,6 @@
                 heartbeat = report.heartbeat + 1,
                 findings = findings.olderBy(now - findingsAt),
             )
-        table.putOwn(report, now, usageChanged)
-        usageChanged = false
+        table.putOwn(report, now)
     }
 }
--- a/core/src/main/kotlin/gypsumcart/core/membership/PeerExchanges.kt
+++ b/core/src/main/kotlin/gypsumcart/core/membership/PeerExchanges.kt
@@ -8,14 +8,15 @@
 /**
  * Chooses the nodes to exchange messages with, and composes the messages.
  *
- * The oldest reachable node of a zone is the relay of the zone. Every other node of the zone exchanges messages with
- * it, and the relays of different zones with each other. Nodes choose relays independently of each other. If they
- * choose differently for a while, some reports take another path or arrive later, and none is lost: each message
- * repeats what its recipient has not acknowledged.
+ * The reachable node of a zone whose host can carry most, and of these the oldest, is the relay of the zone. Every
+ * other node of the zone exchanges messages with it, and the relays of different zones with each other. Nodes choose
+ * relays independently of each other. If they choose differently for a while, some reports take another path or arrive
+ * later, and none is lost: each message repeats what its recipient has not acknowledged.
  */
 internal class PeerExchanges(
     private val self: NodeKey,
     private val zone: ZoneName,
+    private val relayRank: RelayRank,
     private val table: PeerTable,
 ) {
     /**
@@ -55,7 +56,7 @@
         forgetExcept(live + lost)
         recordLiveZones(live, now)
         val ownRelay = relayOrNull(live, zone, now)
-        if (ownRelay != null && ownRelay.key < self) return listOf(ownRelay).filterNot { isPending(it.key, now) }
+        if (ownRelay != null && ownRelay.isBeforeSelf) return listOf(ownRelay).filterNot { isPending(it.key, now) }
         val zones = live.map { it.zone }.distinct()
         val relays = zones.filter { it != zone }.mapNotNull { relayOrNull(live, it, now) }
         val neighbours = listOfNotNull(ownRelay.takeIf { lacksReports })
@@ -138,7 +139,11 @@
 
     /** Returns whether this node is the relay of its zone. */
     fun isRelay(live: List<PeerTarget>, now: MonotonicTime): Boolean =
-        relayOrNull(live, zone, now)?.let { self < it.key } ?: true
+        relayOrNull(live, zone, now)?.isBeforeSelf != true
+
+    /** Whether the node, one of this zone, is to be its relay rather than this one. */
+    private val PeerTarget.isBeforeSelf: Boolean
+        get() = if (relayRank == this@PeerExchanges.relayRank) key < self else relayRank > this@PeerExchanges.relayRank
 
     /**
      * Returns whether reports of all [live] nodes reach this node over the link.
@@ -170,15 +175,15 @@
     }
 
     /**
-     * The oldest node of [zone] that is not suspected to be out of reach.
+     * The first node of [zone] in the order of relays that is not suspected to be out of reach.
      *
-     * If all nodes of another zone are suspected, the oldest one is tried all the same. In its own zone a node takes
+     * If all nodes of another zone are suspected, the first one is tried all the same. In its own zone a node takes
      * over as relay instead.
      */
     private fun relayOrNull(live: List<PeerTarget>, zone: ZoneName, now: MonotonicTime): PeerTarget? {
         val candidates = live.filter { it.zone == zone }
-        return candidates.filterNot { isSuspected(it.key, now) }.minByOrNull { it.key }
-            ?: candidates.minByOrNull { it.key }.takeIf { zone != this.zone }
+        return candidates.filterNot { isSuspected(it.key, now) }.minWithOrNull(RELAY_ORDER)
+            ?: candidates.minWithOrNull(RELAY_ORDER).takeIf { zone != this.zone }
     }
 
     private fun isPending(key: NodeKey, now: MonotonicTime): Boolean {
@@ -206,10 +211,8 @@
         val items =
             changes
                 .filter { it.linkedAt != null && isWanted(it, recipient) }
-                .map {
-                    val hasUsage = recipient.wantsAll || it.usagePosition > recipient.position
-                    PeerItem(it.report, now - it.heardAt, hasUsage)
-                }.filter { it.age <= MAX_ITEM_AGE }
+                .filter { now - it.heardAt <= MAX_ITEM_AGE }
+                .map { it.toItem(recipient.position, recipient.wantsAll, now) }
         val position = if (changes.size < MAX_ITEMS) table.position else changes.last().position
         return PeerMessage(self, items, position, received, linked)
     }
@@ -238,6 +241,9 @@
     )
 
     private companion object {
+        /** The hosts that can carry most come first, and of these the oldest. */
+        val RELAY_ORDER = compareByDescending<PeerTarget> { it.relayRank }.thenBy { it.key }
+
         /** Bounds the size of a message; what is left out follows in the next one. */
         const val MAX_ITEMS = 512
 
--- a/core/src/main/kotlin/gypsumcart/core/membership/PeerMessages.kt
+++ b/core/src/main/kotlin/gypsumcart/core/membership/PeerMessages.kt
@@ -27,7 +27,8 @@
  * Passes on the report of one node.
  *
  * @property age the time since the node itself sent the report, as far as the sender knows
- * @property hasUsage whether the report includes the usage counts; if not, the recipient already has the current ones
+ * @property hasUsage whether the report includes the usage counts of all windows; if not, it includes those of the
+ * windows that changed since the recipient received them last
  */
 public data class PeerItem(public val report: NodeReport, public val age: Duration, public val hasUsage: Boolean)
 
@@ -61,5 +62,10 @@
     public data object Failed : ExchangeResult()
 }
 
-/** Identifies a node to which this node sends messages. */
-public data class PeerTarget(public val key: NodeKey, public val address: Address, public val zone: ZoneName)
+/** Identifies a node to which this node sends messages, and what its host can carry as a relay. */
+public data class PeerTarget(
+    public val key: NodeKey,
+    public val address: Address,
+    public val zone: ZoneName,
+    public val relayRank: RelayRank = RelayRank.LOWEST,
+)
--- a/core/src/main/kotlin/gypsumcart/core/membership/PeerTable.kt
+++ b/core/src/main/kotlin/gypsumcart/core/membership/PeerTable.kt
@@ -1,6 +1,8 @@
 package gypsumcart.core.membership
 
 import gypsumcart.core.MonotonicTime
+import gypsumcart.core.TeamName
+import gypsumcart.core.WindowNumber
 import gypsumcart.core.ZoneName
 import java.util.TreeMap
 import kotlin.time.Duration
@@ -16,7 +18,8 @@
      * @property heardAt when the node sent the report, on this process's clock
      * @property linkedAt when the node sent the last report that came over the link, or null if none did
      * @property aliveAt when the node was last known to run, by this report or by what others have heard of it
-     * @property usagePosition the position of the last change of the usage counts
+     * @property fullUsagePosition the position at which the report last came with the usage counts of all windows
+     * @property usagePositions the position of the last change of the usage counts of each window
      */
     class Entry(
         val report: NodeReport,
@@ -24,13 +27,21 @@
         val heardAt: MonotonicTime,
         val linkedAt: MonotonicTime?,
         val position: TablePosition,
-        val usagePosition: TablePosition,
+        val fullUsagePosition: TablePosition,
+        val usagePositions: Map<WindowNumber, TablePosition>,
     ) {
         var aliveAt = heardAt
             private set
 
         val key: NodeKey get() = report.key
 
+        /** Returns what a recipient that has received the changes up to [received] lacks of the report. */
+        fun toItem(received: TablePosition, wantsAll: Boolean, now: MonotonicTime): PeerItem {
+            if (wantsAll || fullUsagePosition > received) return PeerItem(report, now - heardAt, hasUsage = true)
+            val changed = report.usage.filterKeys { window -> usagePositions[window]?.let { it > received } ?: true }
+            return PeerItem(report.copy(usage = changed), now - heardAt, hasUsage = false)
+        }
+
         /** Records that the node ran at [time]. */
         fun confirm(time: MonotonicTime) {
             aliveAt = maxOf(aliveAt, time)
@@ -59,8 +70,9 @@
     fun isLatest(key: NodeKey): Boolean = latestIncarnations[key.node] == key.incarnation
 
     /** Records this node's own report. */
-    fun putOwn(report: NodeReport, now: MonotonicTime, usageChanged: Boolean) {
-        put(report, source = self, heardAt = now, linkedAt = now, usageChanged)
+    fun putOwn(report: NodeReport, now: MonotonicTime) {
+        val isFull = report.heartbeat % FULL_USAGE_HEARTBEATS == 0L
+        put(report, source = self, heardAt = now, linkedAt = now, isFull)
     }
 
     /**
@@ -70,7 +82,7 @@
     fun putStored(report: NodeReport, writtenAt: MonotonicTime): Boolean {
         if (report.key == self || !isNews(report)) return false
         val linkedAt = entries[report.key]?.linkedAt
-        put(report, source = null, heardAt = writtenAt, linkedAt, usageChanged = true)
+        put(report, source = null, heardAt = writtenAt, linkedAt, hasAllUsage = true)
         return true
     }
 
@@ -87,7 +99,7 @@
             if (item.hasUsage || known == null) {
                 report
             } else {
-                report.copy(usage = known.usage, usageUntil = known.usageUntil)
+                report.copy(usage = latestWindows(known.usage + report.usage))
             }
         put(complete, source, now - item.age, now - item.age, item.hasUsage)
         return true
@@ -119,16 +131,38 @@
         source: NodeKey?,
         heardAt: MonotonicTime,
         linkedAt: MonotonicTime?,
-        usageChanged: Boolean,
+        hasAllUsage: Boolean,
     ) {
         position = TablePosition(position.number + 1)
         val previous = entries[report.key]
         previous?.let { entriesByPosition -= it.position }
-        val usagePosition = if (usageChanged || previous == null) position else previous.usagePosition
-        val entry = Entry(report, source, heardAt, linkedAt, position, usagePosition)
+        val fullUsagePosition = if (hasAllUsage || previous == null) position else previous.fullUsagePosition
+        val usagePositions = report.usage.mapValues { (window, counts) -> changePosition(previous, window, counts) }
+        val entry = Entry(report, source, heardAt, linkedAt, position, fullUsagePosition, usagePositions)
         previous?.let { entry.confirm(it.aliveAt) }
         entries[report.key] = entry
         entriesByPosition[position] = entry
         latestIncarnations.merge(report.node, report.incarnation, ::maxOf)
     }
+
+    private fun changePosition(previous: Entry?, window: WindowNumber, counts: Map<TeamName, Int>): TablePosition =
+        previous?.usagePositions?.get(window)?.takeIf { previous.report.usage[window] == counts } ?: position
+
+    private companion object {
+        /** Every so many reports all windows go along, for a recipient that missed a change: every four seconds. */
+        const val FULL_USAGE_HEARTBEATS = 8
+
+        /** More windows than a node counts; what others keep of earlier ones is dropped. */
+        const val KEPT_WINDOWS = 8
+
+        fun latestWindows(usage: Map<WindowNumber, Map<TeamName, Int>>): Map<WindowNumber, Map<TeamName, Int>> {
+            if (usage.size <= KEPT_WINDOWS) return usage
+            val latest =
+                usage.keys
+                    .sortedByDescending { it.number }
+                    .take(KEPT_WINDOWS)
+                    .toSet()
+            return usage.filterKeys { it in latest }
+        }
+    }
 }
--- a/core/src/test/kotlin/gypsumcart/core/membership/SimulatedFleet.kt
+++ b/core/src/test/kotlin/gypsumcart/core/membership/SimulatedFleet.kt
@@ -35,6 +35,7 @@
     zoneSizes: List<Int>,
     private val network: SimulatedNetwork = SimulatedNetwork(),
     seed: Long = 1,
+    private val relayRankOf: (NodeId) -> RelayRank = { RelayRank.LOWEST },
 ) {
     private class Task(val at: Duration, val order: Long, val run: () -> Unit)
 
@@ -68,15 +69,18 @@
         val key = NodeKey(id, Incarnation(incarnation))
         private val address = Address(name, 7601)
         private val settings =
-            MembershipSettings(id, key.incarnation, address, address, zone, 3.5.seconds, 8.seconds)
+            MembershipSettings(id, key.incarnation, address, address, zone, 3.5.seconds, 8.seconds, relayRankOf(id))
         val membership = Membership(settings)
-        val target = PeerTarget(key, address, zone)
+        val target = PeerTarget(key, address, zone, relayRankOf(id))
         var running = true
         var linked = false
         var members: List<NodeId> = emptyList()
         var reports: Map<NodeKey, NodeReport> = emptyMap()
         var storeReads = 0
         var storeWrites = 0
+
+        /** The number of messages that this node answered. */
+        var answered = 0
         val refused = ArrayList<NodeKey>()
         var quotaPeers: QuotaPeers? = null
         private var readRound = 0
@@ -163,6 +167,7 @@
             if (!running) return
             val effects = membership.decide(MembershipEvent.MessageReceived(effect.exchange, effect.message), time())
             val response = effects.filterIsInstance<MembershipEffect.Respond>().singleOrNull()
+            if (response != null) answered++
             effects.filterNot { it is MembershipEffect.Respond }.forEach(::execute)
             val result = response?.let { ExchangeResult.Answered(it.message) } ?: ExchangeResult.Refused
             transmit(id, sender.id) {
--- a/node/src/main/kotlin/gypsumcart/node/JsonBodies.kt
+++ b/node/src/main/kotlin/gypsumcart/node/JsonBodies.kt
@@ -17,9 +17,15 @@
             encodeDefaults = true
         }
 
+    private val compactJson = Json { encodeDefaults = false }
+
     /** Returns [value] as JSON text. */
     public fun <T> encode(serializer: KSerializer<T>, value: T): String = json.encodeToString(serializer, value)
 
+    /** Returns [value] as JSON text on one line, without the fields that have their default values. */
+    public fun <T> encodeCompact(serializer: KSerializer<T>, value: T): String =
+        compactJson.encodeToString(serializer, value)
+
     /** Returns the value decoded from [text], or an error if it is not JSON of the expected form. */
     @Suppress("TooGenericExceptionCaught") // The parser reports some malformed texts by exceptions of its internals.
     public fun <T> decode(serializer: KSerializer<T>, text: String): Result<T, JsonError> =
--- a/node/src/main/kotlin/gypsumcart/node/Node.kt
+++ b/node/src/main/kotlin/gypsumcart/node/Node.kt
@@ -14,6 +14,7 @@
 import gypsumcart.core.leases.LeaseEvent
 import gypsumcart.core.membership.MembershipEvent
 import gypsumcart.core.membership.MembershipSettings
+import gypsumcart.core.membership.RelayRank
 import gypsumcart.core.membership.nearestFirst
 import gypsumcart.core.replicas.AutoscalerEvent
 import gypsumcart.core.routing.RoutingEvent
@@ -76,6 +77,7 @@
             zone = ZoneName(settings.zone),
             heartbeatTimeout = HEARTBEAT_TIMEOUT,
             quotaWindow = settings.bounds.quotas.window,
+            relayRank = if (features.relayedFeeds) settings.host.relayRank else RelayRank.LOWEST,
         )
     private val statedLimits =
         StatedLimits(state) { instance, statement ->
--- a/node/src/main/kotlin/gypsumcart/node/PeerCodec.kt
+++ b/node/src/main/kotlin/gypsumcart/node/PeerCodec.kt
@@ -19,44 +19,51 @@
 import gypsumcart.core.membership.NodeReport
 import gypsumcart.core.membership.PeerItem
 import gypsumcart.core.membership.PeerMessage
+import gypsumcart.core.membership.RelayRank
 import gypsumcart.core.membership.TablePosition
+import kotlinx.serialization.SerialName
 import kotlinx.serialization.Serializable
+import org.slf4j.LoggerFactory
 import kotlin.math.ceil
 import kotlin.math.round
 import kotlin.time.Duration.Companion.milliseconds
 
-/** Represents a message of the peer protocol; [protocol] is the version of its form. */
+/** Represents the first line of a message of the peer protocol; [protocol] is the version of its form. */
 @Serializable
-private class WireMessage(
+private class WireHead(
     val protocol: Int,
     val node: String,
     val incarnation: Long,
-    val items: List<WireItem>,
     val position: Long,
     val received: Long,
     val linked: Boolean,
     val lacking: Boolean = false,
 )
 
-/** Represents a report; [usage] and [until] are null if the recipient has the current counts already. */
+/**
+ * Represents a report; a message has one for each node, and most differ only in numbers, so the names are short.
+ *
+ * @property hasUsage whether [usage] has all windows, or only those that changed
+ */
 @Serializable
 private class WireItem(
-    val node: String,
-    val incarnation: Long,
-    val age: Long,
-    val client: String,
-    val peer: String,
-    val zone: String,
-    val accepting: Boolean,
-    val beat: Long,
-    val usage: Map<Long, Map<String, Int>>? = null,
-    val until: Long? = null,
-    val quota: Map<String, List<Double>>,
-    val load: Map<String, Double>,
-    val latency: Map<String, Double> = emptyMap(),
-    val lease: WireLease? = null,
-    val lost: Map<String, Double> = emptyMap(),
-    val findings: WireFindings? = null,
+    @SerialName("n") val node: String,
+    @SerialName("i") val incarnation: Long,
+    @SerialName("c") val client: String,
+    @SerialName("p") val peer: String,
+    @SerialName("z") val zone: String,
+    @SerialName("a") val accepting: Boolean = false,
+    @SerialName("b") val beat: Long,
+    @SerialName("f") val hasUsage: Boolean = false,
+    @SerialName("u") val usage: Map<Long, Map<String, Int>> = emptyMap(),
+    @SerialName("v") val until: Long = 0,
+    @SerialName("q") val quota: Map<String, List<Long>> = emptyMap(),
+    @SerialName("l") val load: Map<String, Long> = emptyMap(),
+    @SerialName("t") val latency: Map<String, Long> = emptyMap(),
+    @SerialName("e") val lease: WireLease? = null,
+    @SerialName("k") val lost: Map<String, Long> = emptyMap(),
+    @SerialName("d") val findings: WireFindings? = null,
+    @SerialName("r") val relayRank: Int = 0,
 )
 
 @Serializable
@@ -71,80 +78,97 @@
     data class OtherProtocol(val version: Int) : PeerMessageError()
 }
 
-/** Returns the JSON text of the message. */
-internal fun PeerMessage.encode(): String =
-    JsonBodies.encode(
-        WireMessage.serializer(),
-        WireMessage(
+/** Returns the text of the message: a line of JSON about it, and one for each report after the report's age. */
+internal fun PeerMessage.encode(texts: ReportTexts = ReportTexts()): String {
+    val head =
+        WireHead(
             PROTOCOL_VERSION,
             sender.node.text,
             sender.incarnation.number,
-            items.map { it.toWire() },
             position.number,
             received.number,
             linked,
             lacksReports,
-        ),
-    )
+        )
+    return buildString {
+        append(JsonBodies.encodeCompact(WireHead.serializer(), head))
+        for (item in items) {
+            append('\n').append(item.age.inWholeMilliseconds).append(' ')
+            append(texts.getOrPut(item) { JsonBodies.encodeCompact(WireItem.serializer(), item.toWire()) })
+        }
+    }
+}
 
-/** Decodes a message; an item that is not valid makes the whole message unreadable. */
-internal fun decodePeerMessage(bytes: ByteArray): Result<PeerMessage, PeerMessageError> {
-    val wire =
+/** Decodes a message; a report that can't be read is left out, as the next one of its node replaces it. */
+internal fun decodePeerMessage(
+    bytes: ByteArray,
+    texts: ReportTexts = ReportTexts(),
+): Result<PeerMessage, PeerMessageError> {
+    val lines = bytes.decodeToString().split('\n')
+    val head =
         JsonBodies
-            .decode(WireMessage.serializer(), bytes.decodeToString())
+            .decode(WireHead.serializer(), lines.first())
             .getOrElse { return Err(PeerMessageError.Unreadable(it.detail)) }
-    if (wire.protocol != PROTOCOL_VERSION) return Err(PeerMessageError.OtherProtocol(wire.protocol))
-    val items = wire.items.map { it.toItemOrNull() ?: return Err(PeerMessageError.Unreadable("item of ${it.node}")) }
+    if (head.protocol != PROTOCOL_VERSION) return Err(PeerMessageError.OtherProtocol(head.protocol))
     return Ok(
         PeerMessage(
-            NodeKey(NodeId(wire.node), Incarnation(wire.incarnation)),
-            items,
-            TablePosition(wire.position),
-            TablePosition(wire.received),
-            wire.linked,
-            wire.lacking,
+            NodeKey(NodeId(head.node), Incarnation(head.incarnation)),
+            lines.drop(1).mapNotNull { decodeItemOrNull(it, texts) },
+            TablePosition(head.position),
+            TablePosition(head.received),
+            head.linked,
+            head.lacking,
         ),
     )
 }
 
+private fun decodeItemOrNull(line: String, texts: ReportTexts): PeerItem? {
+    val age = line.substringBefore(' ', "").toLongOrNull()?.takeIf { it >= 0 }
+    val text = line.substringAfter(' ')
+    val wire = JsonBodies.decode(WireItem.serializer(), text).getOrElse { null }
+    val item = if (age == null) null else wire?.toItemOrNull(age)
+    if (item == null) log.warn("event=peer_item_unreadable node={} beat={}", wire?.node, wire?.beat)
+    return item?.also { texts.getOrPut(it) { text } }
+}
+
 private fun PeerItem.toWire(): WireItem =
     WireItem(
         node = report.node.text,
         incarnation = report.incarnation.number,
-        age = age.inWholeMilliseconds,
         client = report.clientAddress.toString(),
         peer = report.peerAddress?.toString().orEmpty(),
         zone = report.zone.text,
         accepting = report.accepting,
         beat = report.heartbeat,
-        usage = if (hasUsage) report.usage.toWire() else null,
-        until = if (hasUsage) report.usageUntil.millis else null,
+        hasUsage = hasUsage,
+        usage = report.usage.toWire(),
+        until = report.usageUntil.millis,
         quota =
-            report.quotaUse
-                .filterValues { it != UNUSED }
-                .entries
-                .associate { (team, use) -> team.text to use.toWire() },
-        load = report.load.entries.associate { (service, load) -> service.text to load.roundToTenths() },
-        latency = report.latency.entries.associate { (service, share) -> service.text to share.roundToThousandths() },
+            report.quotaUse.entries
+                .associate { (team, use) -> team.text to use.toWire() }
+                .filterValues { it != UNUSED },
+        load = report.load.entries.associate { (service, load) -> service.text to load.inUnits(TENTHS) },
+        latency = report.latency.entries.associate { (service, share) -> service.text to share.inUnits(THOUSANDTHS) },
         lease = report.lease?.let { WireLease(it.version, it.storedToken?.number) },
-        lost = report.lostCapacity.entries.associate { (service, lost) -> service.text to lost.roundToTenths() },
+        lost = report.lostCapacity.entries.associate { (service, lost) -> service.text to lost.inUnits(TENTHS) },
         findings = report.findings.toWireOrNull(),
+        relayRank = report.relayRank.level,
     )
 
 private fun Map<WindowNumber, Map<TeamName, Int>>.toWire(): Map<Long, Map<String, Int>> =
     entries.associate { (window, counts) -> window.number to counts.mapKeys { it.key.text } }
 
 /** Rounds up what was spent, so that rounding never makes room for more. */
-private fun QuotaUse.toWire(): List<Double> = listOf(demandPerSecond.roundToTenths(), ceil(spent))
+private fun QuotaUse.toWire(): List<Long> = listOf(demandPerSecond.inUnits(TENTHS), ceil(spent).toLong())
 
-private fun Double.roundToTenths(): Double = round(this * TENTHS) / TENTHS
+private fun Double.inUnits(unitsPerOne: Double): Long = round(this * unitsPerOne).toLong()
 
-private fun Double.roundToThousandths(): Double = round(this * THOUSANDTHS) / THOUSANDTHS
+private fun List<Long>.toQuotaUse(): QuotaUse = QuotaUse(this[0] / TENTHS, this[1].toDouble())
 
-private fun WireItem.toItemOrNull(): PeerItem? {
+private fun WireItem.toItemOrNull(ageMillis: Long): PeerItem? {
     val clientAddress = addressOrNull(client) ?: return null
     val peerAddress = addressOrNull(peer) ?: return null
-    if (age < 0 || quota.values.any { it.size != QUOTA_FIELDS }) return null
+    if (quota.values.any { it.size != QUOTA_FIELDS }) return null
     val key = NodeKey(NodeId(node), Incarnation(incarnation))
     val report =
         NodeReport(
@@ -155,21 +179,24 @@
             zone = ZoneName(zone),
             accepting = accepting,
             heartbeat = beat,
-            usage = usage.orEmpty().entries.associate { (window, counts) -> WindowNumber(window) to counts.toTeams() },
-            usageUntil = UnixMillis(until ?: 0),
-            quotaUse = quota.entries.associate { (team, use) -> TeamName(team) to QuotaUse(use[0], use[1]) },
-            load = load.mapKeys { ServiceName(it.key) },
-            latency = latency.mapKeys { ServiceName(it.key) },
+            usage = usage.entries.associate { (window, counts) -> WindowNumber(window) to counts.toTeams() },
+            usageUntil = UnixMillis(until),
+            quotaUse = quota.entries.associate { (team, use) -> TeamName(team) to use.toQuotaUse() },
+            load = load.entries.associate { (service, load) -> ServiceName(service) to load / TENTHS },
+            latency = latency.entries.associate { (service, share) -> ServiceName(service) to share / THOUSANDTHS },
             lease = lease?.let { LeaseRow(key.node, key.incarnation, it.version, it.fence?.let(::FencingToken)) },
-            lostCapacity = lost.mapKeys { ServiceName(it.key) },
+            lostCapacity = lost.entries.associate { (service, lost) -> ServiceName(service) to lost / TENTHS },
             findings = findings.toFindings(),
+            relayRank = RelayRank(relayRank),
         )
-    return PeerItem(report, age.milliseconds, hasUsage = usage != null)
+    return PeerItem(report, ageMillis.milliseconds, hasUsage)
 }
 
 private fun Map<String, Int>.toTeams(): Map<TeamName, Int> = mapKeys { TeamName(it.key) }
 
-private val UNUSED = QuotaUse(0.0, 0.0)
+private val UNUSED = listOf(0L, 0L)
+private val log = LoggerFactory.getLogger("gypsumcart.node.PeerCodec")
+
 private const val TENTHS = 10.0
 private const val THOUSANDTHS = 1_000.0
 
@@ -177,4 +204,4 @@
 private const val QUOTA_FIELDS = 2
 
 /** Changes whenever older programs could misread the messages. */
-private const val PROTOCOL_VERSION = 1
+private const val PROTOCOL_VERSION = 2
--- a/node/src/main/kotlin/gypsumcart/node/PeerLink.kt
+++ b/node/src/main/kotlin/gypsumcart/node/PeerLink.kt
@@ -45,6 +45,7 @@
     }
 
     private val received = AtomicLong()
+    private val texts = ReportTexts()
     private val replies = ConcurrentHashMap<ExchangeId, CompletableDeferred<Reply>>()
 
     /** Sends the message, and passes the result to the membership duty. */
@@ -71,7 +72,7 @@
                 request.path != PATH -> NOT_FOUND
 
                 else ->
-                    decodePeerMessage(request.body).fold(
+                    decodePeerMessage(request.body, texts).fold(
                         { return answer(it, response) },
                         { error ->
                             log.warn("event=peer_message_unreadable error={}", error)
@@ -94,7 +95,7 @@
                 replies -= id
             }
         when (reply) {
-            is Reply.Accepted -> response.send(ResponseHead(OK, JSON), reply.message.encode().encodeToByteArray())
+            is Reply.Accepted -> response.send(ResponseHead(OK, TEXT), reply.message.encode(texts).encodeToByteArray())
             Reply.UnknownSender -> response.send(ResponseHead(FORBIDDEN, Headers.EMPTY), EMPTY)
             null -> response.send(ResponseHead(UNAVAILABLE, Headers.EMPTY), EMPTY)
         }
@@ -103,8 +104,8 @@
     private suspend fun exchange(effect: MembershipEffect.Send): ExchangeResult {
         val target = effect.target
         val endpoint = Endpoint(target.address.host, target.address.port)
-        val body = effect.message.encode().encodeToByteArray()
-        val request = OutgoingRequest("POST", PATH, JSON, body, traffic = Traffic.Control)
+        val body = effect.message.encode(texts).encodeToByteArray()
+        val request = OutgoingRequest("POST", PATH, TEXT, body, traffic = Traffic.Control)
         val exchange =
             withTimeoutOrNull(EXCHANGE_TIMEOUT) {
                 client.exchange(endpoint, request) { (head, body) ->
@@ -120,7 +121,7 @@
             status == FORBIDDEN -> failed(target.key, "refused", ExchangeResult.Refused)
             status != OK || bytes == null -> failed(target.key, "status_$status")
             else ->
-                decodePeerMessage(bytes).mapBoth(
+                decodePeerMessage(bytes, texts).mapBoth(
                     { ExchangeResult.Answered(it) },
                     { failed(target.key, it.toString()) },
                 )
@@ -144,7 +145,7 @@
         const val FORBIDDEN = 403
         const val NOT_FOUND = 404
         const val UNAVAILABLE = 503
-        val JSON = Headers(listOf(HeaderField("Content-Type", "application/json")))
+        val TEXT = Headers(listOf(HeaderField("Content-Type", "text/plain")))
         val EMPTY = ByteArray(0)
 
         /** A hundred times the usual round trip, and short enough to try another relay within a second. */
--- a/node/src/main/kotlin/gypsumcart/node/RowCodecs.kt
+++ b/node/src/main/kotlin/gypsumcart/node/RowCodecs.kt
@@ -15,6 +15,7 @@
 import gypsumcart.core.leases.LeaseRow
 import gypsumcart.core.membership.NodeKey
 import gypsumcart.core.membership.NodeReport
+import gypsumcart.core.membership.RelayRank
 import gypsumcart.core.membership.key
 import kotlinx.serialization.KSerializer
 import kotlinx.serialization.SerialName
@@ -38,6 +39,7 @@
     val lost: Map<String, Double> = emptyMap(),
     val findings: WireFindings? = null,
     val heard: Map<String, Long> = emptyMap(),
+    @SerialName("rank") val relayRank: Int = 0,
 )
 
 @Serializable
@@ -112,6 +114,7 @@
             lost = lostCapacity.mapKeys { it.key.text },
             findings = findings.toWireOrNull(),
             heard = heard.entries.associate { (key, age) -> key.toRowKey().text to age.inWholeMilliseconds },
+            relayRank = relayRank.level,
         ),
     )
 
@@ -152,6 +155,7 @@
             lease = null,
             lostCapacity = row.lost.mapKeys { ServiceName(it.key) },
             findings = row.findings.toFindings(),
+            relayRank = RelayRank(row.relayRank),
         )
     return StoredReport(report, row.writtenMillis, row.heard.toHeard())
 }
--- a/node/src/main/kotlin/gypsumcart/node/Settings.kt
+++ b/node/src/main/kotlin/gypsumcart/node/Settings.kt
@@ -8,6 +8,7 @@
 import com.github.michaelbull.result.Result
 import gypsumcart.core.addressOrNull
 import gypsumcart.core.admission.QuotaBounds
+import gypsumcart.core.membership.RelayRank
 import gypsumcart.http.EventStreamSplitter
 import kotlinx.serialization.SerialName
 import kotlinx.serialization.Serializable
@@ -62,7 +63,10 @@
 public data class HostSize(
     public val cpu: Double = 1.0,
     @SerialName("link_mbps") public val linkMegabits: Double = DEFAULT_LINK_MEGABITS,
-)
+) {
+    /** What the host can carry as the relay of its zone. */
+    public val relayRank: RelayRank get() = RelayRank.of(cpu, linkMegabits)
+}
 
 /**
  * Limits what is read of one response of a back end; a call whose response is larger fails as invalid.
