Weight back ends by the speed that the calls of all nodes show

Change: with `learnedCapacity` on, each node sums up its calls to each instance and their latency relative to what the same route usually takes, tells at most 12 changed sums a report, and weights rendezvous hashing and the choice of the less loaded of two by the inverse of the relative latency. Without the feature nothing changes.

--- a/core/src/main/kotlin/gypsumcart/core/dispatch/Dispatch.kt
+++ b/core/src/main/kotlin/gypsumcart/core/dispatch/Dispatch.kt
@@ -56,6 +56,17 @@
     public data object ClientGone : CallResult()
 }
 
+/** Whether the response states a failure of the back end. */
+private val CallResult.isError: Boolean
+    get() =
+        when (this) {
+            is CallResult.Answered -> status >= FIRST_SERVER_ERROR
+            is CallResult.Failed -> failure is CallFailure.ServerError
+            CallResult.ClientGone -> false
+        }
+
+private const val FIRST_SERVER_ERROR = 500
+
 /** Describes how much of a response has been delivered to the client. */
 public sealed class DeliveryProgress {
     /** Nothing was delivered. */
@@ -88,11 +99,16 @@
     /** Reports the [durations] of recent requests by route, those in progress included. */
     public data class ReportDurations(public val durations: Map<RouteKey, RequestDurations>) : DispatchEffect()
 
-    /** Releases the load that routing counts for a call, and reports what the call showed of the back end's health. */
+    /**
+     * Releases the load that routing counts for a call, and reports what the call showed of the back end's health.
+     *
+     * @property isError whether the response states a failure of the back end
+     */
     public data class Release(
         public val ticket: Ticket,
         public val instance: InstanceKey,
         public val health: HealthSignal,
+        public val isError: Boolean = false,
     ) : DispatchEffect()
 
     /**
@@ -195,7 +211,8 @@
         if (request.attempt != event.attempt) return emptyList()
         val backEnd = request.backEnd ?: return emptyList()
         request.backEnd = null
-        val release = DispatchEffect.Release(event.ticket, backEnd.key, healthSignalOf(event.result))
+        val health = healthSignalOf(event.result)
+        val release = DispatchEffect.Release(event.ticket, backEnd.key, health, event.result.isError)
         return listOf(release) + afterCall(request, event.result, now)
     }
 
--- a/core/src/main/kotlin/gypsumcart/core/membership/Membership.kt
+++ b/core/src/main/kotlin/gypsumcart/core/membership/Membership.kt
@@ -61,7 +61,12 @@
             is MembershipEvent.LoadMeasured ->
                 noEffects {
                     own.update {
-                        it.copy(load = event.load, latency = event.latency, lostCapacity = event.lostCapacity)
+                        it.copy(
+                            load = event.load,
+                            latency = event.latency,
+                            lostCapacity = event.lostCapacity,
+                            capacity = event.capacity,
+                        )
                     }
                 }
             is MembershipEvent.FindingsUpdated -> updateFindings(event.findings, now)
@@ -116,11 +121,11 @@
         liveness.recordStoreAnswer(isRead = true, now)
         event.removed.forEach(table::remove)
         val observed =
-            event.reports.mapNotNull { report ->
+            event.reports.flatMap { report ->
                 val writtenAt = now - (event.ages[report.key] ?: Duration.ZERO)
                 table.putStored(report, writtenAt)
                 // What a node found out is of use also after it has gone.
-                report.observedFindingsOrNull(writtenAt)
+                listOfNotNull(report.observedFindingsOrNull(writtenAt), report.observedCapacityOrNull(writtenAt))
             }
         for ((key, age) in event.heard) table[key]?.confirm(now - age)
         // With a link, the next exchange distributes the changes together with those that it brings.
@@ -156,6 +161,7 @@
                 listOfNotNull(
                     report.lease?.let(MembershipEffect::ObserveLease),
                     report.observedFindingsOrNull(now - age),
+                    report.observedCapacityOrNull(now - age),
                 )
             }
 
@@ -296,3 +302,6 @@
 
 private fun NodeReport.observedFindingsOrNull(asOf: MonotonicTime): MembershipEffect? =
     findings.takeUnless { it.isEmpty }?.let { MembershipEffect.ObserveFindings(it, asOf) }
+
+private fun NodeReport.observedCapacityOrNull(asOf: MonotonicTime): MembershipEffect? =
+    capacity.takeUnless { it.isEmpty }?.let { MembershipEffect.ObserveCapacity(node, it, asOf) }
--- a/core/src/main/kotlin/gypsumcart/core/membership/MembershipEvents.kt
+++ b/core/src/main/kotlin/gypsumcart/core/membership/MembershipEvents.kt
@@ -1,6 +1,7 @@
 package gypsumcart.core.membership
 
 import gypsumcart.core.MonotonicTime
+import gypsumcart.core.NodeId
 import gypsumcart.core.ServiceName
 import gypsumcart.core.TeamName
 import gypsumcart.core.UnixMillis
@@ -8,6 +9,7 @@
 import gypsumcart.core.ZoneName
 import gypsumcart.core.admission.QuotaPeers
 import gypsumcart.core.admission.QuotaUse
+import gypsumcart.core.capacity.CapacityReport
 import gypsumcart.core.leases.LeaseRow
 import gypsumcart.core.routing.RoutingFindings
 import kotlin.time.Duration
@@ -36,11 +38,16 @@
     /** The use of each team's quota through this node was measured. */
     public data class QuotaUseMeasured(public val use: Map<TeamName, QuotaUse>) : MembershipEvent()
 
-    /** The load of each service on this node, the latency of its requests and the capacity it lost were measured. */
+    /**
+     * The load of each service on this node, the latency of its requests and the capacity it lost were measured.
+     *
+     * @property capacity what this node tells the others of its recent calls to each back end
+     */
     public data class LoadMeasured(
         public val load: Map<ServiceName, Double>,
         public val latency: Map<ServiceName, Double>,
         public val lostCapacity: Map<ServiceName, Double> = emptyMap(),
+        public val capacity: CapacityReport = CapacityReport.NONE,
     ) : MembershipEvent()
 
     /** What this node has found out about back ends was updated; the ages in [findings] count from now. */
@@ -102,6 +109,13 @@
         public val asOf: MonotonicTime,
     ) : MembershipEffect()
 
+    /** Passes on that another [node] counted its calls up to [asOf] as [report] says. */
+    public data class ObserveCapacity(
+        public val node: NodeId,
+        public val report: CapacityReport,
+        public val asOf: MonotonicTime,
+    ) : MembershipEffect()
+
     /** Updates the nodes among which the admission filter divides quotas. */
     public data class UpdateQuotaPeers(public val peers: QuotaPeers) : MembershipEffect()
 
--- a/core/src/main/kotlin/gypsumcart/core/routing/Candidates.kt
+++ b/core/src/main/kotlin/gypsumcart/core/routing/Candidates.kt
@@ -9,6 +9,7 @@
 import gypsumcart.core.PromptPartId
 import gypsumcart.core.ServiceName
 import gypsumcart.core.Ticket
+import gypsumcart.core.capacity.InstanceCapacity
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.seconds
 
@@ -37,9 +38,12 @@
  * Represents a call to a back end that has not ended.
  *
  * @property started whether the first piece of the response has arrived
+ * @property startedAt when the call was assigned
  */
-internal class InFlightCall(val prompt: Prompt?, val cost: Double) {
+internal class InFlightCall(val admitted: AdmittedRequest, val cost: Double, val startedAt: MonotonicTime) {
     var started = false
+
+    val prompt: Prompt? get() = admitted.submission.prompt
 }
 
 /** Tracks the in-flight calls and the outlier ejection of one back-end instance, as seen by this node. */
@@ -50,6 +54,15 @@
 
     val limiter = CallLimiter()
 
+    /** What is known of the instance's capacity, or null if it is not learned. */
+    var capacity: InstanceCapacity? = null
+
+    /** What the instance takes as a multiple of what others of its service do. */
+    val weight: Double get() = capacity?.weight ?: 1.0
+
+    /** The recent calls of all nodes to the instance. */
+    val sharedCalls: Double get() = capacity?.sums?.calls ?: 0.0
+
     /** The total cost of the in-flight calls of this node to the instance. */
     var load = 0.0
         private set
@@ -63,9 +76,9 @@
 
     fun isEjected(now: MonotonicTime): Boolean = ejectedUntil?.let { now < it } ?: false
 
-    fun startCall(ticket: Ticket, prompt: Prompt?, cost: Double) {
+    fun startCall(admitted: AdmittedRequest, cost: Double, now: MonotonicTime) {
         limiter.take()
-        calls[ticket] = InFlightCall(prompt, cost)
+        calls[admitted.ticket] = InFlightCall(admitted, cost, now)
         load += cost
     }
 
@@ -149,23 +162,26 @@
  *
  * It stands for the whole prefix up to and including that part.
  */
-private fun AdmittedRequest.sharedPrefixOrNull(): PromptPartId? {
+internal fun AdmittedRequest.sharedPrefixOrNull(): PromptPartId? {
     val parts = submission.prompt?.parts ?: return null
     return parts.getOrNull(parts.size - 2)?.id
 }
 
 /** Returns a weight of [instance] for [prefix] that is equal on all nodes and independent between instances. */
-private fun rendezvousWeight(prefix: PromptPartId, instance: InstanceKey): Int {
-    var hash = prefix.text.hashCode() * HASH_MULTIPLIER + instance.hashCode()
-    hash = (hash xor (hash ushr HASH_SHIFT)) * HASH_MULTIPLIER
+internal fun rendezvousWeight(prefix: PromptPartId, instance: InstanceKey): Int =
+    finalizeHash(prefix.text.hashCode() * HASH_MULTIPLIER + instance.hashCode())
+
+/** Spreads numbers that are near each other over all numbers. */
+internal fun finalizeHash(number: Int): Int {
+    val hash = (number xor (number ushr HASH_SHIFT)) * HASH_MULTIPLIER
     return hash xor (hash ushr HASH_SHIFT)
 }
 
 /** A back end may have this many times the mean load before requests for the prompts it caches go elsewhere. */
-private const val LOAD_BALANCE_FACTOR = 1.5
+internal const val LOAD_BALANCE_FACTOR: Double = 1.5
 
 /** Added to the load bound, in requests: a load this small never sends a request away from its cached prompt. */
-private const val LOAD_SLACK = 3.0
+internal const val LOAD_SLACK: Double = 3.0
 
 /** The multiplier (0x85ebca6b) and shift of a 32-bit hash finalizer in the style of MurmurHash3. */
 private const val HASH_MULTIPLIER = -0x7a143595
--- a/core/src/main/kotlin/gypsumcart/core/routing/Routing.kt
+++ b/core/src/main/kotlin/gypsumcart/core/routing/Routing.kt
@@ -4,11 +4,13 @@
 import gypsumcart.core.AttemptNumber
 import gypsumcart.core.BackEnd
 import gypsumcart.core.Decider
+import gypsumcart.core.Features
 import gypsumcart.core.MonotonicTime
 import gypsumcart.core.Outcome
 import gypsumcart.core.RefusalReason
 import gypsumcart.core.ServiceName
 import gypsumcart.core.Ticket
+import gypsumcart.core.capacity.CapacityLearner
 import kotlin.math.ceil
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.seconds
@@ -18,7 +20,10 @@
  *
  * A request for which no back end is available waits for one for a part of its latency target.
  */
-public class Routing(retryLimits: RetryLimits) : Decider<RoutingEvent, RoutingEffect> {
+public class Routing(
+    retryLimits: RetryLimits,
+    features: Features = Features.NONE,
+) : Decider<RoutingEvent, RoutingEffect> {
     private data class WaitingRequest(
         val admitted: AdmittedRequest,
         val excluded: Set<InstanceKey>,
@@ -32,6 +37,8 @@
     private val latencies = LatencyWindows()
     private val quarantine = Quarantine()
     private val refusals = PacedRefusals()
+    private val choice =
+        if (features.learnedCapacity) BackEndChoice.ByCapacity(CapacityLearner()) else BackEndChoice.Even
     private var sharedFindings = RoutingFindings.NONE
     private var place = NodePlace(nodeCount = 1, rank = 0)
 
@@ -47,6 +54,7 @@
             is RoutingEvent.NodeCountUpdated ->
                 noEffects { place = NodePlace(event.nodeCount.coerceAtLeast(1), event.rank) }
             is RoutingEvent.FindingsReceived -> learn(event.findings, event.asOf, now)
+            is RoutingEvent.CapacityReported -> noEffects { choice.learn(event) }
             is RoutingEvent.LimitStated -> hearLimit(event, now)
             is RoutingEvent.PauseStated -> pauseCalls(event, now)
             RoutingEvent.Sweep -> assignWaiting(now) + expireWaiting(now)
@@ -75,6 +83,7 @@
             .groupByTo(HashMap()) { it.backEnd.service }
             .onEach { (_, ofService) -> ofService.spreadLimits() }
             .let(candidatesByService::putAll)
+        choice.list(backEnds, candidates.values, now)
         return assignWaiting(now)
     }
 
@@ -182,8 +191,8 @@
         if (available.isEmpty() || attempt == AttemptNumber.FIRST && isAtCapacity(admitted, now)) return null
         val eligible = available.filterNot { it.isEjected(now) }.ifEmpty { available }
         val cost = costOf(admitted)
-        val chosen = if (isTrial) eligible.leastLoaded(admitted.ticket) else eligible.choose(admitted, cost)
-        chosen.startCall(admitted.ticket, admitted.submission.prompt, cost)
+        val chosen = if (isTrial) eligible.leastLoaded(admitted.ticket) else choice.choose(eligible, admitted, cost)
+        chosen.startCall(admitted, cost, now)
         return RoutingEffect.Assign(admitted, attempt, chosen.backEnd, eligible.size)
     }
 
@@ -204,6 +213,7 @@
     private fun releaseCall(event: RoutingEvent.CallReleased, now: MonotonicTime): List<RoutingEffect> {
         val candidate = candidates[event.instance]
         val call = candidate?.endCall(event.ticket, event.health, now)
+        call?.let { choice.recordEnd(event, it, candidate.backEnd, now) }
         val learned = if (call == null) emptyList() else learnFrom(call, candidate.backEnd, event.health, now)
         return if (waiting.isEmpty()) learned else learned + assignWaiting(now)
     }
@@ -232,6 +242,7 @@
     private fun startResponse(event: RoutingEvent.FirstPieceReceived, now: MonotonicTime): List<RoutingEffect> {
         event.fraction?.let { latencies.add(event.service, it, now) }
         val call = candidates[event.instance]?.callOrNull(event.ticket) ?: return emptyList()
+        if (!call.started) choice.recordStart(event.instance, call, now)
         call.started = true
         val prompt = call.prompt ?: return emptyList()
         return apply(quarantine.recordAnswer(prompt, event.instance, now), now)
@@ -307,6 +318,7 @@
                 latencies.slowestTenths(now),
                 lost,
                 calls = candidates.values.sumOf { it.inFlightCalls },
+                capacity = choice.update(now),
             )
     }
 
--- a/core/src/main/kotlin/gypsumcart/core/routing/RoutingEvents.kt
+++ b/core/src/main/kotlin/gypsumcart/core/routing/RoutingEvents.kt
@@ -4,9 +4,11 @@
 import gypsumcart.core.AttemptNumber
 import gypsumcart.core.BackEnd
 import gypsumcart.core.MonotonicTime
+import gypsumcart.core.NodeId
 import gypsumcart.core.Outcome
 import gypsumcart.core.ServiceName
 import gypsumcart.core.Ticket
+import gypsumcart.core.capacity.CapacityReport
 
 /** Represents an input of the [Routing] decider. */
 public sealed class RoutingEvent {
@@ -40,11 +42,16 @@
         public val fallbackOutcome: Outcome,
     ) : RoutingEvent()
 
-    /** The call to [instance] for the request with [ticket] ended. */
+    /**
+     * The call to [instance] for the request with [ticket] ended.
+     *
+     * @property isError whether the response states a failure of the back end
+     */
     public data class CallReleased(
         public val ticket: Ticket,
         public val instance: InstanceKey,
         public val health: HealthSignal,
+        public val isError: Boolean = false,
     ) : RoutingEvent()
 
     /**
@@ -76,6 +83,13 @@
         public val asOf: MonotonicTime,
     ) : RoutingEvent()
 
+    /** Another [node] counted its calls up to [asOf] as [report] says. */
+    public data class CapacityReported(
+        public val node: NodeId,
+        public val report: CapacityReport,
+        public val asOf: MonotonicTime,
+    ) : RoutingEvent()
+
     /** A response of [instance] to this node stated [statement]. */
     public data class LimitStated(
         public val instance: InstanceKey,
@@ -125,12 +139,14 @@
      * @property latency the time to the first piece of the slowest tenth of requests, as a fraction of their target
      * @property lostCapacity the capacity that limits of back ends take away, as a number of back ends
      * @property calls the number of calls in flight, which count against the capacity that this node may use
+     * @property capacity what this node tells the others of its calls to each back end
      */
     public data class ReportLoad(
         public val load: Map<ServiceName, Double>,
         public val latency: Map<ServiceName, Double>,
         public val lostCapacity: Map<ServiceName, Double>,
         public val calls: Int,
+        public val capacity: CapacityReport = CapacityReport.NONE,
     ) : RoutingEffect()
 
     /** Shares what this node has found out about back ends with the other nodes. */
--- a/node/src/main/kotlin/gypsumcart/node/FleetDuties.kt
+++ b/node/src/main/kotlin/gypsumcart/node/FleetDuties.kt
@@ -78,6 +78,10 @@
             is MembershipEffect.ObserveFindings ->
                 rings.routing.put(RoutingEvent.FindingsReceived(effect.findings, effect.asOf))
 
+            // A report that does not fit into the ring is made up for by the next one.
+            is MembershipEffect.ObserveCapacity ->
+                rings.routing.offer(RoutingEvent.CapacityReported(effect.node, effect.report, effect.asOf))
+
             is MembershipEffect.UpdateQuotaPeers ->
                 rings.admission.put(
                     AdmissionEvent.PeersUpdated(effect.peers),
--- a/node/src/main/kotlin/gypsumcart/node/RequestDuties.kt
+++ b/node/src/main/kotlin/gypsumcart/node/RequestDuties.kt
@@ -1,5 +1,6 @@
 package gypsumcart.node
 
+import gypsumcart.core.Features
 import gypsumcart.core.Outcome
 import gypsumcart.core.RefusalReason
 import gypsumcart.core.admission.Admission
@@ -38,13 +39,14 @@
     private val timers: Timers,
     private val clock: MonotonicClock,
     bounds: Bounds,
+    features: Features,
 ) {
     private val retryLimits = RetryLimits(bounds.retryRatio, bounds.retryExtra, bounds.retryWindowSeconds.seconds)
 
     val all: List<Duty> =
         listOf(
             deciderDuty(rings.admission, Admission(bounds.quotas), clock, ::execute),
-            deciderDuty(rings.routing, Routing(retryLimits), clock, ::execute),
+            deciderDuty(rings.routing, Routing(retryLimits, features), clock, ::execute),
             deciderDuty(rings.dispatch, Dispatch(), clock, ::execute),
             deciderDuty(rings.configuration, ConfigurationAdoption(), clock, ::execute),
             deciderDuty(rings.backEnds, BackEndDirectory(EXPIRY_GRACE_PERIOD), clock, ::execute),
@@ -98,7 +100,7 @@
             is RoutingEffect.ReportLoad -> {
                 state.callsInFlight = effect.calls
                 rings.membership.offer(
-                    MembershipEvent.LoadMeasured(effect.load, effect.latency, effect.lostCapacity),
+                    MembershipEvent.LoadMeasured(effect.load, effect.latency, effect.lostCapacity, effect.capacity),
                 )
             }
 
@@ -169,7 +171,9 @@
                 rings.admission.offer(AdmissionEvent.DurationsMeasured(effect.durations))
 
             is DispatchEffect.Release ->
-                rings.routing.reply(RoutingEvent.CallReleased(effect.ticket, effect.instance, effect.health))
+                rings.routing.reply(
+                    RoutingEvent.CallReleased(effect.ticket, effect.instance, effect.health, effect.isError),
+                )
 
             is DispatchEffect.Reassign ->
                 rings.routing.reply(
--- a/node/src/main/kotlin/gypsumcart/node/RowCodecs.kt
+++ b/node/src/main/kotlin/gypsumcart/node/RowCodecs.kt
@@ -37,6 +37,7 @@
     @SerialName("written") val writtenMillis: Long? = null,
     val lost: Map<String, Double> = emptyMap(),
     val findings: WireFindings? = null,
+    val capacity: WireCapacity = emptyMap(),
     val heard: Map<String, Long> = emptyMap(),
 )
 
@@ -111,6 +112,7 @@
             writtenMillis = writtenMillis,
             lost = lostCapacity.mapKeys { it.key.text },
             findings = findings.toWireOrNull(),
+            capacity = capacity.toWire(),
             heard = heard.entries.associate { (key, age) -> key.toRowKey().text to age.inWholeMilliseconds },
         ),
     )
@@ -152,6 +154,7 @@
             lease = null,
             lostCapacity = row.lost.mapKeys { ServiceName(it.key) },
             findings = row.findings.toFindings(),
+            capacity = row.capacity.toCapacity(),
         )
     return StoredReport(report, row.writtenMillis, row.heard.toHeard())
 }
