--- a/core/src/main/kotlin/gypsumcart/core/routing/Places.kt
+++ b/core/src/main/kotlin/gypsumcart/core/routing/Places.kt
@@ -84,11 +84,13 @@
         }
     }
 
-    /** Records that the response to a call started after [fraction] of its request's latency target. */
-    fun recordStart(service: ServiceName, fraction: Double, now: MonotonicTime) {
+    /** Records that the response to [call] starts. */
+    fun recordStart(call: InFlightCall, now: MonotonicTime) {
+        val target = call.admitted.route.targetLatency
         when (policy) {
             RoomPolicy.Even -> Unit
-            is RoomPolicy.ByDemand -> policy.roomOf(service).addLatency(fraction, now)
+            is RoomPolicy.ByDemand ->
+                policy.roomOf(call.admitted.service).addLatency((now - call.startedAt) / target, now)
         }
     }
 
--- a/core/src/main/kotlin/gypsumcart/core/routing/Routing.kt
+++ b/core/src/main/kotlin/gypsumcart/core/routing/Routing.kt
@@ -9,6 +9,7 @@
 import gypsumcart.core.Outcome
 import gypsumcart.core.RefusalReason
 import gypsumcart.core.ServiceName
+import gypsumcart.core.capacity.CapacityLearner
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.seconds
 
@@ -30,6 +31,8 @@
     private val latencies = LatencyWindows()
     private val quarantine = Quarantine()
     private val refusals = PacedRefusals()
+    private val choice =
+        if (features.learnedCapacity) BackEndChoice.ByCapacity(CapacityLearner()) else BackEndChoice.Even
     private var sharedFindings = RoutingFindings.NONE
     private var place = NodePlace(nodeCount = 1, rank = 0)
 
@@ -46,6 +49,7 @@
                 noEffects { place = NodePlace(event.nodeCount.coerceAtLeast(1), event.rank) }
             is RoutingEvent.FleetLoadMeasured -> noEffects { places.update(event.loads, now) }
             is RoutingEvent.FindingsReceived -> learn(event.findings, event.asOf, now)
+            is RoutingEvent.CapacityReported -> noEffects { choice.learn(event) }
             is RoutingEvent.LimitStated -> hearLimit(event, now)
             is RoutingEvent.PauseStated -> pauseCalls(event, now)
             RoutingEvent.Sweep -> assignWaiting(now) + expireWaiting(now)
@@ -74,6 +78,7 @@
             .groupByTo(HashMap()) { it.backEnd.service }
             .onEach { (_, ofService) -> ofService.spreadLimits() }
             .let(candidatesByService::putAll)
+        choice.list(backEnds, candidates.values, now)
         return assignWaiting(now)
     }
 
@@ -195,8 +200,8 @@
         if (available.isEmpty() || needsPlace && places.areFull(admitted, ofService, place, now)) return null
         val eligible = available.filterNot { it.isEjected(now) }.ifEmpty { available }
         val cost = costOf(admitted)
-        val chosen = if (isTrial) eligible.leastLoaded(admitted.ticket) else eligible.choose(admitted, cost)
-        chosen.startCall(admitted.ticket, admitted.submission.prompt, cost, now)
+        val chosen = if (isTrial) eligible.leastLoaded(admitted.ticket) else choice.choose(eligible, admitted, cost)
+        chosen.startCall(admitted, cost, now)
         return RoutingEffect.Assign(admitted, attempt, chosen.backEnd, eligible.size)
     }
 
@@ -204,6 +209,7 @@
         val candidate = candidates[event.instance]
         val call = candidate?.endCall(event.ticket, event.health, now)
         if (call?.prompt != null) places.recordEnd(candidate.backEnd.service, now)
+        call?.let { choice.recordEnd(event, it, candidate.backEnd, now) }
         val learned = if (call == null) emptyList() else learnFrom(call, candidate.backEnd, event.health, now)
         return if (waiting.isEmpty()) learned else learned + assignWaiting(now)
     }
@@ -232,8 +238,9 @@
     private fun startResponse(event: RoutingEvent.FirstPieceReceived, now: MonotonicTime): List<RoutingEffect> {
         event.fraction?.let { latencies.add(event.service, it, now) }
         val call = candidates[event.instance]?.callOrNull(event.ticket) ?: return emptyList()
+        if (!call.started) choice.recordStart(event.instance, call, now)
         call.started = true
-        event.targetLatency?.let { places.recordStart(event.service, (now - call.startedAt) / it, now) }
+        places.recordStart(call, now)
         val prompt = call.prompt ?: return emptyList()
         return apply(quarantine.recordAnswer(prompt, event.instance, now), now)
     }
@@ -308,6 +315,7 @@
                 latencies.slowestTenths(now),
                 lost,
                 calls = candidates.values.sumOf { it.inFlightCalls },
+                capacity = choice.update(now),
             )
     }
 
--- a/core/src/main/kotlin/gypsumcart/core/routing/RoutingEvents.kt
+++ b/core/src/main/kotlin/gypsumcart/core/routing/RoutingEvents.kt
@@ -4,10 +4,11 @@
 import gypsumcart.core.AttemptNumber
 import gypsumcart.core.BackEnd
 import gypsumcart.core.MonotonicTime
+import gypsumcart.core.NodeId
 import gypsumcart.core.Outcome
 import gypsumcart.core.ServiceName
 import gypsumcart.core.Ticket
-import kotlin.time.Duration
+import gypsumcart.core.capacity.CapacityReport
 
 /** Represents an input of the [Routing] decider. */
 public sealed class RoutingEvent {
@@ -41,11 +42,16 @@
         public val fallbackOutcome: Outcome,
     ) : RoutingEvent()
 
-    /** The call to [instance] for the request with [ticket] ended. */
+    /**
+     * The call to [instance] for the request with [ticket] ended.
+     *
+     * @property isError whether the response states a failure of the back end
+     */
     public data class CallReleased(
         public val ticket: Ticket,
         public val instance: InstanceKey,
         public val health: HealthSignal,
+        public val isError: Boolean = false,
     ) : RoutingEvent()
 
     /**
@@ -53,14 +59,12 @@
      *
      * @property fraction the time since the request's arrival as a fraction of its latency target, or null if an
      *   earlier call for it failed
-     * @property targetLatency the latency target of the request, or null if it is not known
      */
     public data class FirstPieceReceived(
         public val ticket: Ticket,
         public val service: ServiceName,
         public val instance: InstanceKey,
         public val fraction: Double?,
-        public val targetLatency: Duration? = null,
     ) : RoutingEvent()
 
     /** The client of the request with [ticket] disconnected, so that the request no longer waits for a back end. */
@@ -82,6 +86,13 @@
         public val asOf: MonotonicTime,
     ) : RoutingEvent()
 
+    /** Another [node] counted its calls up to [asOf] as [report] says. */
+    public data class CapacityReported(
+        public val node: NodeId,
+        public val report: CapacityReport,
+        public val asOf: MonotonicTime,
+    ) : RoutingEvent()
+
     /** A response of [instance] to this node stated [statement]. */
     public data class LimitStated(
         public val instance: InstanceKey,
@@ -131,12 +142,14 @@
      * @property latency the time to the first piece of the slowest tenth of requests, as a fraction of their target
      * @property lostCapacity the capacity that limits of back ends take away, as a number of back ends
      * @property calls the number of calls in flight, which count against the capacity that this node may use
+     * @property capacity what this node tells the others of its calls to each back end
      */
     public data class ReportLoad(
         public val load: Map<ServiceName, Double>,
         public val latency: Map<ServiceName, Double>,
         public val lostCapacity: Map<ServiceName, Double>,
         public val calls: Int,
+        public val capacity: CapacityReport = CapacityReport.NONE,
     ) : RoutingEffect()
 
     /** Shares what this node has found out about back ends with the other nodes. */
--- a/node/src/main/kotlin/gypsumcart/node/Node.kt
+++ b/node/src/main/kotlin/gypsumcart/node/Node.kt
@@ -243,7 +243,6 @@
                 admitted.service,
                 call.backEnd.key,
                 fraction.takeIf { call.attempt == AttemptNumber.FIRST },
-                admitted.route.targetLatency,
             ),
         )
     }
--- a/node/src/main/kotlin/gypsumcart/node/PeerCodec.kt
+++ b/node/src/main/kotlin/gypsumcart/node/PeerCodec.kt
@@ -64,6 +64,7 @@
     @SerialName("k") val lost: Map<String, Long> = emptyMap(),
     @SerialName("d") val findings: WireFindings? = null,
     @SerialName("r") val relayRank: Int = 0,
+    @SerialName("s") val capacity: WireCapacity = emptyMap(),
 )
 
 @Serializable
@@ -153,6 +154,7 @@
         lost = report.lostCapacity.entries.associate { (service, lost) -> service.text to lost.inUnits(TENTHS) },
         findings = report.findings.toWireOrNull(),
         relayRank = report.relayRank.level,
+        capacity = report.capacity.toWire(),
     )
 
 private fun Map<WindowNumber, Map<TeamName, Int>>.toWire(): Map<Long, Map<String, Int>> =
@@ -188,6 +190,7 @@
             lostCapacity = lost.entries.associate { (service, lost) -> ServiceName(service) to lost / TENTHS },
             findings = findings.toFindings(),
             relayRank = RelayRank(relayRank),
+            capacity = capacity.toCapacity(),
         )
     return PeerItem(report, ageMillis.milliseconds, hasUsage)
 }
--- a/node/src/main/kotlin/gypsumcart/node/RequestDuties.kt
+++ b/node/src/main/kotlin/gypsumcart/node/RequestDuties.kt
@@ -104,7 +104,7 @@
             is RoutingEffect.ReportLoad -> {
                 state.callsInFlight = effect.calls
                 rings.membership.offer(
-                    MembershipEvent.LoadMeasured(effect.load, effect.latency, effect.lostCapacity),
+                    MembershipEvent.LoadMeasured(effect.load, effect.latency, effect.lostCapacity, effect.capacity),
                 )
             }
 
@@ -185,7 +185,9 @@
                 rings.admission.offer(AdmissionEvent.DurationsMeasured(effect.durations))
 
             is DispatchEffect.Release ->
-                rings.routing.reply(RoutingEvent.CallReleased(effect.ticket, effect.instance, effect.health))
+                rings.routing.reply(
+                    RoutingEvent.CallReleased(effect.ticket, effect.instance, effect.health, effect.isError),
+                )
 
             is DispatchEffect.Reassign ->
                 rings.routing.reply(
--- a/node/src/main/kotlin/gypsumcart/node/RowCodecs.kt
+++ b/node/src/main/kotlin/gypsumcart/node/RowCodecs.kt
@@ -38,6 +38,7 @@
     @SerialName("written") val writtenMillis: Long? = null,
     val lost: Map<String, Double> = emptyMap(),
     val findings: WireFindings? = null,
+    val capacity: WireCapacity = emptyMap(),
     val heard: Map<String, Long> = emptyMap(),
     @SerialName("rank") val relayRank: Int = 0,
 )
@@ -113,6 +114,7 @@
             writtenMillis = writtenMillis,
             lost = lostCapacity.mapKeys { it.key.text },
             findings = findings.toWireOrNull(),
+            capacity = capacity.toWire(),
             heard = heard.entries.associate { (key, age) -> key.toRowKey().text to age.inWholeMilliseconds },
             relayRank = relayRank.level,
         ),
@@ -156,6 +158,7 @@
             lostCapacity = row.lost.mapKeys { ServiceName(it.key) },
             findings = row.findings.toFindings(),
             relayRank = RelayRank(row.relayRank),
+            capacity = row.capacity.toCapacity(),
         )
     return StoredReport(report, row.writtenMillis, row.heard.toHeard())
 }
