Order engines by what clients ask for, and report what orders waste

Change, behind `demandScaling`: admission counts the arrivals of each service with their tokens, admitted or not, a client's repeat on the same node once; nodes report them. The work that one engine carries follows from the initial number, which is taken to carry the mean and a burst, and from EngineCapacity, which learns only under a load that tells and while as many engines serve as are thought to be needed. Spot engines that boot count before more on-demand ones are ordered. Idle, missing and undone engines are added up in `gypsumcart.scaling.waste` and `event=scaling_waste`.

--- a/core/src/main/kotlin/gypsumcart/core/admission/Admission.kt
+++ b/core/src/main/kotlin/gypsumcart/core/admission/Admission.kt
@@ -14,6 +14,8 @@
 import gypsumcart.core.Team
 import gypsumcart.core.TeamName
 import gypsumcart.core.Ticket
+import gypsumcart.core.replicas.ArrivalMeter
+import gypsumcart.core.replicas.Arrivals
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.seconds
 
@@ -53,8 +55,11 @@
         public val outcome: Outcome.NotRun,
     ) : AdmissionEffect()
 
-    /** Reports the use of quotas through this node, by team. */
-    public data class Report(public val use: Map<TeamName, QuotaUse>) : AdmissionEffect()
+    /** Reports the use of quotas through this node, by team, and what arrives for each service, admitted or not. */
+    public data class Report(
+        public val use: Map<TeamName, QuotaUse>,
+        public val arrivals: Map<ServiceName, Arrivals> = emptyMap(),
+    ) : AdmissionEffect()
 }
 
 /**
@@ -64,6 +69,7 @@
  */
 public class Admission(quotaBounds: QuotaBounds) : Decider<AdmissionEvent, AdmissionEffect> {
     private val quotas = Quotas(quotaBounds)
+    private val arrivals = ArrivalMeter()
     private var configuration: Configuration? = null
 
     /** Is null unless the node shuts down. */
@@ -95,7 +101,7 @@
                 emptyList()
             }
 
-            AdmissionEvent.ReportDue -> listOf(AdmissionEffect.Report(quotas.use(now)))
+            AdmissionEvent.ReportDue -> listOf(AdmissionEffect.Report(quotas.use(now), arrivals.perSecond(now)))
         }
 
     private fun configure(configuration: Configuration, now: MonotonicTime): List<AdmissionEffect> {
@@ -128,6 +134,7 @@
         }
 
     private fun chargeQuota(submission: Submission, route: Route, team: Team?, now: MonotonicTime): AdmissionEffect {
+        arrivals.add(submission, serviceOf(submission, route), now)
         val quota = team?.quota
         if (quota != null) {
             val retryAfter = quotas.chargeOrRetryAfter(team.name, quota.unit.costOf(submission.prompt), now)
--- a/core/src/main/kotlin/gypsumcart/core/membership/Membership.kt
+++ b/core/src/main/kotlin/gypsumcart/core/membership/Membership.kt
@@ -58,6 +58,7 @@
             MembershipEvent.StoreAnswered -> noEffects { liveness.recordStoreAnswer(isRead = false, now) }
             is MembershipEvent.AcceptingChanged -> changeAccepting(event.accepting, now)
             is MembershipEvent.QuotaUseMeasured -> noEffects { own.update { it.copy(quotaUse = event.use) } }
+            is MembershipEvent.ArrivalsMeasured -> noEffects { own.update { it.copy(arrivals = event.arrivals) } }
             is MembershipEvent.LoadMeasured ->
                 noEffects {
                     own.update {
@@ -252,7 +253,7 @@
         val reports =
             table.peers.map { entry ->
                 val report = entry.report
-                if (liveness.isLive(entry, now)) report else report.copy(load = emptyMap(), latency = emptyMap())
+                if (liveness.isLive(entry, now)) report else report.withoutMeasurements()
             }
         return listOf(MembershipEffect.DistributeReports(reports.toList() + own.report))
     }
@@ -294,5 +295,8 @@
 /** Every call to the store has its price, and nodes with a link read the reports there only as a second path. */
 internal val LINKED_PUBLISH_PERIOD: Duration = 5.seconds
 
+private fun NodeReport.withoutMeasurements(): NodeReport =
+    copy(load = emptyMap(), latency = emptyMap(), arrivals = emptyMap())
+
 private fun NodeReport.observedFindingsOrNull(asOf: MonotonicTime): MembershipEffect? =
     findings.takeUnless { it.isEmpty }?.let { MembershipEffect.ObserveFindings(it, asOf) }
--- a/core/src/main/kotlin/gypsumcart/core/membership/MembershipEvents.kt
+++ b/core/src/main/kotlin/gypsumcart/core/membership/MembershipEvents.kt
@@ -9,6 +9,7 @@
 import gypsumcart.core.admission.QuotaPeers
 import gypsumcart.core.admission.QuotaUse
 import gypsumcart.core.leases.LeaseRow
+import gypsumcart.core.replicas.Arrivals
 import gypsumcart.core.routing.RoutingFindings
 import kotlin.time.Duration
 
@@ -43,6 +44,9 @@
         public val lostCapacity: Map<ServiceName, Double> = emptyMap(),
     ) : MembershipEvent()
 
+    /** What clients ask of each service through this node, admitted or not, was measured. */
+    public data class ArrivalsMeasured(public val arrivals: Map<ServiceName, Arrivals>) : MembershipEvent()
+
     /** What this node has found out about back ends was updated; the ages in [findings] count from now. */
     public data class FindingsUpdated(public val findings: RoutingFindings) : MembershipEvent()
 
--- a/core/src/main/kotlin/gypsumcart/core/replicas/Autoscaler.kt
+++ b/core/src/main/kotlin/gypsumcart/core/replicas/Autoscaler.kt
@@ -5,6 +5,8 @@
 import gypsumcart.core.MonotonicTime
 import gypsumcart.core.Scaling
 import gypsumcart.core.Service
+import gypsumcart.core.ServiceName
+import gypsumcart.core.leases.FencedCommand
 
 /**
  * Scales the number of back ends of each service with its load or demand, and chooses their zones and kinds by price.
@@ -23,7 +25,9 @@
         class ByDemand(
             val requirements: DemandRequirements,
             val initialCounts: InitialCounts.CountedWhenSettled,
-        ) : Sizing()
+        ) : Sizing() {
+            val waste = HashMap<ServiceName, WasteMeter>()
+        }
     }
 
     private val orders = OrderBook(policy)
@@ -95,7 +99,10 @@
             if (event.loads.any { (it[service.name] ?: 0.0) > 0 }) initialCounts.recordTraffic(service.name)
             when (sizing) {
                 is Sizing.ByLoad -> sizing.requirements.observe(service, event, present, now)
-                is Sizing.ByDemand -> sizing.requirements.observe(service, event, present, now)
+                is Sizing.ByDemand -> {
+                    val initial = initialCounts.countOrNull(service.name)
+                    sizing.requirements.observe(service, event, present, initial, now)
+                }
             }
         }
     }
@@ -123,12 +130,36 @@
         val fleet = ServiceFleet(service.name, scaling, backEnds.filter { it.service == service.name }, now)
         if (fleet.zones.isEmpty()) return emptyList()
         val requirement = requirementOf(service, initial, now)
-        return division.divide(requirement, fleet).mapNotNull { (pool, count) ->
-            orders.orderOrNull(pool, count, fleet.staying, scaling, now)?.let {
-                AutoscalerEffect.Order(it, requirement.count, requirement.load, requirement.loadPerBackEnd)
+        val counts = division.divide(requirement, fleet)
+        val placed =
+            counts.mapNotNull { (pool, count) -> orders.orderOrNull(pool, count, fleet.staying, scaling, now) }
+        val waste = measureWaste(fleet, requirement, counts, placed)
+        return placed.map {
+            AutoscalerEffect.Order(it, requirement.count, requirement.load, requirement.loadPerBackEnd)
+        } + waste
+    }
+
+    private fun measureWaste(
+        fleet: ServiceFleet,
+        requirement: Requirement,
+        counts: Map<Pool, Int>,
+        placed: List<FencedCommand.OrderBackEnds>,
+    ): List<AutoscalerEffect> =
+        when (sizing) {
+            is Sizing.ByLoad -> emptyList()
+            is Sizing.ByDemand -> {
+                val meter = sizing.waste.getOrPut(fleet.service, ::WasteMeter)
+                val present = fleet.staying.size
+                meter.measure(present - counts.values.sum(), requirement.countNow - present, fleet.now)
+                for (order in placed) {
+                    val pool = fleet.pool(order.zone, order.spot)
+                    meter.recordOrder(pool, order.count, fleet.staying.countOf(pool), fleet.scaling, fleet.now)
+                }
+                meter.report(fleet.now).map { (waste, amount) ->
+                    AutoscalerEffect.ReportWaste(fleet.service, waste, amount)
+                }
             }
         }
-    }
 
     private fun requirementOf(service: Service, initial: Int, now: MonotonicTime): Requirement =
         when (sizing) {
--- a/core/src/main/kotlin/gypsumcart/core/replicas/AutoscalerEvents.kt
+++ b/core/src/main/kotlin/gypsumcart/core/replicas/AutoscalerEvents.kt
@@ -25,11 +25,13 @@
      * their latency target, one map for each node
      * @property lostCapacity the capacity that limits of back ends take away, as a number of back ends by service, one
      * map for each node
+     * @property arrivals what clients ask of each service, admitted or not, one map for each node
      */
     public data class LoadMeasured(
         public val loads: List<Map<ServiceName, Double>>,
         public val latencies: List<Map<ServiceName, Double>> = emptyList(),
         public val lostCapacity: List<Map<ServiceName, Double>> = emptyList(),
+        public val arrivals: List<Map<ServiceName, Arrivals>> = emptyList(),
     ) : AutoscalerEvent()
 
     /** The store contains [counts], the number of back ends that each service had when the fleet began to scale it. */
@@ -66,6 +68,13 @@
         public val loadPerBackEnd: Double,
     ) : AutoscalerEffect()
 
+    /** Reports that orders for [service] wasted [amount] of the kind [waste] since the last report. */
+    public data class ReportWaste(
+        public val service: ServiceName,
+        public val waste: Waste,
+        public val amount: Double,
+    ) : AutoscalerEffect()
+
     /** Stores for later lease holders how many back ends each service had initially. */
     public data class StoreInitialCounts(public val counts: Map<ServiceName, Int>) : AutoscalerEffect()
 }
--- a/core/src/main/kotlin/gypsumcart/core/replicas/DemandDivision.kt
+++ b/core/src/main/kotlin/gypsumcart/core/replicas/DemandDivision.kt
@@ -39,22 +39,48 @@
 
 private fun Int.dividedBy(zones: Int): Int = ceil(toDouble() / zones).toInt()
 
-/** Returns how many on-demand back ends make up for the spot ones that are missing, by zone. */
+/**
+ * Returns how many on-demand back ends make up for the spot ones that are missing, by zone.
+ *
+ * Spot back ends that still boot count when more on-demand ones might be ordered, but not when some might go: those go
+ * only when the spot ones that replace them are listed.
+ */
 private fun onDemandByDemand(
     orders: OrderBook,
     requirement: Requirement,
     fleet: ServiceFleet,
     dry: Set<ZoneName>,
 ): Map<ZoneName, Int> {
+    val booting =
+        (fleet.zones - dry).associateWith { zone ->
+            orders.provisionedCount(fleet.pool(zone, spot = true), fleet.staying, fleet.scaling, fleet.now)
+        }
     val lost = if (dry.isEmpty()) 1 else 0
-    val forCount = requirement.count - fleet.spotByZone.afterLossOf(lost)
-    val forNextLoss = requirement.countAfterTwoLosses - fleet.spotByZone.afterLossOf(lost + 1)
-    var missing = maxOf(forCount, forNextLoss, 0)
+    val least = requirement.missingBeside(fleet.spotByZone + booting, lost)
+    val most = requirement.missingBeside(fleet.spotByZone, lost)
+    val provisioned =
+        fleet.zones.associateWith { zone ->
+            orders.provisionedCount(fleet.pool(zone, spot = false), fleet.staying, fleet.scaling, fleet.now)
+        }
+    val total = provisioned.values.sum().coerceIn(least, maxOf(least, most))
+    return placeOnDemand(total, provisioned, fleet, dry)
+}
+
+/** Returns how many back ends are missing beside spot ones of which [lost] zones count as lost, and later one more. */
+private fun Requirement.missingBeside(spotByZone: Map<ZoneName, Int>, lost: Int): Int =
+    maxOf(count - spotByZone.afterLossOf(lost), countAfterTwoLosses - spotByZone.afterLossOf(lost + 1), 0)
+
+/** Keeps those [provisioned] as far as they count among [total], and adds others in the cheapest zones with room. */
+private fun placeOnDemand(
+    total: Int,
+    provisioned: Map<ZoneName, Int>,
+    fleet: ServiceFleet,
+    dry: Set<ZoneName>,
+): Map<ZoneName, Int> {
+    var missing = total
     val counts = HashMap<ZoneName, Int>()
     for (zone in fleet.zones) {
-        val provisioned =
-            orders.provisionedCount(fleet.pool(zone, spot = false), fleet.staying, fleet.scaling, fleet.now)
-        counts[zone] = minOf(missing, provisioned)
+        counts[zone] = minOf(missing, provisioned.getValue(zone))
         missing -= counts.getValue(zone)
     }
     // A zone that refuses orders now gets them only if the others have no room left.
--- a/core/src/main/kotlin/gypsumcart/core/replicas/DemandRequirements.kt
+++ b/core/src/main/kotlin/gypsumcart/core/replicas/DemandRequirements.kt
@@ -4,6 +4,7 @@
 import gypsumcart.core.Service
 import gypsumcart.core.ServiceName
 import kotlin.math.ceil
+import kotlin.time.Duration
 
 /**
  * Determines how many back ends the demand of clients requires.
@@ -12,11 +13,14 @@
  */
 internal class DemandRequirements {
     private class State(service: Service) {
-        val capacity = EngineCapacity(service.engine)
+        val capacity = WorkCapacity(service.engine)
+        val forecast = DemandForecast()
         val held = HeldCount()
+        val horizon: Duration = service.scaling?.listingTime ?: Duration.ZERO
         var lostCapacity = 0.0
-        var load = 0.0
-        var need = 0
+
+        /** How many back ends the present level takes, without any reserve. */
+        var needNow = 0
     }
 
     private val states = HashMap<ServiceName, State>()
@@ -26,22 +30,51 @@
 
     private fun stateOf(service: Service): State = states.getOrPut(service.name) { State(service) }
 
-    /** Records the demand for [service], of which [present] back ends stay. */
-    fun observe(service: Service, event: AutoscalerEvent.LoadMeasured, present: Int, now: MonotonicTime) {
+    /**
+     * Records the demand for [service], of which [present] back ends stay.
+     *
+     * @param initial the number that the operator started with, or null if it is not known yet
+     */
+    fun observe(
+        service: Service,
+        event: AutoscalerEvent.LoadMeasured,
+        present: Int,
+        initial: Int?,
+        now: MonotonicTime,
+    ) {
         val state = stateOf(service)
         val lost = event.lostCapacity.mapNotNull { it[service.name] }
         state.lostCapacity = if (lost.isEmpty()) 0.0 else lost.average()
-        state.load = event.loads.sumOf { it[service.name] ?: 0.0 }
-        val latencies = event.latencies.mapNotNull { it[service.name] }
-        val serving = present - state.lostCapacity
-        // While back ends are missing, requests wait for those that are still to come.
-        if (latencies.isNotEmpty() && serving >= maxOf(1, state.need)) {
-            state.capacity.observe(state.load / serving, latencies.average(), now)
-        }
-        state.need = ceil(state.load / state.capacity.sustainableLoad).toInt()
+        val work = event.arrivals.sumOf { it[service.name]?.workPerSecond ?: 0.0 }
+        state.forecast.observe(work, state.horizon, now)
+        observeCapacity(state, service, event, present, now)
         // The load of a silent node is empty, that of an idle one is 0.
         val isComplete = isRegistryAvailable && event.loads.none { it.isEmpty() }
-        state.held.observe(state.need, hasDemand = state.load > 0, isComplete, now)
+        val need = if (initial == null) 0 else updateNeed(state, initial, now)
+        state.held.observe(need, hasDemand = work > 0, isComplete, now)
+    }
+
+    private fun observeCapacity(
+        state: State,
+        service: Service,
+        event: AutoscalerEvent.LoadMeasured,
+        present: Int,
+        now: MonotonicTime,
+    ) {
+        val latencies = event.latencies.mapNotNull { it[service.name] }
+        val serving = present - state.lostCapacity
+        if (latencies.isEmpty() || serving < 1) return
+        val load = event.loads.sumOf { it[service.name] ?: 0.0 }
+        val isSufficient = serving >= state.needNow
+        state.capacity.observe(load, state.forecast.level, serving, latencies.average(), isSufficient, now)
+    }
+
+    /** Updates the number that the present level takes, and returns the number with the reserve for what may come. */
+    private fun updateNeed(state: State, initial: Int, now: MonotonicTime): Int {
+        val forecast = state.forecast
+        val perBackEnd = state.capacity.perBackEnd(initial, forecast.mean, forecast.burstFactor) ?: return 0
+        state.needNow = ceil(forecast.level / perBackEnd).toInt()
+        return ceil(forecast.expectedIn(state.horizon, now) / perBackEnd).toInt()
     }
 
     /**
@@ -55,17 +88,14 @@
         val state = stateOf(service)
         val held = state.held.countOf(initial, now)
         val lost = ceil(state.lostCapacity).toInt().coerceIn(0, initial)
+        val burstFactor = state.forecast.burstFactor
         return Requirement(
             count = held + lost,
-            countAfterTwoLosses = ceil(held / BURST_FACTOR).toInt() + lost,
+            countAfterTwoLosses = ceil(held / burstFactor).toInt() + lost,
+            countNow = state.needNow,
             allowsReduction = isRegistryAvailable && (!isLate || state.held.isProven(now)),
-            load = state.load,
-            loadPerBackEnd = state.capacity.sustainableLoad,
+            load = state.forecast.level,
+            loadPerBackEnd = state.capacity.perBackEnd(initial, state.forecast.mean, burstFactor) ?: 0.0,
         )
     }
-
-    private companion object {
-        /** How much more than the level a burst asks for, before the bursts of the day are known. */
-        const val BURST_FACTOR = 1.5
-    }
 }
--- a/core/src/main/kotlin/gypsumcart/core/replicas/HeldCount.kt
+++ b/core/src/main/kotlin/gypsumcart/core/replicas/HeldCount.kt
@@ -1,6 +1,7 @@
 package gypsumcart.core.replicas
 
 import gypsumcart.core.MonotonicTime
+import kotlin.math.ceil
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.seconds
 
@@ -29,7 +30,7 @@
     fun observe(need: Int, hasDemand: Boolean, isComplete: Boolean, now: MonotonicTime) {
         if (hasDemand) lastDemandAt = now
         needs.add(need.toDouble(), now)
-        count = maxOf(count, need)
+        if (need > count) count = ceil(need * RISE_MARGIN).toInt()
         val hasGap = lastDemandAt?.let { now - it > MAX_GAP } ?: true
         observedSince = if (hasGap || !isComplete) null else observedSince ?: now
     }
@@ -54,6 +55,9 @@
     }
 
     private companion object {
+        /** A steady rise then takes an order for each twentieth and not for each back end. */
+        const val RISE_MARGIN = 1.05
+
         /**
          * Longer than a burst and the boot of a back end together, so that the lull between two bursts is no evidence.
          */
--- a/core/src/main/kotlin/gypsumcart/core/replicas/LoadRequirements.kt
+++ b/core/src/main/kotlin/gypsumcart/core/replicas/LoadRequirements.kt
@@ -45,7 +45,8 @@
         val required = (requiredCounts[service.name] ?: lower).coerceIn(lower, upper).coerceIn(limits)
         requiredCounts[service.name] = required
         val lost = ceil(lostCapacities[service.name] ?: 0.0).toInt().coerceIn(0, initial)
-        return Requirement(required + lost, required + lost, allowsReduction = true, load, loadPerBackEnd)
+        val count = required + lost
+        return Requirement(count, count, countNow = count, allowsReduction = true, load, loadPerBackEnd)
     }
 
     private companion object {
--- a/node/src/main/kotlin/gypsumcart/node/FleetDuties.kt
+++ b/node/src/main/kotlin/gypsumcart/node/FleetDuties.kt
@@ -114,7 +114,9 @@
                 rings.usage.put(UsageEvent.ReportsUpdated(effect.reports))
                 val (loads, latencies) = effect.reports.map { it.load to it.latency }.unzip()
                 val lost = effect.reports.map { it.lostCapacity }
-                rings.orders.put(AutoscalerEvent.LoadMeasured(loads, latencies, lost))
+                rings.orders.put(
+                    AutoscalerEvent.LoadMeasured(loads, latencies, lost, effect.reports.map { it.arrivals }),
+                )
             }
         }
     }
@@ -253,6 +255,11 @@
     private fun execute(effect: AutoscalerEffect) {
         when (effect) {
             is AutoscalerEffect.Order -> placeOrder(effect)
+            is AutoscalerEffect.ReportWaste -> {
+                metrics.countWaste(effect.service, effect.waste, effect.amount)
+                val waste = effect.waste.name.lowercase()
+                log.info("event=scaling_waste service={} waste={} amount={}", effect.service, waste, effect.amount)
+            }
             is AutoscalerEffect.StoreInitialCounts -> scope.launch { storeInitialCounts(effect) }
         }
     }
--- a/node/src/main/kotlin/gypsumcart/node/Metrics.kt
+++ b/node/src/main/kotlin/gypsumcart/node/Metrics.kt
@@ -5,6 +5,7 @@
 import gypsumcart.core.dispatch.CallResult
 import gypsumcart.core.leases.CommandResult
 import gypsumcart.core.leases.FencedCommand
+import gypsumcart.core.replicas.Waste
 import gypsumcart.http.HeaderField
 import gypsumcart.http.Headers
 import gypsumcart.http.MemoryBudget
@@ -52,6 +53,12 @@
         registry.counter("gypsumcart.acts", "act", name, "result", result.name.lowercase()).increment()
     }
 
+    /** Adds [amount] to what orders of back ends for [service] wasted. */
+    fun countWaste(service: ServiceName, waste: Waste, amount: Double): Unit =
+        registry
+            .counter("gypsumcart.scaling.waste", "service", service.text, "waste", waste.name.lowercase())
+            .increment(amount)
+
     /** Counts a failed write to the store by [kind], the kind of row. */
     fun countFailedWrite(kind: String): Unit = registry.counter("gypsumcart.store.unwritten", "rows", kind).increment()
 
--- a/node/src/main/kotlin/gypsumcart/node/Node.kt
+++ b/node/src/main/kotlin/gypsumcart/node/Node.kt
@@ -104,7 +104,7 @@
     private val peerLink = PeerLink(rings.membership, client, runtime.scope, metrics)
     private val readPace = FleetReadPace()
     private val duties: List<Duty> =
-        RequestDuties(rings, edge, state, platform, timers, clock, settings.bounds).all +
+        RequestDuties(rings, edge, state, platform, timers, clock, settings.bounds, features).all +
             FleetDuties(
                 rings,
                 state,
--- a/node/src/main/kotlin/gypsumcart/node/PeerCodec.kt
+++ b/node/src/main/kotlin/gypsumcart/node/PeerCodec.kt
@@ -20,6 +20,8 @@
 import gypsumcart.core.membership.PeerItem
 import gypsumcart.core.membership.PeerMessage
 import gypsumcart.core.membership.TablePosition
+import kotlinx.serialization.EncodeDefault
+import kotlinx.serialization.ExperimentalSerializationApi
 import kotlinx.serialization.Serializable
 import kotlin.math.ceil
 import kotlin.math.round
@@ -39,6 +41,7 @@
 )
 
 /** Represents a report; [usage] and [until] are null if the recipient has the current counts already. */
+@OptIn(ExperimentalSerializationApi::class)
 @Serializable
 private class WireItem(
     val node: String,
@@ -57,6 +60,7 @@
     val lease: WireLease? = null,
     val lost: Map<String, Double> = emptyMap(),
     val findings: WireFindings? = null,
+    @EncodeDefault(EncodeDefault.Mode.NEVER) val arrivals: Map<String, WireArrivals> = emptyMap(),
 )
 
 @Serializable
@@ -129,6 +133,7 @@
         lease = report.lease?.let { WireLease(it.version, it.storedToken?.number) },
         lost = report.lostCapacity.entries.associate { (service, lost) -> service.text to lost.roundToTenths() },
         findings = report.findings.toWireOrNull(),
+        arrivals = report.arrivals.toWire(),
     )
 
 private fun Map<WindowNumber, Map<TeamName, Int>>.toWire(): Map<Long, Map<String, Int>> =
@@ -163,6 +168,7 @@
             lease = lease?.let { LeaseRow(key.node, key.incarnation, it.version, it.fence?.let(::FencingToken)) },
             lostCapacity = lost.mapKeys { ServiceName(it.key) },
             findings = findings.toFindings(),
+            arrivals = arrivals.toArrivals(),
         )
     return PeerItem(report, age.milliseconds, hasUsage = usage != null)
 }
--- a/node/src/main/kotlin/gypsumcart/node/RequestDuties.kt
+++ b/node/src/main/kotlin/gypsumcart/node/RequestDuties.kt
@@ -1,5 +1,6 @@
 package gypsumcart.node
 
+import gypsumcart.core.Features
 import gypsumcart.core.Outcome
 import gypsumcart.core.RefusalReason
 import gypsumcart.core.admission.Admission
@@ -38,6 +39,7 @@
     private val timers: Timers,
     private val clock: MonotonicClock,
     bounds: Bounds,
+    private val features: Features,
 ) {
     private val retryLimits = RetryLimits(bounds.retryRatio, bounds.retryExtra, bounds.retryWindowSeconds.seconds)
 
@@ -66,7 +68,10 @@
                 edge.deliver(effect.ticket, EdgeCommand.Conclude(effect.outcome))
             }
 
-            is AdmissionEffect.Report -> rings.membership.offer(MembershipEvent.QuotaUseMeasured(effect.use))
+            is AdmissionEffect.Report -> {
+                rings.membership.offer(MembershipEvent.QuotaUseMeasured(effect.use))
+                if (features.demandScaling) rings.membership.offer(MembershipEvent.ArrivalsMeasured(effect.arrivals))
+            }
         }
     }
 
--- a/node/src/main/kotlin/gypsumcart/node/RowCodecs.kt
+++ b/node/src/main/kotlin/gypsumcart/node/RowCodecs.kt
@@ -16,12 +16,15 @@
 import gypsumcart.core.membership.NodeKey
 import gypsumcart.core.membership.NodeReport
 import gypsumcart.core.membership.key
+import kotlinx.serialization.EncodeDefault
+import kotlinx.serialization.ExperimentalSerializationApi
 import kotlinx.serialization.KSerializer
 import kotlinx.serialization.SerialName
 import kotlinx.serialization.Serializable
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 
+@OptIn(ExperimentalSerializationApi::class)
 @Serializable
 private class ReportRow(
     @SerialName("client") val clientAddress: String,
@@ -38,6 +41,7 @@
     val lost: Map<String, Double> = emptyMap(),
     val findings: WireFindings? = null,
     val heard: Map<String, Long> = emptyMap(),
+    @EncodeDefault(EncodeDefault.Mode.NEVER) val arrivals: Map<String, WireArrivals> = emptyMap(),
 )
 
 @Serializable
@@ -111,6 +115,7 @@
             writtenMillis = writtenMillis,
             lost = lostCapacity.mapKeys { it.key.text },
             findings = findings.toWireOrNull(),
+            arrivals = arrivals.toWire(),
             heard = heard.entries.associate { (key, age) -> key.toRowKey().text to age.inWholeMilliseconds },
         ),
     )
@@ -152,6 +157,7 @@
             lease = null,
             lostCapacity = row.lost.mapKeys { ServiceName(it.key) },
             findings = row.findings.toFindings(),
+            arrivals = row.arrivals.toArrivals(),
         )
     return StoredReport(report, row.writtenMillis, row.heard.toHeard())
 }
