--- a/core/src/main/kotlin/gypsumcart/core/admission/Admission.kt
+++ b/core/src/main/kotlin/gypsumcart/core/admission/Admission.kt
@@ -10,6 +10,7 @@
 import gypsumcart.core.ServiceName
 import gypsumcart.core.Submission
 import gypsumcart.core.Team
+import gypsumcart.core.replicas.ArrivalMeter
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.seconds
 
@@ -22,6 +23,7 @@
 public class Admission(quotaBounds: QuotaBounds, sharing: QuotaSharing = QuotaSharing.Separate) :
     Decider<AdmissionEvent, AdmissionEffect> {
     private val quotas = Quotas(quotaBounds, sharing)
+    private val arrivals = ArrivalMeter()
     private var configuration: Configuration? = null
 
     /** Is null unless the node shuts down. */
@@ -58,7 +60,7 @@
                 emptyList()
             }
 
-            AdmissionEvent.ReportDue -> listOf(AdmissionEffect.Report(quotas.use(now)))
+            AdmissionEvent.ReportDue -> listOf(AdmissionEffect.Report(quotas.use(now), arrivals.perSecond(now)))
         }
 
     private fun configure(configuration: Configuration, now: MonotonicTime): List<AdmissionEffect> {
@@ -91,6 +93,7 @@
         }
 
     private fun chargeQuota(submission: Submission, route: Route, team: Team?, now: MonotonicTime): AdmissionEffect {
+        arrivals.add(submission, serviceOf(submission, route), now)
         val quota = team?.quota
         if (quota != null) {
             val retryAfter =
--- a/core/src/main/kotlin/gypsumcart/core/admission/AdmissionEvents.kt
+++ b/core/src/main/kotlin/gypsumcart/core/admission/AdmissionEvents.kt
@@ -6,9 +6,11 @@
 import gypsumcart.core.Outcome
 import gypsumcart.core.RequestDurations
 import gypsumcart.core.RouteKey
+import gypsumcart.core.ServiceName
 import gypsumcart.core.Submission
 import gypsumcart.core.TeamName
 import gypsumcart.core.Ticket
+import gypsumcart.core.replicas.Arrivals
 
 /** Represents an input of the [Admission] decider. */
 public sealed class AdmissionEvent {
@@ -49,8 +51,11 @@
         public val outcome: Outcome.NotRun,
     ) : AdmissionEffect()
 
-    /** Reports the use of quotas through this node, by team. */
-    public data class Report(public val use: Map<TeamName, QuotaUse>) : AdmissionEffect()
+    /** Reports the use of quotas through this node, by team, and what arrives for each service, admitted or not. */
+    public data class Report(
+        public val use: Map<TeamName, QuotaUse>,
+        public val arrivals: Map<ServiceName, Arrivals> = emptyMap(),
+    ) : AdmissionEffect()
 }
 
 /** Identifies the refused request within the process. */
--- a/core/src/main/kotlin/gypsumcart/core/membership/NodeReport.kt
+++ b/core/src/main/kotlin/gypsumcart/core/membership/NodeReport.kt
@@ -11,6 +11,7 @@
 import gypsumcart.core.admission.QuotaUse
 import gypsumcart.core.capacity.CapacityReport
 import gypsumcart.core.leases.LeaseRow
+import gypsumcart.core.replicas.Arrivals
 import gypsumcart.core.routing.RoutingFindings
 
 /**
@@ -30,6 +31,7 @@
  * @property lostCapacity the capacity that limits of back ends take away as the node sees it, as a number of back ends
  * by service
  * @property capacity what the node tells of its recent calls to each back end
+ * @property arrivals what clients ask of each service through the node, admitted or not
  * @property lease the lease row as last written by the node, or null if it has not written one
  * @property relayRank what the node's host can carry as the relay of its zone
  */
@@ -51,6 +53,7 @@
     public val findings: RoutingFindings = RoutingFindings.NONE,
     public val relayRank: RelayRank = RelayRank.LOWEST,
     public val capacity: CapacityReport = CapacityReport.NONE,
+    public val arrivals: Map<ServiceName, Arrivals> = emptyMap(),
 )
 
 /** Identifies one incarnation of a node. */
--- a/node/src/main/kotlin/gypsumcart/node/PeerCodec.kt
+++ b/node/src/main/kotlin/gypsumcart/node/PeerCodec.kt
@@ -65,6 +65,7 @@
     @SerialName("d") val findings: WireFindings? = null,
     @SerialName("r") val relayRank: Int = 0,
     @SerialName("s") val capacity: WireCapacity = emptyMap(),
+    @SerialName("w") val arrivals: Map<String, WireArrivals> = emptyMap(),
 )
 
 @Serializable
@@ -155,6 +156,7 @@
         findings = report.findings.toWireOrNull(),
         relayRank = report.relayRank.level,
         capacity = report.capacity.toWire(),
+        arrivals = report.arrivals.toWire(),
     )
 
 private fun Map<WindowNumber, Map<TeamName, Int>>.toWire(): Map<Long, Map<String, Int>> =
@@ -191,6 +193,7 @@
             findings = findings.toFindings(),
             relayRank = RelayRank(relayRank),
             capacity = capacity.toCapacity(),
+            arrivals = arrivals.toArrivals(),
         )
     return PeerItem(report, ageMillis.milliseconds, hasUsage)
 }
--- a/node/src/main/kotlin/gypsumcart/node/RequestDuties.kt
+++ b/node/src/main/kotlin/gypsumcart/node/RequestDuties.kt
@@ -41,7 +41,7 @@
     private val timers: Timers,
     private val clock: MonotonicClock,
     bounds: Bounds,
-    features: Features,
+    private val features: Features,
 ) {
     private val sharing = if (features.quotaLoans) QuotaSharing.Lending else QuotaSharing.Separate
     private val retryLimits = RetryLimits(bounds.retryRatio, bounds.retryExtra, bounds.retryWindowSeconds.seconds)
@@ -71,7 +71,10 @@
                 edge.deliver(effect.ticket, EdgeCommand.Conclude(effect.outcome))
             }
 
-            is AdmissionEffect.Report -> rings.membership.offer(MembershipEvent.QuotaUseMeasured(effect.use))
+            is AdmissionEffect.Report -> {
+                rings.membership.offer(MembershipEvent.QuotaUseMeasured(effect.use))
+                if (features.demandScaling) rings.membership.offer(MembershipEvent.ArrivalsMeasured(effect.arrivals))
+            }
         }
     }
 
--- a/node/src/main/kotlin/gypsumcart/node/RowCodecs.kt
+++ b/node/src/main/kotlin/gypsumcart/node/RowCodecs.kt
@@ -17,12 +17,15 @@
 import gypsumcart.core.membership.NodeReport
 import gypsumcart.core.membership.RelayRank
 import gypsumcart.core.membership.key
+import kotlinx.serialization.EncodeDefault
+import kotlinx.serialization.ExperimentalSerializationApi
 import kotlinx.serialization.KSerializer
 import kotlinx.serialization.SerialName
 import kotlinx.serialization.Serializable
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 
+@OptIn(ExperimentalSerializationApi::class)
 @Serializable
 private class ReportRow(
     @SerialName("client") val clientAddress: String,
@@ -41,6 +44,7 @@
     val capacity: WireCapacity = emptyMap(),
     val heard: Map<String, Long> = emptyMap(),
     @SerialName("rank") val relayRank: Int = 0,
+    @EncodeDefault(EncodeDefault.Mode.NEVER) val arrivals: Map<String, WireArrivals> = emptyMap(),
 )
 
 @Serializable
@@ -115,6 +119,7 @@
             lost = lostCapacity.mapKeys { it.key.text },
             findings = findings.toWireOrNull(),
             capacity = capacity.toWire(),
+            arrivals = arrivals.toWire(),
             heard = heard.entries.associate { (key, age) -> key.toRowKey().text to age.inWholeMilliseconds },
             relayRank = relayRank.level,
         ),
@@ -159,6 +164,7 @@
             findings = row.findings.toFindings(),
             relayRank = RelayRank(row.relayRank),
             capacity = row.capacity.toCapacity(),
+            arrivals = row.arrivals.toArrivals(),
         )
     return StoredReport(report, row.writtenMillis, row.heard.toHeard())
 }
