Bound the calls of all nodes to a back end and let weights follow slowly

Cause: weights by latency alone react late near full load and then swing, and the calls that nodes had counted said nothing of those in progress.

Change: nodes also tell their calls in progress; a back end that has half again as many as the mean is passed over by a part of the requests. Weights follow the inverse of the latency over five seconds.

--- a/core/src/main/kotlin/gypsumcart/core/capacity/CapacityLearner.kt
+++ b/core/src/main/kotlin/gypsumcart/core/capacity/CapacityLearner.kt
@@ -10,8 +10,9 @@
 /**
  * Learns from the calls of all nodes how much each instance of a back end takes compared with its peers.
  *
- * A weight is the inverse of the latency relative to the peers. With weights in this proportion, all instances have the
- * same number of calls in progress, and a load that slows an instance down lowers its weight as a slower machine does.
+ * A weight follows the inverse of the latency relative to the peers. With weights in this proportion, all instances
+ * have the same number of calls in progress, and a load that slows an instance down lowers its weight as a slower
+ * machine does.
  */
 internal class CapacityLearner {
     private val usual = UsualLatencies()
@@ -37,10 +38,16 @@
     /** Returns what is known of the instance, or null if it is not listed. */
     fun of(backEnd: BackEnd): InstanceCapacity? = instances[backEnd.key.tag]
 
+    /** Counts a call that starts. */
+    fun recordStart(instance: InstanceTag, now: MonotonicTime): Unit = own.countInProgress(instance, 1, now)
+
+    /** Counts a call that ends. */
+    fun recordEnd(instance: InstanceTag, now: MonotonicTime): Unit = own.countInProgress(instance, -1, now)
+
     /** Records a response that started [latency] after its call. */
     fun recordResponse(instance: InstanceTag, kind: CallClass, latency: Duration, now: MonotonicTime) {
         val slowness = usual.record(kind, latency, now).coerceAtMost(MAX_SLOWNESS)
-        own.add(instance, CallSums(calls = 1.0, slowness, failures = 0.0), now)
+        own.add(instance, CallSums(calls = 1.0, slowness), now)
     }
 
     /** Records a call that failed, which counts as a slow one. */
@@ -50,7 +57,7 @@
     /** Records a call that was given up [elapsed] after its start; it shows something only if that is long. */
     fun recordAbandoned(instance: InstanceTag, kind: CallClass, elapsed: Duration, now: MonotonicTime) {
         val slowness = usual.multipleOrNull(kind, elapsed)?.coerceAtMost(MAX_SLOWNESS) ?: return
-        if (slowness > 1) own.add(instance, CallSums(calls = 1.0, slowness, failures = 0.0), now)
+        if (slowness > 1) own.add(instance, CallSums(calls = 1.0, slowness), now)
     }
 
     /** Records what [node] counted up to [asOf]. */
--- a/core/src/main/kotlin/gypsumcart/core/capacity/CapacityReport.kt
+++ b/core/src/main/kotlin/gypsumcart/core/capacity/CapacityReport.kt
@@ -19,18 +19,36 @@
  * @property calls the number of calls that ended or whose response started
  * @property slowness the sum of the latencies of these calls, each as a multiple of what its route usually takes
  * @property failures the number of these calls that failed
+ * @property inProgress the number of calls that have not ended
  */
-public data class CallSums(public val calls: Double, public val slowness: Double, public val failures: Double) {
+public data class CallSums(
+    public val calls: Double,
+    public val slowness: Double,
+    public val failures: Double = 0.0,
+    public val inProgress: Double = 0.0,
+) {
     /** Adds the calls of both. */
     public operator fun plus(other: CallSums): CallSums =
-        CallSums(calls + other.calls, slowness + other.slowness, failures + other.failures)
+        CallSums(
+            calls + other.calls,
+            slowness + other.slowness,
+            failures + other.failures,
+            inProgress + other.inProgress,
+        )
 
     /** Counts each call [factor] times. */
-    public operator fun times(factor: Double): CallSums = CallSums(calls * factor, slowness * factor, failures * factor)
+    public operator fun times(factor: Double): CallSums =
+        CallSums(calls * factor, slowness * factor, failures * factor, inProgress * factor)
+
+    /** Whether the sums are so small that they may be forgotten. */
+    internal val isNegligible: Boolean get() = calls + inProgress < NEGLIGIBLE_CALLS
 
     public companion object {
         /** No calls. */
-        public val NONE: CallSums = CallSums(0.0, 0.0, 0.0)
+        public val NONE: CallSums = CallSums(0.0, 0.0)
+
+        /** So few calls no longer change the estimate of a busy instance. */
+        private const val NEGLIGIBLE_CALLS = 0.1
     }
 }
 
--- a/core/src/main/kotlin/gypsumcart/core/capacity/InstanceCapacity.kt
+++ b/core/src/main/kotlin/gypsumcart/core/capacity/InstanceCapacity.kt
@@ -3,7 +3,9 @@
 import gypsumcart.core.MonotonicTime
 import gypsumcart.core.ServiceName
 import kotlin.math.abs
+import kotlin.math.exp
 import kotlin.math.ln
+import kotlin.math.pow
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.seconds
 
@@ -16,12 +18,20 @@
     var weight = if (rampFrom == null) 1.0 else START_TRUST
         private set
 
+    private var smoothedWeight = 1.0
     private var learnedWeight = 1.0
+    private var adaptedAt: MonotonicTime? = null
 
-    /** Changes the weight to [target] if that is clearly different, so that prompts seldom change their back end. */
+    /**
+     * Lets the weight follow [target] slowly, since the latencies show an effect of a weight only after a while; and in
+     * steps, so that prompts seldom change their back end.
+     */
     fun adapt(target: Double, now: MonotonicTime) {
-        val bounded = target.coerceIn(MIN_WEIGHT, MAX_WEIGHT)
-        if (abs(ln(bounded / learnedWeight)) >= HYSTERESIS) learnedWeight = bounded
+        val elapsed = adaptedAt?.let { now - it } ?: Duration.ZERO
+        val kept = exp(-(elapsed / SMOOTHING))
+        smoothedWeight = smoothedWeight.pow(kept) * target.coerceIn(MIN_WEIGHT, MAX_WEIGHT).pow(1 - kept)
+        adaptedAt = now
+        if (abs(ln(smoothedWeight / learnedWeight)) >= STEP) learnedWeight = smoothedWeight
         weight = learnedWeight * trustAt(now)
     }
 
@@ -36,8 +46,11 @@
         const val MIN_WEIGHT = 0.25
         const val MAX_WEIGHT = 3.0
 
-        /** The change of the logarithm of a weight that is taken over: about an eighth. */
-        const val HYSTERESIS = 0.12
+        /** Longer than sums take to show the effect of a change, so that weights don't swing. */
+        val SMOOTHING: Duration = 5.seconds
+
+        /** The change of the logarithm of a weight that is taken over: about a tenth. */
+        const val STEP = 0.1
 
         /** The part of its weight that a new instance has at first. */
         const val START_TRUST = 0.2
--- a/core/src/main/kotlin/gypsumcart/core/capacity/OwnSums.kt
+++ b/core/src/main/kotlin/gypsumcart/core/capacity/OwnSums.kt
@@ -8,39 +8,49 @@
 internal class OwnSums {
     private class Entry(now: MonotonicTime) {
         val sums = DecayingSums(CallSums.NONE, now)
-        var untoldCalls = 0
+        var inProgress = 0
+        var untoldChanges = 0
         var toldAt = now
+
+        fun asOf(now: MonotonicTime): CallSums = sums.asOf(now).copy(inProgress = inProgress.toDouble())
     }
 
     private val entries = HashMap<InstanceTag, Entry>()
 
-    fun add(instance: InstanceTag, call: CallSums, now: MonotonicTime) {
+    fun add(instance: InstanceTag, call: CallSums, now: MonotonicTime): Unit =
+        change(instance, now) { it.sums.add(call, now) }
+
+    /** Counts a call that starts, or ends if [change] is -1. */
+    fun countInProgress(instance: InstanceTag, change: Int, now: MonotonicTime): Unit =
+        change(instance, now) { it.inProgress += change }
+
+    private inline fun change(instance: InstanceTag, now: MonotonicTime, action: (Entry) -> Unit) {
         val entry = entries.getOrPut(instance) { Entry(now) }
-        entry.sums.add(call, now)
-        entry.untoldCalls++
+        action(entry)
+        entry.untoldChanges++
     }
 
     /** Calls [action] with the sums of each instance at [now], and forgets those that hardly count any more. */
     fun forEach(now: MonotonicTime, action: (InstanceTag, CallSums) -> Unit) {
         entries.entries.removeIf { (instance, entry) ->
-            val sums = entry.sums.asOf(now)
+            val sums = entry.asOf(now)
             action(instance, sums)
-            sums.calls < MIN_CALLS && entry.untoldCalls == 0
+            sums.isNegligible && entry.untoldChanges == 0
         }
     }
 
-    /** Returns the sums with the most calls that were not told yet, and those that were told last, if there is room. */
+    /** Returns the sums with the most changes that were not told yet, and those told last, if there is room. */
     fun report(now: MonotonicTime): CapacityReport {
         val news =
             entries.entries
-                .filter { (_, entry) -> entry.untoldCalls > 0 || now - entry.toldAt <= REPEAT_TIME }
-                .sortedByDescending { it.value.untoldCalls }
+                .filter { (_, entry) -> entry.untoldChanges > 0 || now - entry.toldAt <= REPEAT_TIME }
+                .sortedByDescending { it.value.untoldChanges }
                 .take(MAX_REPORTED)
         for ((_, entry) in news) {
-            if (entry.untoldCalls > 0) entry.toldAt = now
-            entry.untoldCalls = 0
+            if (entry.untoldChanges > 0) entry.toldAt = now
+            entry.untoldChanges = 0
         }
-        return CapacityReport(news.associate { (instance, entry) -> instance to entry.sums.asOf(now) })
+        return CapacityReport(news.associate { (instance, entry) -> instance to entry.asOf(now) })
     }
 
     private companion object {
@@ -51,6 +61,3 @@
         val REPEAT_TIME: Duration = 0.6.seconds
     }
 }
-
-/** The number of calls below which sums are forgotten, since they no longer change the estimate of a busy instance. */
-internal const val MIN_CALLS: Double = 0.1
--- a/core/src/main/kotlin/gypsumcart/core/capacity/PeerSums.kt
+++ b/core/src/main/kotlin/gypsumcart/core/capacity/PeerSums.kt
@@ -30,7 +30,7 @@
             ofNode.entries.removeIf { (instance, decaying) ->
                 val sums = decaying.asOf(now)
                 action(instance, sums)
-                sums.calls < MIN_CALLS
+                sums.isNegligible
             }
             ofNode.isEmpty()
         }
--- a/core/src/main/kotlin/gypsumcart/core/routing/BackEndChoice.kt
+++ b/core/src/main/kotlin/gypsumcart/core/routing/BackEndChoice.kt
@@ -22,7 +22,7 @@
 internal fun BackEndChoice.choose(eligible: List<Candidate>, admitted: AdmittedRequest, cost: Double): Candidate =
     when (this) {
         BackEndChoice.Even -> eligible.choose(admitted, cost)
-        is BackEndChoice.ByCapacity -> eligible.chooseByCapacity(admitted, cost)
+        is BackEndChoice.ByCapacity -> eligible.chooseByCapacity(admitted)
     }
 
 /** Records which back ends are listed and connects them with what is known of them. */
@@ -36,6 +36,14 @@
     }
 }
 
+/** Records that a call to [instance] starts. */
+internal fun BackEndChoice.recordCall(instance: InstanceKey, now: MonotonicTime) {
+    when (this) {
+        BackEndChoice.Even -> Unit
+        is BackEndChoice.ByCapacity -> capacity.recordStart(instance.tag, now)
+    }
+}
+
 /** Records that the response of [call] to [instance] started. */
 internal fun BackEndChoice.recordStart(instance: InstanceKey, call: InFlightCall, now: MonotonicTime) {
     when (this) {
@@ -45,7 +53,7 @@
     }
 }
 
-/** Records what the end of [call] to [instance] shows, unless its response had started before. */
+/** Records the end of [call], and what it shows unless its response had started before. */
 internal fun BackEndChoice.recordEnd(
     event: RoutingEvent.CallReleased,
     call: InFlightCall,
@@ -54,11 +62,14 @@
 ) {
     when (this) {
         BackEndChoice.Even -> Unit
-        is BackEndChoice.ByCapacity -> if (!call.started) capacity.recordEnd(event, call, backEnd, now)
+        is BackEndChoice.ByCapacity -> {
+            capacity.recordEnd(event.instance.tag, now)
+            if (!call.started) capacity.recordResult(event, call, backEnd, now)
+        }
     }
 }
 
-private fun CapacityLearner.recordEnd(
+private fun CapacityLearner.recordResult(
     event: RoutingEvent.CallReleased,
     call: InFlightCall,
     backEnd: BackEnd,
--- a/core/src/main/kotlin/gypsumcart/core/routing/Candidates.kt
+++ b/core/src/main/kotlin/gypsumcart/core/routing/Candidates.kt
@@ -60,8 +60,8 @@
     /** What the instance takes as a multiple of what others of its service do. */
     val weight: Double get() = capacity?.weight ?: 1.0
 
-    /** The recent calls of all nodes to the instance. */
-    val sharedCalls: Double get() = capacity?.sums?.calls ?: 0.0
+    /** The calls of all nodes to the instance that are in progress, as far as they have told. */
+    val sharedCalls: Double get() = capacity?.sums?.inProgress ?: 0.0
 
     /** The total cost of the in-flight calls of this node to the instance. */
     var load = 0.0
--- a/core/src/main/kotlin/gypsumcart/core/routing/Routing.kt
+++ b/core/src/main/kotlin/gypsumcart/core/routing/Routing.kt
@@ -193,6 +193,7 @@
         val cost = costOf(admitted)
         val chosen = if (isTrial) eligible.leastLoaded(admitted.ticket) else choice.choose(eligible, admitted, cost)
         chosen.startCall(admitted, cost, now)
+        choice.recordCall(chosen.backEnd.key, now)
         return RoutingEffect.Assign(admitted, attempt, chosen.backEnd, eligible.size)
     }
 
--- a/core/src/main/kotlin/gypsumcart/core/routing/WeightedChoice.kt
+++ b/core/src/main/kotlin/gypsumcart/core/routing/WeightedChoice.kt
@@ -12,27 +12,31 @@
  * that not all nodes leave it for the same next one at once. Requests without a shared prefix go to the less loaded of
  * two candidates.
  */
-internal fun List<Candidate>.chooseByCapacity(admitted: AdmittedRequest, cost: Double): Candidate {
-    val prefix = admitted.sharedPrefixOrNull() ?: return lessLoadedOfTwo(admitted.ticket)
+internal fun List<Candidate>.chooseByCapacity(admitted: AdmittedRequest): Candidate {
     val bounds = LoadBounds.of(this)
+    val prefix = admitted.sharedPrefixOrNull() ?: return lessLoadedOfTwo(admitted.ticket, bounds)
     var best: Candidate? = null
     var bestScore = 0.0
     for (candidate in this) {
         val score = -candidate.weight / ln(unitInterval(rendezvousWeight(prefix, candidate.backEnd.key)))
-        if (score > bestScore && bounds.admit(candidate, cost, admitted.ticket)) {
+        if (score > bestScore && bounds.admit(candidate, admitted.ticket)) {
             best = candidate
             bestScore = score
         }
     }
-    return best ?: lessLoadedOfTwo(admitted.ticket)
+    return best ?: lessLoadedOfTwo(admitted.ticket, bounds)
 }
 
-/** Holds the load of each unit of weight, on average over the candidates. */
-private class LoadBounds(private val ownLoad: Double, private val sharedCalls: Double) {
-    fun admit(candidate: Candidate, cost: Double, ticket: Ticket): Boolean {
-        val weight = candidate.weight
-        if (candidate.load > ownLoad * weight * LOAD_BALANCE_FACTOR + LOAD_SLACK) return false
-        val sharedBound = sharedCalls * weight * LOAD_BALANCE_FACTOR + SHARED_SLACK * cost
+/**
+ * Bounds the load of candidates.
+ *
+ * Weights are such that all have as many calls of all nodes in progress, so that these are bounded alike.
+ */
+private class LoadBounds(private val ownLoadOfWeight: Double, meanSharedCalls: Double) {
+    private val sharedBound = (meanSharedCalls + SHARED_SLACK) * LOAD_BALANCE_FACTOR
+
+    fun admit(candidate: Candidate, ticket: Ticket): Boolean {
+        if (candidate.load > ownLoadOfWeight * candidate.weight * LOAD_BALANCE_FACTOR + LOAD_SLACK) return false
         if (candidate.sharedCalls <= sharedBound) return true
         val admittedPart = sharedBound / candidate.sharedCalls
         return unitInterval(hashOf(ticket, candidate.backEnd.key)) < admittedPart * admittedPart
@@ -48,17 +52,21 @@
                 calls += candidate.sharedCalls
                 weight += candidate.weight
             }
-            return LoadBounds(load / weight, calls / weight)
+            return LoadBounds(load / weight, calls / candidates.size)
         }
     }
 }
 
 /** Returns the less loaded of two candidates, each of which is drawn in proportion to its weight. */
-internal fun List<Candidate>.lessLoadedOfTwo(ticket: Ticket): Candidate {
+private fun List<Candidate>.lessLoadedOfTwo(ticket: Ticket, bounds: LoadBounds): Candidate {
     val first = drawByWeight(unitInterval(hashOf(ticket, FIRST_DRAW)), except = null)
     if (size == 1) return first
     val second = drawByWeight(unitInterval(hashOf(ticket, SECOND_DRAW)), except = first)
-    return if (second.load / second.weight < first.load / first.weight) second else first
+    return when {
+        !bounds.admit(first, ticket) -> second
+        second.load / second.weight < first.load / first.weight && bounds.admit(second, ticket) -> second
+        else -> first
+    }
 }
 
 /** Returns the candidate at the position [point] from 0 to 1 of the weights laid end to end. */
@@ -90,5 +98,5 @@
 private const val FIRST_DRAW = 0x2545f491
 private const val SECOND_DRAW = 0x51ed270b
 
-/** Added to the bound on the calls of all nodes, in calls: so few never send a request away from its cached prompt. */
-private const val SHARED_SLACK = 10.0
+/** Added to the mean of the calls of all nodes: so few never send a request away from its cached prompt. */
+private const val SHARED_SLACK = 3.0
--- a/node/src/main/kotlin/gypsumcart/node/CapacityCodec.kt
+++ b/node/src/main/kotlin/gypsumcart/node/CapacityCodec.kt
@@ -8,14 +8,18 @@
 /**
  * Represents what a node tells of its recent calls, in reports to other nodes and in rows of the store.
  *
- * Each instance has the tenths of its calls, of their slowness and of their failures.
+ * Each instance has the tenths of its calls, of their slowness, of those in progress and, if there are any, of the
+ * failures.
  */
 internal typealias WireCapacity = Map<String, List<Int>>
 
 internal fun CapacityReport.toWire(): WireCapacity =
     sums.entries.associate { (instance, sums) -> instance.number.toString(TAG_RADIX) to sums.toTenths() }
 
-private fun CallSums.toTenths(): List<Int> = listOf(calls, slowness, failures).map { (it * TENTHS).roundToInt() }
+private fun CallSums.toTenths(): List<Int> {
+    val known = listOf(calls, slowness, inProgress, failures).map { (it * TENTHS).roundToInt() }
+    return if (known.last() == 0) known.dropLast(1) else known
+}
 
 /** Returns the report; entries of another form are left out. */
 internal fun WireCapacity.toCapacity(): CapacityReport =
@@ -28,13 +32,20 @@
             }.toMap(),
     )
 
-private fun List<Int>.toSumsOrNull(): CallSums? =
-    if (size != SUMS || any { it < 0 }) null else CallSums(this[0] / TENTHS, this[1] / TENTHS, this[2] / TENTHS)
+private fun List<Int>.toSumsOrNull(): CallSums? {
+    if (size !in SUMS || any { it < 0 }) return null
+    return CallSums(
+        calls = this[0] / TENTHS,
+        slowness = this[1] / TENTHS,
+        inProgress = this[2] / TENTHS,
+        failures = (getOrNull(SUMS.first) ?: 0) / TENTHS,
+    )
+}
 
 private const val TENTHS = 10.0
 
-/** Calls, slowness and failures. */
-private const val SUMS = 3
+/** Calls, slowness, calls in progress, and failures if there are any. */
+private val SUMS = 3..4
 
 /** The largest radix that digits and letters allow. */
 private const val TAG_RADIX = 36
