Roll versions out by stages, watch them, and roll them back

Change: the holder of the lease moves a roll-out on, one conditional write a stage, together with the operator's status. Every node divides requests by the hash of their ids and the stage's share, bounds what it exposes by its own counts, shares its evidence by version and route over the peer link, and stops using a version by a sequential test on all evidence. An old version is sealed by each node before the roll-out is complete. All of it runs on a duty of its own that exists only where the settings name the policy.

--- a/core/src/main/kotlin/gypsumcart/core/BackEnd.kt
+++ b/core/src/main/kotlin/gypsumcart/core/BackEnd.kt
@@ -10,6 +10,8 @@
  * @property draining whether it is about to stop and accepts no new requests
  * @property spot whether it is a spot instance, which the cloud may reclaim
  * @property terminatesIn the time from the registry entry until it terminates, or null if the entry does not state it
+ * @property version the version of its software, or null if the entry does not state it
+ * @property warmsUpIn the time from the registry entry until it works at full speed
  */
 public data class BackEnd(
     public val id: BackEndId,
@@ -21,4 +23,6 @@
     public val draining: Boolean,
     public val spot: Boolean,
     public val terminatesIn: Duration?,
+    public val version: BackEndVersion? = null,
+    public val warmsUpIn: Duration = Duration.ZERO,
 )
--- a/core/src/main/kotlin/gypsumcart/core/Ids.kt
+++ b/core/src/main/kotlin/gypsumcart/core/Ids.kt
@@ -96,6 +96,20 @@
     override fun toString(): String = number.toString()
 }
 
+/** Names the version of the software that a back end runs; versions have no order. */
+@JvmInline
+public value class BackEndVersion(public val text: String) {
+    override fun toString(): String = text
+}
+
+/** Numbers the orders of roll-outs; of two orders for a service, the one with the higher number is in force. */
+@JvmInline
+public value class OrderNumber(public val number: Long) : Comparable<OrderNumber> {
+    override fun compareTo(other: OrderNumber): Int = number.compareTo(other.number)
+
+    override fun toString(): String = number.toString()
+}
+
 /** Numbers the windows over which usage is reported; window 0 starts at 1970-01-01T00:00Z. */
 @JvmInline
 public value class WindowNumber(public val number: Long) : Comparable<WindowNumber> {
--- a/core/src/main/kotlin/gypsumcart/core/membership/Membership.kt
+++ b/core/src/main/kotlin/gypsumcart/core/membership/Membership.kt
@@ -41,6 +41,7 @@
     private val exchanges = PeerExchanges(self, settings.zone, table)
     private val quotaView = PeerQuotaView(settings, table)
     private val liveness = Liveness(settings, table)
+    private val rollouts = RolloutSharing(table, liveness)
     private var publishedAt: MonotonicTime? = null
     private var storeReadRequestedAt: MonotonicTime? = null
     private var linked = false
@@ -49,7 +50,7 @@
 
     override fun decide(event: MembershipEvent, now: MonotonicTime): List<MembershipEffect> {
         liveness.step(now)
-        return handle(event, now)
+        return handle(event, now) + rollouts.changes(own.report, now)
     }
 
     private fun handle(event: MembershipEvent, now: MonotonicTime): List<MembershipEffect> =
@@ -65,6 +66,7 @@
                     }
                 }
             is MembershipEvent.FindingsUpdated -> updateFindings(event.findings, now)
+            is MembershipEvent.RolloutsUpdated -> noEffects { own.updateRollouts(event, now) }
             is MembershipEvent.UsageCounted -> noEffects { own.updateUsage(event.usage, event.until) }
             is MembershipEvent.LeaseWritten -> noEffects { own.update { it.copy(lease = event.row) } }
             is MembershipEvent.MessageReceived -> receiveMessage(event, now)
--- a/core/src/main/kotlin/gypsumcart/core/membership/MembershipEvents.kt
+++ b/core/src/main/kotlin/gypsumcart/core/membership/MembershipEvents.kt
@@ -9,6 +9,8 @@
 import gypsumcart.core.admission.QuotaPeers
 import gypsumcart.core.admission.QuotaUse
 import gypsumcart.core.leases.LeaseRow
+import gypsumcart.core.rollout.NodeRollouts
+import gypsumcart.core.rollout.RolloutReport
 import gypsumcart.core.routing.RoutingFindings
 import kotlin.time.Duration
 
@@ -46,6 +48,16 @@
     /** What this node has found out about back ends was updated; the ages in [findings] count from now. */
     public data class FindingsUpdated(public val findings: RoutingFindings) : MembershipEvent()
 
+    /**
+     * What this node knows of roll-outs and has seen of them was updated.
+     *
+     * @property isUrgent whether the others should hear it before the next report is due
+     */
+    public data class RolloutsUpdated(
+        public val reports: List<RolloutReport>,
+        public val isUrgent: Boolean,
+    ) : MembershipEvent()
+
     /** The requests that started to run through this node were counted; the counts are complete up to [until]. */
     public data class UsageCounted(
         public val usage: Map<WindowNumber, Map<TeamName, Int>>,
@@ -102,6 +114,12 @@
         public val asOf: MonotonicTime,
     ) : MembershipEffect()
 
+    /** Passes on what the other nodes report of roll-outs; the nodes that run, this one included, are in [live]. */
+    public data class ObserveRollouts(
+        public val reports: List<NodeRollouts>,
+        public val live: Set<NodeKey>,
+    ) : MembershipEffect()
+
     /** Updates the nodes among which the admission filter divides quotas. */
     public data class UpdateQuotaPeers(public val peers: QuotaPeers) : MembershipEffect()
 
--- a/core/src/main/kotlin/gypsumcart/core/membership/NodeReport.kt
+++ b/core/src/main/kotlin/gypsumcart/core/membership/NodeReport.kt
@@ -10,6 +10,7 @@
 import gypsumcart.core.ZoneName
 import gypsumcart.core.admission.QuotaUse
 import gypsumcart.core.leases.LeaseRow
+import gypsumcart.core.rollout.RolloutReport
 import gypsumcart.core.routing.RoutingFindings
 
 /**
@@ -28,6 +29,7 @@
  * @property findings what the node has found out about back ends; the ages count from the time of the report
  * @property lostCapacity the capacity that limits of back ends take away as the node sees it, as a number of back ends
  * by service
+ * @property rollouts what the node knows and has seen of the roll-outs that run; none otherwise
  * @property lease the lease row as last written by the node, or null if it has not written one
  */
 public data class NodeReport(
@@ -46,6 +48,7 @@
     public val lease: LeaseRow?,
     public val lostCapacity: Map<ServiceName, Double> = emptyMap(),
     public val findings: RoutingFindings = RoutingFindings.NONE,
+    public val rollouts: List<RolloutReport> = emptyList(),
 )
 
 /** Identifies one incarnation of a node. */
--- a/core/src/main/kotlin/gypsumcart/core/membership/OwnReport.kt
+++ b/core/src/main/kotlin/gypsumcart/core/membership/OwnReport.kt
@@ -48,6 +48,12 @@
         return changed
     }
 
+    /** Replaces what is reported of roll-outs, at once if it is urgent. */
+    fun updateRollouts(event: MembershipEvent.RolloutsUpdated, now: MonotonicTime) {
+        report = report.copy(rollouts = event.reports)
+        if (event.isUrgent) renew(now)
+    }
+
     /** Numbers the report anew and records it. */
     fun renew(now: MonotonicTime) {
         report =
--- a/core/src/main/kotlin/gypsumcart/core/routing/Routing.kt
+++ b/core/src/main/kotlin/gypsumcart/core/routing/Routing.kt
@@ -9,6 +9,7 @@
 import gypsumcart.core.RefusalReason
 import gypsumcart.core.ServiceName
 import gypsumcart.core.Ticket
+import gypsumcart.core.rollout.VersionSplit
 import kotlin.math.ceil
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.seconds
@@ -33,6 +34,7 @@
     private val quarantine = Quarantine()
     private val refusals = PacedRefusals()
     private var sharedFindings = RoutingFindings.NONE
+    private val versions = VersionSplit()
     private var place = NodePlace(nodeCount = 1, rank = 0)
 
     override fun decide(event: RoutingEvent, now: MonotonicTime): List<RoutingEffect> =
@@ -49,6 +51,10 @@
             is RoutingEvent.FindingsReceived -> learn(event.findings, event.asOf, now)
             is RoutingEvent.LimitStated -> hearLimit(event, now)
             is RoutingEvent.PauseStated -> pauseCalls(event, now)
+            is RoutingEvent.VersionsRuled -> {
+                versions.update(event.rules)
+                assignWaiting(now) + versions.uses(candidates)
+            }
             RoutingEvent.Sweep -> assignWaiting(now) + expireWaiting(now)
             RoutingEvent.ReportDue -> report(now)
             RoutingEvent.Aborted ->
@@ -69,6 +75,7 @@
             key !in keys && candidate.inFlightCalls == 0 && !candidate.limiter.isPaused(now)
         }
         candidatesByService.clear()
+        versions.list(backEnds, now)
         backEnds
             .map { backEnd -> candidates.getOrPut(backEnd.key) { Candidate(backEnd) }.also { it.backEnd = backEnd } }
             .sortedBy { it.backEnd.id }
@@ -159,7 +166,7 @@
         val prompt = admitted.submission.prompt
         val outcome = event.fallbackOutcome
         val mayHaveRun = outcome is Outcome.Failed
-        val others = candidatesByService[admitted.service].orEmpty()
+        val others = versions.select(admitted, candidatesByService, event.excluded, place, now)
         val verdict = quarantine.verdictOn(prompt, runsTrials = false, now)
         return when {
             now >= admitted.deadline -> outcome
@@ -178,12 +185,14 @@
         now: MonotonicTime,
         isTrial: Boolean = false,
     ): RoutingEffect? {
-        val available = candidatesByService[admitted.service].orEmpty().filter { it.isAvailable(excluded, place, now) }
+        val ofVersion = versions.select(admitted, candidatesByService, excluded, place, now)
+        val available = ofVersion.filter { it.isAvailable(excluded, place, now) }
         if (available.isEmpty() || attempt == AttemptNumber.FIRST && isAtCapacity(admitted, now)) return null
         val eligible = available.filterNot { it.isEjected(now) }.ifEmpty { available }
         val cost = costOf(admitted)
         val chosen = if (isTrial) eligible.leastLoaded(admitted.ticket) else eligible.choose(admitted, cost)
         chosen.startCall(admitted.ticket, admitted.submission.prompt, cost)
+        versions.count(admitted, attempt, chosen.backEnd)
         return RoutingEffect.Assign(admitted, attempt, chosen.backEnd, eligible.size)
     }
 
@@ -195,7 +204,7 @@
      */
     private fun isAtCapacity(admitted: AdmittedRequest, now: MonotonicTime): Boolean {
         if (admitted.submission.prompt == null) return false
-        val serviceCandidates = candidatesByService[admitted.service].orEmpty()
+        val serviceCandidates = versions.select(admitted, candidatesByService, emptySet(), place, now)
         val accepting = serviceCandidates.filterNot { it.backEnd.draining || it.limiter.isPaused(now) }
         val slots = accepting.sumOf { it.backEnd.slots }
         return serviceCandidates.sumOf { it.inFlightCalls } >= ceil(slots * MAX_SLOT_UTILIZATION / place.nodeCount)
@@ -204,7 +213,8 @@
     private fun releaseCall(event: RoutingEvent.CallReleased, now: MonotonicTime): List<RoutingEffect> {
         val candidate = candidates[event.instance]
         val call = candidate?.endCall(event.ticket, event.health, now)
-        val learned = if (call == null) emptyList() else learnFrom(call, candidate.backEnd, event.health, now)
+        val used = if (versions.awaitsEndOf(candidate)) versions.uses(candidates) else emptyList()
+        val learned = used + if (call == null) emptyList() else learnFrom(call, candidate.backEnd, event.health, now)
         return if (waiting.isEmpty()) learned else learned + assignWaiting(now)
     }
 
@@ -301,7 +311,7 @@
             }
         // The other nodes are assumed to have as many requests as this one.
         val lost = candidatesByService.lostCapacity { retryBudgets.requestRate(it, now) * place.nodeCount }
-        return apply(quarantine.expire(now), now) + shareFindings(now) +
+        return apply(quarantine.expire(now), now) + shareFindings(now) + versions.uses(candidates) +
             RoutingEffect.ReportLoad(
                 load,
                 latencies.slowestTenths(now),
--- a/core/src/main/kotlin/gypsumcart/core/routing/RoutingEvents.kt
+++ b/core/src/main/kotlin/gypsumcart/core/routing/RoutingEvents.kt
@@ -7,6 +7,8 @@
 import gypsumcart.core.Outcome
 import gypsumcart.core.ServiceName
 import gypsumcart.core.Ticket
+import gypsumcart.core.rollout.VersionRule
+import gypsumcart.core.rollout.VersionUse
 
 /** Represents an input of the [Routing] decider. */
 public sealed class RoutingEvent {
@@ -88,6 +90,9 @@
         public val until: MonotonicTime,
     ) : RoutingEvent()
 
+    /** The rules by which requests are divided between versions of their service are now [rules]. */
+    public data class VersionsRuled(public val rules: List<VersionRule>) : RoutingEvent()
+
     /** The time given by [RoutingEffect.SweepAt], at which requests that have waited too long are ended. */
     public data object Sweep : RoutingEvent()
 
@@ -136,6 +141,9 @@
     /** Shares what this node has found out about back ends with the other nodes. */
     public data class ShareFindings(public val findings: RoutingFindings) : RoutingEffect()
 
+    /** Reports what was done by the rules that divide requests between versions. */
+    public data class VersionsUsed(public val uses: List<VersionUse>) : RoutingEffect()
+
     /** Reports that [instance] limits its requests to [requestsPerSecond], or no longer does if null. */
     public data class LimitChanged(
         public val instance: InstanceKey,
--- a/core/src/test/kotlin/gypsumcart/core/routing/ServingFleet.kt
+++ b/core/src/test/kotlin/gypsumcart/core/routing/ServingFleet.kt
@@ -237,7 +237,7 @@
                     fleet.schedule((effect.time - at(fleet.now)).coerceAtLeast(Duration.ZERO)) { sweep() }
                 is RoutingEffect.LimitChanged ->
                     if (effect.requestsPerSecond == null) limited -= effect.instance else limited += effect.instance
-                is RoutingEffect.ReportLoad -> Unit
+                is RoutingEffect.ReportLoad, is RoutingEffect.VersionsUsed -> Unit
             }
         }
 
--- a/node/src/main/kotlin/gypsumcart/node/ClientEdge.kt
+++ b/node/src/main/kotlin/gypsumcart/node/ClientEdge.kt
@@ -50,6 +50,8 @@
  * Handles client requests: submits them to admission and executes the commands that the deciders return.
  *
  * A request that the edge cannot submit is refused at once.
+ *
+ * @property onCallEnded called with each call that ended, its result and whether a part of the response was forwarded
  */
 internal class ClientEdge(
     private val codec: CallCodec,
@@ -57,6 +59,7 @@
     private val rings: EdgeRings,
     private val clock: MonotonicClock,
     private val metrics: Metrics,
+    private val onCallEnded: (DispatchEffect.Call, CallResult, Boolean) -> Unit = { _, _, _ -> },
 ) : RequestHandler {
     private inner class PendingRequest(
         val submission: Submission,
@@ -190,6 +193,7 @@
         } finally {
             reportCallEnded(pending.submission.ticket, call.attempt, result)
             recordCall(pending.submission, call, result)
+            onCallEnded(call, result, pending.response.isStarted)
         }
         return result is CallResult.Answered
     }
--- a/node/src/main/kotlin/gypsumcart/node/FleetDuties.kt
+++ b/node/src/main/kotlin/gypsumcart/node/FleetDuties.kt
@@ -21,6 +21,7 @@
 import gypsumcart.core.replicas.Autoscaler
 import gypsumcart.core.replicas.AutoscalerEffect
 import gypsumcart.core.replicas.AutoscalerEvent
+import gypsumcart.core.rollout.RolloutEvent
 import gypsumcart.core.routing.RoutingEvent
 import gypsumcart.core.usage.Usage
 import gypsumcart.core.usage.UsageEffect
@@ -78,6 +79,9 @@
             is MembershipEffect.ObserveFindings ->
                 rings.routing.put(RoutingEvent.FindingsReceived(effect.findings, effect.asOf))
 
+            is MembershipEffect.ObserveRollouts ->
+                rings.rollout?.offer(RolloutEvent.ReportsReceived(effect.reports, effect.live))
+
             is MembershipEffect.UpdateQuotaPeers ->
                 rings.admission.put(
                     AdmissionEvent.PeersUpdated(effect.peers),
@@ -216,6 +220,7 @@
         log.info("event=lease_{} fence={}", if (token != null) "held" else "not_held", token)
         rings.usage.put(UsageEvent.HoldingChanged(token != null))
         rings.orders.put(AutoscalerEvent.HoldingChanged(token != null))
+        rings.rollout?.put(RolloutEvent.HoldingChanged(token))
     }
 
     private fun execute(effect: UsageEffect) {
--- a/node/src/main/kotlin/gypsumcart/node/FleetListener.kt
+++ b/node/src/main/kotlin/gypsumcart/node/FleetListener.kt
@@ -5,6 +5,7 @@
 import gypsumcart.core.membership.NodeKey
 import gypsumcart.core.membership.key
 import gypsumcart.core.replicas.AutoscalerEvent
+import gypsumcart.core.rollout.RolloutEvent
 import org.slf4j.LoggerFactory
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
@@ -32,6 +33,7 @@
             ),
         )
         written.filterNot { it.key.isNodeReport }.forEach(::forward)
+        confirmRollouts()
     }
 
     /** Ages count from the response that the rows came with, whose reading of the store's clock is the latest. */
@@ -52,9 +54,18 @@
         return heard
     }
 
-    override fun onUnchanged(): Unit = rings.membership.put(MembershipEvent.StoreAnswered)
+    override fun onUnchanged() {
+        rings.membership.put(MembershipEvent.StoreAnswered)
+        confirmRollouts()
+    }
+
+    /** All rows that had changed before the store answered have been passed on. */
+    private fun confirmRollouts() {
+        rings.rollout?.offer(RolloutEvent.RowsConfirmed)
+    }
 
     private fun forward(row: Row) {
+        if (row.key.isRollout) forwardRollout(row)
         when (row.key) {
             LEASE_KEY -> rings.lease.put(LeaseEvent.RowObserved(row.toLeaseOrNull(), wallTime()))
             INITIAL_COUNTS_KEY ->
@@ -62,6 +73,12 @@
         }
     }
 
+    private fun forwardRollout(row: Row) {
+        val ring = rings.rollout ?: return
+        val rollout = row.toRolloutRowOrNull(storeClock()?.millis)
+        if (rollout == null) row.logUnreadable() else ring.put(RolloutEvent.RowRead(rollout))
+    }
+
     private fun Row.logUnreadable(): Nothing? {
         log.warn("event=row_unreadable table={} key={} version={}", Tables.FLEET, key, version)
         return null
--- a/node/src/main/kotlin/gypsumcart/node/Metrics.kt
+++ b/node/src/main/kotlin/gypsumcart/node/Metrics.kt
@@ -52,6 +52,9 @@
         registry.counter("gypsumcart.acts", "act", name, "result", result.name.lowercase()).increment()
     }
 
+    /** Counts a stage of a roll-out that this node learned of, by its [name]. */
+    fun countStage(name: String): Unit = registry.counter("gypsumcart.rollout.stages", "stage", name).increment()
+
     /** Counts a failed write to the store by [kind], the kind of row. */
     fun countFailedWrite(kind: String): Unit = registry.counter("gypsumcart.store.unwritten", "rows", kind).increment()
 
@@ -85,6 +88,7 @@
         registry.gauge("gypsumcart.linked", state) { if (it.linked) 1.0 else 0.0 }
         registry.gauge("gypsumcart.limited.back.ends", state) { it.limitedBackEnds.size.toDouble() }
         registry.gauge("gypsumcart.quarantined.parts", state) { it.quarantinedParts.size.toDouble() }
+        registry.gauge("gypsumcart.rollouts", state) { it.rolledOutVersions.size.toDouble() }
         registry.gauge("gypsumcart.members", state) { it.members.size.toDouble() }
         registry.gauge("gypsumcart.back.ends", listOf(tag("state", "staying")), state) { it.activeBackEnds.toDouble() }
         registry.gauge(
--- a/node/src/main/kotlin/gypsumcart/node/Node.kt
+++ b/node/src/main/kotlin/gypsumcart/node/Node.kt
@@ -14,8 +14,10 @@
 import gypsumcart.core.leases.LeaseEvent
 import gypsumcart.core.membership.MembershipEvent
 import gypsumcart.core.membership.MembershipSettings
+import gypsumcart.core.membership.NodeKey
 import gypsumcart.core.membership.nearestFirst
 import gypsumcart.core.replicas.AutoscalerEvent
+import gypsumcart.core.rollout.RolloutEvent
 import gypsumcart.core.routing.RoutingEvent
 import gypsumcart.core.routing.key
 import gypsumcart.core.shutdown.ShutdownEvent
@@ -63,7 +65,7 @@
     private val features: Features = Features.NONE,
     private val clock: MonotonicClock = MonotonicClock.SYSTEM,
 ) {
-    private val rings = Rings()
+    private val rings = Rings(hasRollouts = features.rollouts != null)
     private val state = NodeState()
     private val metrics = Metrics()
     private val timers = TimerService(clock)
@@ -99,8 +101,21 @@
         ) { team, at ->
             rings.usage.offer(UsageEvent.RequestStarted(team, at))
         }
+    private val rollout =
+        rings.rollout?.let { ring ->
+            features.rollouts?.let { limits ->
+                val self = NodeKey(identity.node, identity.incarnation)
+                RolloutDuty(ring, rings, state, metrics, platform, runtime.scope, clock, self, limits)
+            }
+        }
     private val edge =
-        ClientEdge(platform.codec, calls, EdgeRings(rings.admission, rings.routing, rings.dispatch), clock, metrics)
+        ClientEdge(
+            platform.codec,
+            calls,
+            EdgeRings(rings.admission, rings.routing, rings.dispatch),
+            clock,
+            metrics,
+        ) { call, result, started -> rollout?.observeEnd(call, result, started) }
     private val peerLink = PeerLink(rings.membership, client, runtime.scope, metrics)
     private val readPace = FleetReadPace()
     private val duties: List<Duty> =
@@ -116,7 +131,7 @@
                 clock,
                 identity,
                 settings.bounds,
-            ).all
+            ).all + listOfNotNull(rollout?.duty)
     private val fleetClock = FleetClock(platform.rowStore)
 
     private val clientServer = createServer("clients", settings.clients, edge, traffic = Traffic.Forwarded)
@@ -187,7 +202,11 @@
     }
 
     private fun followTables() {
-        runtime.scope.launch { platform.followConfigurations(rings.configuration::put) }
+        runtime.scope.launch {
+            platform.followConfigurations(rings.configuration::put) { order ->
+                rings.rollout?.put(RolloutEvent.Ordered(order))
+            }
+        }
         runtime.scope.launch { platform.followBackEnds(rings.backEnds::put) }
         runtime.scope.launch {
             platform.rowStore.follow(Tables.FLEET, readPace, FleetListener(rings, platform.rowStore::clockOrNull))
@@ -202,6 +221,7 @@
             timers.every(EXCHANGE_PERIOD) { rings.membership.offer(MembershipEvent.ExchangeDue) }
         }
         timers.every(LEASE_TICK_PERIOD) { rings.lease.offer(LeaseEvent.Tick(wallTime())) }
+        rings.rollout?.let { ring -> timers.every(ROLLOUT_TICK_PERIOD) { ring.offer(RolloutEvent.Tick) } }
         timers.every(READINESS_CHECK_PERIOD) { checkReadiness() }
         timers.every(EXPIRY_SWEEP_PERIOD) { rings.backEnds.offer(DirectoryEvent.Sweep) }
     }
@@ -220,6 +240,7 @@
 
     /** Reports the start of a response; the latency of a later call says more about the back end that failed before. */
     private fun reportFirstPiece(call: DispatchEffect.Call, at: MonotonicTime) {
+        rollout?.observeFirstPiece(call, at)
         val admitted = call.admitted
         val fraction = (at - admitted.submission.arrivedAt) / admitted.route.targetLatency
         rings.routing.offer(
@@ -290,6 +311,9 @@
          */
         val LEASE_TICK_PERIOD: Duration = 250.milliseconds
 
+        /** As often as messages are exchanged, which carry the evidence. */
+        val ROLLOUT_TICK_PERIOD: Duration = 250.milliseconds
+
         val READINESS_CHECK_PERIOD: Duration = 200.milliseconds
 
         /** A tenth of the time within which expired entries of live back ends reappear in the registry. */
--- a/node/src/main/kotlin/gypsumcart/node/NodeState.kt
+++ b/node/src/main/kotlin/gypsumcart/node/NodeState.kt
@@ -1,7 +1,9 @@
 package gypsumcart.node
 
+import gypsumcart.core.BackEndVersion
 import gypsumcart.core.Configuration
 import gypsumcart.core.PromptPartId
+import gypsumcart.core.ServiceName
 import gypsumcart.core.membership.Member
 import gypsumcart.core.routing.InstanceKey
 
@@ -43,6 +45,10 @@
     @Volatile
     var limitedBackEnds: Set<InstanceKey> = emptySet()
 
+    /** The new version of each service whose roll-out has not ended. */
+    @Volatile
+    var rolledOutVersions: Map<ServiceName, BackEndVersion> = emptyMap()
+
     /** Whether this node holds the lease and so acts for the whole fleet. */
     @Volatile
     var leaseHeld = false
--- a/node/src/main/kotlin/gypsumcart/node/PeerCodec.kt
+++ b/node/src/main/kotlin/gypsumcart/node/PeerCodec.kt
@@ -57,6 +57,7 @@
     val lease: WireLease? = null,
     val lost: Map<String, Double> = emptyMap(),
     val findings: WireFindings? = null,
+    val rollouts: List<WireRollout> = emptyList(),
 )
 
 @Serializable
@@ -129,6 +130,7 @@
         lease = report.lease?.let { WireLease(it.version, it.storedToken?.number) },
         lost = report.lostCapacity.entries.associate { (service, lost) -> service.text to lost.roundToTenths() },
         findings = report.findings.toWireOrNull(),
+        rollouts = report.rollouts.toWire(),
     )
 
 private fun Map<WindowNumber, Map<TeamName, Int>>.toWire(): Map<Long, Map<String, Int>> =
@@ -163,6 +165,7 @@
             lease = lease?.let { LeaseRow(key.node, key.incarnation, it.version, it.fence?.let(::FencingToken)) },
             lostCapacity = lost.mapKeys { ServiceName(it.key) },
             findings = findings.toFindings(),
+            rollouts = rollouts.toReports(),
         )
     return PeerItem(report, age.milliseconds, hasUsage = usage != null)
 }
--- a/node/src/main/kotlin/gypsumcart/node/Ports.kt
+++ b/node/src/main/kotlin/gypsumcart/node/Ports.kt
@@ -15,6 +15,8 @@
 import gypsumcart.core.dispatch.DispatchEffect
 import gypsumcart.core.leases.CommandResult
 import gypsumcart.core.leases.FencedCommand
+import gypsumcart.core.rollout.RolloutOrder
+import gypsumcart.core.rollout.RolloutRow
 import gypsumcart.core.routing.AvailabilityStatement
 import gypsumcart.core.routing.LimitStatement
 import gypsumcart.http.Headers
@@ -52,6 +54,9 @@
 /** Represents a row of the store. */
 public class Row(public val key: RowKey, public val value: ByteArray, public val version: RowVersion)
 
+/** Represents a row that is to be written to [table]. */
+public class TableRow(public val table: TableName, public val key: RowKey, public val value: ByteArray)
+
 /** Describes why a request to the store failed. */
 public sealed class StoreFailure {
     /** The version of the row is not the expected one; [current] is the stored row, or null if there is none. */
@@ -111,6 +116,14 @@
         expected: RowVersion?,
     ): Result<RowVersion, StoreFailure>
 
+    /**
+     * Writes [rows] together or not at all, and returns their new version.
+     *
+     * @param expected the version that the first of them must have, 0 if it must not exist; if it has another one, the
+     *   result is [StoreFailure.Conflict]
+     */
+    public suspend fun putTogether(rows: List<TableRow>, expected: RowVersion): Result<RowVersion, StoreFailure>
+
     /**
      * Removes the rows with [keys] and returns the version of the last change.
      *
@@ -219,8 +232,17 @@
     /** Converts requests and responses. */
     public val codec: CallCodec
 
-    /** Passes each readable configuration to [receive], until the coroutine is cancelled. */
-    public suspend fun followConfigurations(receive: (Configuration) -> Unit)
+    /**
+     * Passes each readable configuration to [receive], and each readable order of a roll-out to [receiveOrder], until
+     * the coroutine is cancelled.
+     */
+    public suspend fun followConfigurations(
+        receive: (Configuration) -> Unit,
+        receiveOrder: (RolloutOrder) -> Unit,
+    )
+
+    /** Returns the row in which the operator reads the state of [rollout]. */
+    public fun statusRow(rollout: RolloutRow): TableRow
 
     /** Passes the back ends and their changes to [receive], until the coroutine is cancelled. */
     public suspend fun followBackEnds(receive: (DirectoryEvent) -> Unit)
--- a/node/src/main/kotlin/gypsumcart/node/RequestDuties.kt
+++ b/node/src/main/kotlin/gypsumcart/node/RequestDuties.kt
@@ -15,6 +15,7 @@
 import gypsumcart.core.dispatch.DispatchEvent
 import gypsumcart.core.membership.MembershipEvent
 import gypsumcart.core.replicas.AutoscalerEvent
+import gypsumcart.core.rollout.RolloutEvent
 import gypsumcart.core.routing.QuarantineChange
 import gypsumcart.core.routing.RetryLimits
 import gypsumcart.core.routing.Routing
@@ -105,6 +106,9 @@
             is RoutingEffect.ShareFindings ->
                 rings.membership.offer(MembershipEvent.FindingsUpdated(effect.findings))
 
+            // If the ring is full, the next report comes half a second later.
+            is RoutingEffect.VersionsUsed -> rings.rollout?.offer(RolloutEvent.VersionsUsed(effect.uses))
+
             is RoutingEffect.LimitChanged -> recordLimit(effect)
 
             is RoutingEffect.QuarantineChanged -> recordQuarantine(effect.change)
@@ -206,6 +210,7 @@
                 state.configuration = configuration
                 rings.admission.put(AdmissionEvent.Configured(configuration))
                 rings.orders.put(AutoscalerEvent.Configured(configuration))
+                rings.rollout?.put(RolloutEvent.ServicesConfigured(configuration.services.keys))
             }
         }
     }
@@ -224,6 +229,7 @@
                 )
                 rings.routing.put(RoutingEvent.BackEndsListed(effect.backEnds))
                 rings.orders.put(AutoscalerEvent.BackEndsListed(effect.backEnds))
+                rings.rollout?.put(RolloutEvent.BackEndsListed(effect.backEnds))
                 platform.closeIdleConnectionsExcept(effect.backEnds.mapTo(HashSet()) { it.peerId })
             }
         }
--- a/node/src/main/kotlin/gypsumcart/node/Rings.kt
+++ b/node/src/main/kotlin/gypsumcart/node/Rings.kt
@@ -7,6 +7,7 @@
 import gypsumcart.core.leases.LeaseEvent
 import gypsumcart.core.membership.MembershipEvent
 import gypsumcart.core.replicas.AutoscalerEvent
+import gypsumcart.core.rollout.RolloutEvent
 import gypsumcart.core.routing.RoutingEvent
 import gypsumcart.core.shutdown.ShutdownEvent
 import gypsumcart.core.usage.UsageEvent
@@ -18,8 +19,10 @@
  * A request passes from the edge through admission, routing and dispatch, and back to the edge. Only the edge adds new
  * requests. Events about requests in progress use the reserved capacity of a ring, which suffices because the edge
  * limits the number of requests in progress.
+ *
+ * @param hasRollouts whether there is a duty for roll-outs
  */
-internal class Rings {
+internal class Rings(hasRollouts: Boolean = false) {
     val admission = Ring<AdmissionEvent>("admission", REQUEST_CAPACITY)
     val routing = Ring<RoutingEvent>("routing", REQUEST_CAPACITY, reservedCapacity = REQUEST_CAPACITY / 2)
     val dispatch = Ring<DispatchEvent>("dispatch", REQUEST_CAPACITY, reservedCapacity = REQUEST_CAPACITY / 2)
@@ -29,12 +32,14 @@
     val lease = Ring<LeaseEvent>("lease", LOW_RATE_CAPACITY)
     val usage = Ring<UsageEvent>("usage", REQUEST_CAPACITY)
     val orders = Ring<AutoscalerEvent>("orders", LOW_RATE_CAPACITY)
+    val rollout = if (hasRollouts) Ring<RolloutEvent>("rollout", LOW_RATE_CAPACITY) else null
     val shutdown = Ring<ShutdownEvent>("shutdown", LOW_RATE_CAPACITY)
 
     /** All rings, for the metric of the number of events in each. */
     val all: List<Ring<*>>
         get() =
-            listOf(admission, routing, dispatch, configuration, backEnds, membership, lease, usage, orders, shutdown)
+            listOf(admission, routing, dispatch, configuration, backEnds, membership, lease, usage, orders, shutdown) +
+                listOfNotNull(rollout)
 
     private companion object {
         /** Four events for each request that may be in progress. */
--- a/node/src/main/kotlin/gypsumcart/node/RowCodecs.kt
+++ b/node/src/main/kotlin/gypsumcart/node/RowCodecs.kt
@@ -38,6 +38,7 @@
     val lost: Map<String, Double> = emptyMap(),
     val findings: WireFindings? = null,
     val heard: Map<String, Long> = emptyMap(),
+    val rollouts: List<WireRollout> = emptyList(),
 )
 
 @Serializable
@@ -111,6 +112,7 @@
             writtenMillis = writtenMillis,
             lost = lostCapacity.mapKeys { it.key.text },
             findings = findings.toWireOrNull(),
+            rollouts = rollouts.toWire(),
             heard = heard.entries.associate { (key, age) -> key.toRowKey().text to age.inWholeMilliseconds },
         ),
     )
@@ -152,6 +154,7 @@
             lease = null,
             lostCapacity = row.lost.mapKeys { ServiceName(it.key) },
             findings = row.findings.toFindings(),
+            rollouts = row.rollouts.toReports(),
         )
     return StoredReport(report, row.writtenMillis, row.heard.toHeard())
 }
