--- a/core/src/main/kotlin/gypsumcart/core/membership/NodeReport.kt
+++ b/core/src/main/kotlin/gypsumcart/core/membership/NodeReport.kt
@@ -12,6 +12,7 @@
 import gypsumcart.core.capacity.CapacityReport
 import gypsumcart.core.leases.LeaseRow
 import gypsumcart.core.replicas.Arrivals
+import gypsumcart.core.rollout.RolloutReport
 import gypsumcart.core.routing.RoutingFindings
 
 /**
@@ -32,6 +33,7 @@
  * by service
  * @property capacity what the node tells of its recent calls to each back end
  * @property arrivals what clients ask of each service through the node, admitted or not
+ * @property rollouts what the node knows and has seen of the roll-outs that run; none otherwise
  * @property lease the lease row as last written by the node, or null if it has not written one
  * @property relayRank what the node's host can carry as the relay of its zone
  */
@@ -54,6 +56,7 @@
     public val relayRank: RelayRank = RelayRank.LOWEST,
     public val capacity: CapacityReport = CapacityReport.NONE,
     public val arrivals: Map<ServiceName, Arrivals> = emptyMap(),
+    public val rollouts: List<RolloutReport> = emptyList(),
 )
 
 /** Identifies one incarnation of a node. */
--- a/core/src/main/kotlin/gypsumcart/core/routing/Routing.kt
+++ b/core/src/main/kotlin/gypsumcart/core/routing/Routing.kt
@@ -10,6 +10,7 @@
 import gypsumcart.core.RefusalReason
 import gypsumcart.core.ServiceName
 import gypsumcart.core.capacity.CapacityLearner
+import gypsumcart.core.rollout.VersionSplit
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.seconds
 
@@ -34,6 +35,7 @@
     private val choice =
         if (features.learnedCapacity) BackEndChoice.ByCapacity(CapacityLearner()) else BackEndChoice.Even
     private var sharedFindings = RoutingFindings.NONE
+    private val versions = VersionSplit()
     private var place = NodePlace(nodeCount = 1, rank = 0)
 
     override fun decide(event: RoutingEvent, now: MonotonicTime): List<RoutingEffect> =
@@ -52,6 +54,10 @@
             is RoutingEvent.CapacityReported -> noEffects { choice.learn(event) }
             is RoutingEvent.LimitStated -> hearLimit(event, now)
             is RoutingEvent.PauseStated -> pauseCalls(event, now)
+            is RoutingEvent.VersionsRuled -> {
+                versions.update(event.rules)
+                assignWaiting(now) + versions.uses(candidates)
+            }
             RoutingEvent.Sweep -> assignWaiting(now) + expireWaiting(now)
             RoutingEvent.ReportDue -> report(now)
             RoutingEvent.Aborted ->
@@ -72,6 +78,7 @@
             key !in keys && candidate.inFlightCalls == 0 && !candidate.limiter.isPaused(now)
         }
         candidatesByService.clear()
+        versions.list(backEnds, now)
         backEnds
             .map { backEnd -> candidates.getOrPut(backEnd.key) { Candidate(backEnd) }.also { it.backEnd = backEnd } }
             .sortedBy { it.backEnd.id }
@@ -175,7 +182,7 @@
         val prompt = admitted.submission.prompt
         val outcome = event.fallbackOutcome
         val mayHaveRun = outcome is Outcome.Failed
-        val others = candidatesByService[admitted.service].orEmpty()
+        val others = versions.select(admitted, candidatesByService, event.excluded, place, now)
         val verdict = quarantine.verdictOn(prompt, runsTrials = false, now)
         return when {
             now >= admitted.deadline -> outcome
@@ -194,15 +201,16 @@
         now: MonotonicTime,
         isTrial: Boolean = false,
     ): RoutingEffect? {
-        val ofService = candidatesByService[admitted.service].orEmpty()
-        val available = ofService.filter { it.isAvailable(excluded, place, now) }
+        val ofVersion = versions.select(admitted, candidatesByService, excluded, place, now)
+        val available = ofVersion.filter { it.isAvailable(excluded, place, now) }
         val needsPlace = attempt == AttemptNumber.FIRST
-        if (available.isEmpty() || needsPlace && places.areFull(admitted, ofService, place, now)) return null
+        if (available.isEmpty() || needsPlace && places.areFull(admitted, ofVersion, place, now)) return null
         val eligible = available.filterNot { it.isEjected(now) }.ifEmpty { available }
         val cost = costOf(admitted)
         val chosen = if (isTrial) eligible.leastLoaded(admitted.ticket) else choice.choose(eligible, admitted, cost)
         chosen.startCall(admitted, cost, now)
         choice.recordCall(chosen.backEnd.key, now)
+        versions.count(admitted, attempt, chosen.backEnd)
         return RoutingEffect.Assign(admitted, attempt, chosen.backEnd, eligible.size)
     }
 
@@ -211,7 +219,8 @@
         val call = candidate?.endCall(event.ticket, event.health, now)
         if (call?.prompt != null) places.recordEnd(candidate.backEnd.service, now)
         call?.let { choice.recordEnd(event, it, candidate.backEnd, now) }
-        val learned = if (call == null) emptyList() else learnFrom(call, candidate.backEnd, event.health, now)
+        val used = if (versions.awaitsEndOf(candidate)) versions.uses(candidates) else emptyList()
+        val learned = used + if (call == null) emptyList() else learnFrom(call, candidate.backEnd, event.health, now)
         return if (waiting.isEmpty()) learned else learned + assignWaiting(now)
     }
 
@@ -310,7 +319,7 @@
             }
         // The other nodes are assumed to have as many requests as this one.
         val lost = candidatesByService.lostCapacity { retryBudgets.requestRate(it, now) * place.nodeCount }
-        return apply(quarantine.expire(now), now) + shareFindings(now) +
+        return apply(quarantine.expire(now), now) + shareFindings(now) + versions.uses(candidates) +
             RoutingEffect.ReportLoad(
                 load,
                 latencies.slowestTenths(now),
--- a/node/src/main/kotlin/gypsumcart/node/PeerCodec.kt
+++ b/node/src/main/kotlin/gypsumcart/node/PeerCodec.kt
@@ -66,6 +66,7 @@
     @SerialName("r") val relayRank: Int = 0,
     @SerialName("s") val capacity: WireCapacity = emptyMap(),
     @SerialName("w") val arrivals: Map<String, WireArrivals> = emptyMap(),
+    @SerialName("o") val rollouts: List<WireRollout> = emptyList(),
 )
 
 @Serializable
@@ -172,6 +173,7 @@
         relayRank = report.relayRank.level,
         capacity = report.capacity.toWire(),
         arrivals = report.arrivals.toWire(),
+        rollouts = report.rollouts.toWire(),
     )
 
 private fun Map<WindowNumber, Map<TeamName, Int>>.toWire(): Map<Long, Map<String, Int>> =
@@ -209,6 +211,7 @@
             relayRank = RelayRank(relayRank),
             capacity = capacity.toCapacity(),
             arrivals = arrivals.toArrivals(),
+            rollouts = rollouts.toReports(),
         )
     return PeerItem(report, ageMillis.milliseconds, hasUsage)
 }
--- a/node/src/main/kotlin/gypsumcart/node/RowCodecs.kt
+++ b/node/src/main/kotlin/gypsumcart/node/RowCodecs.kt
@@ -45,6 +45,7 @@
     val heard: Map<String, Long> = emptyMap(),
     @SerialName("rank") val relayRank: Int = 0,
     @EncodeDefault(EncodeDefault.Mode.NEVER) val arrivals: Map<String, WireArrivals> = emptyMap(),
+    val rollouts: List<WireRollout> = emptyList(),
 )
 
 @Serializable
@@ -120,6 +121,7 @@
             findings = findings.toWireOrNull(),
             capacity = capacity.toWire(),
             arrivals = arrivals.toWire(),
+            rollouts = rollouts.toWire(),
             heard = heard.entries.associate { (key, age) -> key.toRowKey().text to age.inWholeMilliseconds },
             relayRank = relayRank.level,
         ),
@@ -165,6 +167,7 @@
             relayRank = RelayRank(row.relayRank),
             capacity = row.capacity.toCapacity(),
             arrivals = row.arrivals.toArrivals(),
+            rollouts = row.rollouts.toReports(),
         )
     return StoredReport(report, row.writtenMillis, row.heard.toHeard())
 }
