Play roll-outs over sockets, with streams in progress and a holder that stops

Cause: the deciders' tests can't show that a stream over a connection has ended when a roll-out is complete.

Change: the stand-ins write versions and orders, count the requests that they run and stream at a pace of the test's choice.

--- a/standins/src/main/kotlin/gypsumcart/standins/StandInBackEnd.kt
+++ b/standins/src/main/kotlin/gypsumcart/standins/StandInBackEnd.kt
@@ -12,6 +12,7 @@
 import java.util.concurrent.CopyOnWriteArrayList
 import java.util.concurrent.atomic.AtomicInteger
 import kotlin.coroutines.cancellation.CancellationException
+import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 
 /** Describes a fault of a back end in the handling of one request. */
@@ -51,9 +52,13 @@
  * Simulates a replica of a service, as a test double.
  *
  * If the target of a request contains `stream`, streams the events from 1, or from the one after `Last-Event-Id`, to
- * [eventCount]. Responds to any other request with [id] and the body of the request.
+ * [eventCount], one each [eventInterval]. Responds to any other request with [id] and the body of the request.
  */
-public class StandInBackEnd(public val id: String, private val eventCount: Int = 5) : RequestHandler {
+public class StandInBackEnd(
+    public val id: String,
+    private val eventCount: Int = 5,
+    private val eventInterval: Duration = EVENT_INTERVAL,
+) : RequestHandler {
     private val executed = CopyOnWriteArrayList<ExecutedRequest>()
     private val cancelled = CopyOnWriteArrayList<String>()
     private val faults = ConcurrentLinkedDeque<BackEndFault>()
@@ -67,6 +72,10 @@
     public var leaving: String? = null
 
     private val received = AtomicInteger()
+    private val running = AtomicInteger()
+
+    /** The number of requests that are being run. */
+    public val runningRequests: Int get() = running.get()
 
     /** The number of requests that were received, rejected ones too. */
     public val receivedRequests: Int get() = received.get()
@@ -128,6 +137,7 @@
                 request.body.decodeToString(),
                 request.headers,
             )
+        running.incrementAndGet()
         try {
             when (fault) {
                 BackEndFault.LoseResponse -> Unit
@@ -152,6 +162,8 @@
         } catch (e: CancellationException) {
             cancelled += requestId
             throw e
+        } finally {
+            running.decrementAndGet()
         }
     }
 
@@ -166,7 +178,7 @@
                 return
             }
             response.writeChunk("id: $event\ndata: $event\n\n".toByteArray())
-            delay(EVENT_INTERVAL)
+            delay(eventInterval)
         }
         response.endChunked()
     }
--- a/standins/src/main/kotlin/gypsumcart/standins/StandInFleet.kt
+++ b/standins/src/main/kotlin/gypsumcart/standins/StandInFleet.kt
@@ -1,6 +1,7 @@
 package gypsumcart.standins
 
 import gypsumcart.core.Address
+import gypsumcart.core.Features
 import gypsumcart.core.addressOrNull
 import gypsumcart.http.HttpClient
 import gypsumcart.http.HttpServer
@@ -39,22 +40,41 @@
     }
 
     /** Starts [backEnd] as a replica of [service] and registers it as ready. */
-    public fun startBackEnd(service: String, backEnd: StandInBackEnd) {
+    public fun startBackEnd(service: String, backEnd: StandInBackEnd, version: String = "v1") {
         backEndAddresses[backEnd.id] = startServer(backEnd.id, backEnd)
-        register(service, backEnd, "ready")
+        register(service, backEnd, "ready", version = version)
     }
 
+    /** Orders a roll-out, as the operator does. */
+    public fun orderRollout(service: String, target: String, seconds: Int) {
+        store.put("op", "rollout/$service", """{"service":"$service","to":"$target","durationS":$seconds}""")
+    }
+
+    /** Returns the state of the roll-out as the operator reads it, or null if there is none. */
+    public fun rolloutStateOrNull(service: String): String? =
+        store
+            .getOrNull("status", "rollout/$service")
+            ?.substringAfter("\"state\":\"")
+            ?.substringBefore('"')
+
     /**
      * Writes the registry row of a started back end with [state], `ready` or `draining`.
      *
      * Another value of [born] stands for another start of the back end.
      */
-    public fun register(service: String, backEnd: StandInBackEnd, state: String, born: Int = 1) {
+    public fun register(
+        service: String,
+        backEnd: StandInBackEnd,
+        state: String,
+        born: Int = 1,
+        version: String = "v1",
+    ) {
         val address = backEndAddresses.getValue(backEnd.id)
         store.put(
             "servers",
             backEnd.id,
-            """{"service":"$service","address":"$address","zone":"a","batchSlots":6,"state":"$state","born":$born}""",
+            """{"service":"$service","address":"$address","zone":"a","batchSlots":6,"state":"$state","born":$born,""" +
+                """"version":"$version"}""",
         )
     }
 
@@ -63,11 +83,13 @@
      *
      * @param graceSeconds the time within which the node stops
      * @param memory what its messages may hold
+     * @param features what is switched on
      */
     public fun startNode(
         name: String,
         graceSeconds: Double = BOUNDS.graceSeconds,
         memory: MemoryBudget = MemoryBudget.ofHeap(),
+        features: Features = Features.NONE,
     ): RunningNode {
         val settings =
             NodeSettings(
@@ -84,7 +106,7 @@
         val nodeRuntime = EdgeRuntime(memory)
         val client = HttpClient(nodeRuntime.loop, 1.seconds)
         val platform = HttpPlatform(name, storeAddress, null, client)
-        val node = Node(settings, platform, nodeRuntime, client)
+        val node = Node(settings, platform, nodeRuntime, client, features)
         node.start()
         return RunningNode(node, settings)
     }
