Let one node of a zone follow the store's tables for the others

Change: with relayed feeds, nodes of a zone of eight or more follow both tables through the relay of their zone, on the peer port, with the store's calls and versions. FeedSource decides from where each table is read: the relay, at once the store if it fails, relays of other zones if the store turns the node away. A relay whose view is older than two waits answers 503. A table is unavailable only if all origins fail.

--- a/cli/src/main/kotlin/gypsumcart/cli/NodeCommand.kt
+++ b/cli/src/main/kotlin/gypsumcart/cli/NodeCommand.kt
@@ -39,8 +39,17 @@
         val client = HttpClient(runtime.loop, CONNECT_TIMEOUT)
         val store = checkNotNull(addressOrNull(settings.store)) { "invalid store address ${settings.store}" }
         val timing = StoreTiming.within(settings.bounds)
-        val platform = HttpPlatform(settings.node, store, addressOrNull(settings.cloud), client, timing)
-        return Node(settings, platform, runtime, client, featuresOf(settings))
+        val features = featuresOf(settings)
+        val platform =
+            HttpPlatform(
+                settings.node,
+                store,
+                addressOrNull(settings.cloud),
+                client,
+                timing,
+                relaysFeeds = features.relayedFeeds,
+            )
+        return Node(settings, platform, runtime, client, features)
     }
 
     /** Logs whether the settings file is valid; a node applies changed settings only when it restarts. */
--- a/core/src/main/kotlin/gypsumcart/core/membership/Membership.kt
+++ b/core/src/main/kotlin/gypsumcart/core/membership/Membership.kt
@@ -142,6 +142,7 @@
         val losses = liveness.reportLosses(linked, now)
         return updateLink(now) +
             losses +
+            exchanges.chooseFeedRelays(liveness.liveTargets(now), now) +
             sendMessages(now) +
             distribute(now, isForced = losses.isNotEmpty()) +
             checkSilentPeers(now)
--- a/core/src/main/kotlin/gypsumcart/core/membership/MembershipEvents.kt
+++ b/core/src/main/kotlin/gypsumcart/core/membership/MembershipEvents.kt
@@ -141,6 +141,17 @@
         public val silentZones: List<ZoneName> = emptyList(),
     ) : MembershipEffect()
 
+    /**
+     * Names the nodes through which this one follows the tables of the store.
+     *
+     * @property relay the relay of this node's zone, or null if it is this node
+     * @property others the nodes to turn to if neither [relay] nor the store responds, in the order of preference
+     */
+    public data class RelaysChosen(
+        public val relay: PeerTarget?,
+        public val others: List<PeerTarget>,
+    ) : MembershipEffect()
+
     /**
      * Reports that the node [peer] no longer counts as running, and on what evidence.
      *
--- a/core/src/main/kotlin/gypsumcart/core/membership/PeerExchanges.kt
+++ b/core/src/main/kotlin/gypsumcart/core/membership/PeerExchanges.kt
@@ -39,6 +39,7 @@
     private val contactAt = HashMap<ZoneName, MonotonicTime>()
     private val liveSince = HashMap<ZoneName, MonotonicTime>()
     private var relayIsLinked = false
+    private var feedRelays = MembershipEffect.RelaysChosen(relay = null, others = emptyList())
     private var lastExchange = 0L
 
     /**
@@ -141,6 +142,23 @@
     fun isRelay(live: List<PeerTarget>, now: MonotonicTime): Boolean =
         relayOrNull(live, zone, now)?.isBeforeSelf != true
 
+    /** Names the nodes through which this one is to follow the tables of the store, if they changed. */
+    fun chooseFeedRelays(live: List<PeerTarget>, now: MonotonicTime): List<MembershipEffect> {
+        val chosen = feedRelaysOf(live, now)
+        if (chosen == feedRelays) return emptyList()
+        feedRelays = chosen
+        return listOf(chosen)
+    }
+
+    private fun feedRelaysOf(live: List<PeerTarget>, now: MonotonicTime): MembershipEffect.RelaysChosen {
+        val isWorthwhile = live.count { it.zone == zone } + 1 >= MIN_RELAYED_NODES
+        val own = relayOrNull(live, zone, now)?.takeIf { isWorthwhile && it.isBeforeSelf }
+        val zones = live.map { it.zone }.distinct().filter { it != zone }
+        val neighbour = relayOrNull(live.filter { it != own }, zone, now)
+        val others = zones.mapNotNull { relayOrNull(live, it, now) }.sortedWith(RELAY_ORDER)
+        return MembershipEffect.RelaysChosen(own, others + listOfNotNull(neighbour))
+    }
+
     /** Whether the node, one of this zone, is to be its relay rather than this one. */
     private val PeerTarget.isBeforeSelf: Boolean
         get() = if (relayRank == this@PeerExchanges.relayRank) key < self else relayRank > this@PeerExchanges.relayRank
@@ -244,6 +262,9 @@
         /** The hosts that can carry most come first, and of these the oldest. */
         val RELAY_ORDER = compareByDescending<PeerTarget> { it.relayRank }.thenBy { it.key }
 
+        /** A node that others follow makes as many calls to the store as about four that follow it by themselves. */
+        const val MIN_RELAYED_NODES = 8
+
         /** Bounds the size of a message; what is left out follows in the next one. */
         const val MAX_ITEMS = 512
 
--- a/node/src/main/kotlin/gypsumcart/node/FleetDuties.kt
+++ b/node/src/main/kotlin/gypsumcart/node/FleetDuties.kt
@@ -97,6 +97,9 @@
 
             is MembershipEffect.LinkChanged -> changeLink(effect)
 
+            is MembershipEffect.RelaysChosen ->
+                platform.feedRelay?.follow(effect.relay?.address, effect.others.map { it.address })
+
             is MembershipEffect.PeerLost -> logLostPeer(effect)
 
             is MembershipEffect.DistributeReports -> {
--- a/node/src/main/kotlin/gypsumcart/node/Node.kt
+++ b/node/src/main/kotlin/gypsumcart/node/Node.kt
@@ -128,8 +128,13 @@
         createServer("directory", settings.directory, platform.directoryHandler(::addressesFor))
     private val metricsServer =
         settings.metrics.takeIf { it.isNotEmpty() }?.let { createServer("metrics", it, metrics.handler) }
+    private val peerHandler =
+        RequestHandler { request, response ->
+            val relay = platform.feedRelay?.takeIf { it.handles(request.path) }
+            (relay?.handler ?: peerLink).handle(request, response)
+        }
     private val peerServer =
-        settings.peers.takeIf { it.isNotEmpty() }?.let { createServer("peers", it, peerLink, ::peerLimits) }
+        settings.peers.takeIf { it.isNotEmpty() }?.let { createServer("peers", it, peerHandler, ::peerLimits) }
     private val shutdown =
         ShutdownDuty(
             rings,
--- a/node/src/main/kotlin/gypsumcart/node/Ports.kt
+++ b/node/src/main/kotlin/gypsumcart/node/Ports.kt
@@ -213,6 +213,9 @@
     /** The store that all nodes share. */
     public val rowStore: RowStore
 
+    /** Lets nodes follow the tables through each other, or null if each follows them by itself. */
+    public val feedRelay: FeedRelay?
+
     /** Executes the commands of the lease holder. */
     public val commandExecutor: FencedCommandExecutor
 
