Adapt the test of relayed feeds to the orders of roll-outs

Cause: followConfigurations takes a receiver of orders since the roll-outs. Change: the test passes one.

--- a/standins/src/test/kotlin/gypsumcart/standins/RelayedFeedsTest.kt
+++ b/standins/src/test/kotlin/gypsumcart/standins/RelayedFeedsTest.kt
@@ -108,7 +108,7 @@
 
         fun start() {
             runtime.scope.launch { platform.followBackEnds(events::add) }
-            runtime.scope.launch { platform.followConfigurations { configurations += it.version.number } }
+            runtime.scope.launch { platform.followConfigurations({ configurations += it.version.number }) {} }
         }
 
         fun follow(relay: FollowingNode?, vararg others: FollowingNode) {
