Lend quota among nodes, and tell refused clients when their turn comes

Cause: with 36 or 81 nodes, a node's part of a quota is smaller than a long prompt or two requests that arrive together. Nodes refused although the team was within its quota, nearly all with the same 2.0 s. A request was also admitted whenever anything was left, so that each node could exceed its part by a prompt of 9,000 tokens.

Change, behind quotaLoans: two nodes of different zones hold nine tenths of what remains of each quota. A node whose part is used up asks one of them by POST /peer/loan and lets the request wait, for an eighth of its target and 150 ms at most; a lender charges itself. Shares come through the same view and the same minimum over 2.5 s as before. Retry-After is the time when the team's turn comes, later with each that was told. What is kept for unreachable nodes is summed when the view changes, not for each request.

--- a/core/src/main/kotlin/gypsumcart/core/Ids.kt
+++ b/core/src/main/kotlin/gypsumcart/core/Ids.kt
@@ -74,6 +74,18 @@
     }
 }
 
+/** Identifies a loan of quota within the process that asks for it. */
+@JvmInline
+public value class LoanId(public val number: Long) {
+    override fun toString(): String = number.toString()
+}
+
+/** Identifies a request of another node for a loan within the process that receives it. */
+@JvmInline
+public value class LoanRequestId(public val number: Long) {
+    override fun toString(): String = number.toString()
+}
+
 /** Identifies a part of a prompt; an engine reuses a cached part only if all parts before it match too. */
 @JvmInline
 public value class PromptPartId(public val text: String) {
--- a/core/src/main/kotlin/gypsumcart/core/admission/Admission.kt
+++ b/core/src/main/kotlin/gypsumcart/core/admission/Admission.kt
@@ -19,9 +19,10 @@
  * @param quotaBounds how the quotas of teams are counted, and by how much they may be exceeded
  * @param sharing what nodes do for each other within the quotas
  */
-public class Admission(quotaBounds: QuotaBounds, sharing: QuotaSharing = QuotaSharing.Separate) :
+public class Admission(quotaBounds: QuotaBounds, private val sharing: QuotaSharing = QuotaSharing.Separate) :
     Decider<AdmissionEvent, AdmissionEffect> {
     private val quotas = Quotas(quotaBounds, sharing)
+    private val loans = LoanQueue(quotas)
     private var configuration: Configuration? = null
 
     /** Is null unless the node shuts down. */
@@ -31,7 +32,7 @@
         when (event) {
             is AdmissionEvent.Configured -> configure(event.configuration, now)
 
-            is AdmissionEvent.Submitted -> listOf(submit(event.submission, now))
+            is AdmissionEvent.Submitted -> submit(event.submission, now)
 
             is AdmissionEvent.PeersUpdated -> {
                 quotas.updatePeers(event.peers, now)
@@ -54,10 +55,20 @@
             }
 
             is AdmissionEvent.Settled -> {
+                loans.cancel(event.ticket)
                 quotas.settle(event.ticket, now)
                 emptyList()
             }
 
+            is AdmissionEvent.LoanAsked -> {
+                val answer = quotas.lend(event.team, event.needed, event.wanted, now)
+                listOf(AdmissionEffect.AnswerLoan(event.request, event.team, answer))
+            }
+
+            is AdmissionEvent.LoanAnswered -> loans.end(event.loan, event.team, event.answer, now)
+
+            AdmissionEvent.CheckLoans -> loans.check(now)
+
             AdmissionEvent.ReportDue -> listOf(AdmissionEffect.Report(quotas.use(now)))
         }
 
@@ -67,20 +78,25 @@
         return emptyList()
     }
 
-    private fun submit(submission: Submission, now: MonotonicTime): AdmissionEffect {
-        val configuration = this.configuration ?: return refuseUnconfigured(submission)
+    private fun submit(submission: Submission, now: MonotonicTime): List<AdmissionEffect> {
+        val configuration = this.configuration ?: return listOf(refuseUnconfigured(submission))
         val route =
             configuration.routeOrNull(submission.host, submission.path)
-                ?: return refuse(submission, RefusalReason.NoRoute)
+                ?: return listOf(refuse(submission, RefusalReason.NoRoute))
         val team = submission.key?.let(configuration::teamOrNull)
-        if (team == null && configuration.teams.isNotEmpty() && !route.isPublic) {
-            return refuse(submission, RefusalReason.UnknownKey)
-        }
-        if (submission.requestId == null) return refuse(submission, RefusalReason.NoRequestId)
-        if (drainGate?.accepts(route, deadlineOf(submission, route), now) == false) {
-            return AdmissionEffect.Refuse(submission, team?.name, Outcome.NotRun.STOPPING)
-        }
-        return chargeQuota(submission, route, team, now)
+        val refusal =
+            when {
+                team == null && configuration.teams.isNotEmpty() && !route.isPublic ->
+                    refuse(submission, RefusalReason.UnknownKey)
+
+                submission.requestId == null -> refuse(submission, RefusalReason.NoRequestId)
+
+                drainGate?.accepts(route, deadlineOf(submission, route), now) == false ->
+                    AdmissionEffect.Refuse(submission, team?.name, Outcome.NotRun.STOPPING)
+
+                else -> return chargeQuota(submission, route, team, now)
+            }
+        return listOf(refusal)
     }
 
     private fun refuseUnconfigured(submission: Submission): AdmissionEffect =
@@ -90,19 +106,29 @@
             AdmissionEffect.Refuse(submission, null, Outcome.NotRun.STOPPING)
         }
 
-    private fun chargeQuota(submission: Submission, route: Route, team: Team?, now: MonotonicTime): AdmissionEffect {
-        val quota = team?.quota
-        if (quota != null) {
-            val retryAfter =
-                quotas.chargeOrRetryAfter(
-                    team.name,
-                    quota.unit.costOf(submission.prompt),
-                    submission.ticket,
-                    now,
-                )
-            if (retryAfter != null) return refuse(submission, RefusalReason.QuotaExceeded, retryAfter, team)
+    private fun chargeQuota(
+        submission: Submission,
+        route: Route,
+        team: Team?,
+        now: MonotonicTime,
+    ): List<AdmissionEffect> {
+        val admitted = admit(submission, route, team)
+        val quota = team?.quota ?: return listOf(AdmissionEffect.Route(admitted))
+        val cost = quota.unit.costOf(submission.prompt)
+        return when (sharing) {
+            QuotaSharing.Separate -> listOf(chargeOwnShare(admitted, team, cost, now))
+            QuotaSharing.Lending -> loans.submit(admitted, team.name, cost, now)
         }
-        return AdmissionEffect.Route(admit(submission, route, team))
+    }
+
+    private fun chargeOwnShare(
+        admitted: AdmittedRequest,
+        team: Team,
+        cost: Double,
+        now: MonotonicTime,
+    ): AdmissionEffect {
+        val retryAfter = quotas.chargeOrRetryAfter(team.name, cost, now) ?: return AdmissionEffect.Route(admitted)
+        return refuse(admitted.submission, RefusalReason.QuotaExceeded, retryAfter, team)
     }
 
     private fun admit(submission: Submission, route: Route, team: Team?): AdmittedRequest =
--- a/core/src/main/kotlin/gypsumcart/core/admission/AdmissionEvents.kt
+++ b/core/src/main/kotlin/gypsumcart/core/admission/AdmissionEvents.kt
@@ -2,6 +2,8 @@
 
 import gypsumcart.core.AdmittedRequest
 import gypsumcart.core.Configuration
+import gypsumcart.core.LoanId
+import gypsumcart.core.LoanRequestId
 import gypsumcart.core.MonotonicTime
 import gypsumcart.core.Outcome
 import gypsumcart.core.RequestDurations
@@ -33,6 +35,29 @@
     /** The admitted request with [ticket] has ended, and it is proven that it neither ran nor will run. */
     public data class Settled(public val ticket: Ticket) : AdmissionEvent()
 
+    /**
+     * Another node asks for a loan of the quota of [team].
+     *
+     * @property needed the least amount that is of use to it, in the unit of the quota
+     * @property wanted the amount that it could spend, at least [needed]
+     */
+    public data class LoanAsked(
+        public val request: LoanRequestId,
+        public val team: TeamName,
+        public val needed: Double,
+        public val wanted: Double,
+    ) : AdmissionEvent()
+
+    /** The request of this node for [loan] ended with [answer]. */
+    public data class LoanAnswered(
+        public val loan: LoanId,
+        public val team: TeamName,
+        public val answer: LoanAnswer,
+    ) : AdmissionEvent()
+
+    /** The time given by [AdmissionEffect.CheckLoansAt], at which requests have waited too long for a loan. */
+    public data object CheckLoans : AdmissionEvent()
+
     /** A timer tick, on which the use of quotas through this node is reported. */
     public data object ReportDue : AdmissionEvent()
 }
@@ -49,6 +74,30 @@
         public val outcome: Outcome.NotRun,
     ) : AdmissionEffect()
 
+    /**
+     * Asks [lender] for a loan of the quota of [team]; its end is reported by [AdmissionEvent.LoanAnswered].
+     *
+     * @property needed the least amount that is of use, in the unit of the quota
+     * @property wanted the amount that could be spent, at least [needed]
+     */
+    public data class AskLoan(
+        public val loan: LoanId,
+        public val lender: Lender,
+        public val team: TeamName,
+        public val needed: Double,
+        public val wanted: Double,
+    ) : AdmissionEffect()
+
+    /** Answers another node's [request] for a loan of the quota of [team]. */
+    public data class AnswerLoan(
+        public val request: LoanRequestId,
+        public val team: TeamName,
+        public val answer: LoanAnswer,
+    ) : AdmissionEffect()
+
+    /** Requests an [AdmissionEvent.CheckLoans] at [time], when a request will have waited too long for a loan. */
+    public data class CheckLoansAt(public val time: MonotonicTime) : AdmissionEffect()
+
     /** Reports the use of quotas through this node, by team. */
     public data class Report(public val use: Map<TeamName, QuotaUse>) : AdmissionEffect()
 }
--- a/core/src/main/kotlin/gypsumcart/core/admission/QuotaMeters.kt
+++ b/core/src/main/kotlin/gypsumcart/core/admission/QuotaMeters.kt
@@ -67,15 +67,18 @@
         return charges.sumOf { if (now - it.at < span) it.amount else 0.0 }
     }
 
-    /** Returns the time until more than [amount] of what was spent has left the window, at most the whole window. */
-    fun timeUntilFreed(amount: Double, now: MonotonicTime): Duration {
+    /**
+     * Returns the time until more than [amount] of what was spent in the last [span] is older, or null if less than
+     * that was spent.
+     */
+    fun timeUntilFreedOrNull(amount: Double, now: MonotonicTime, span: Duration = window): Duration? {
         var freed = 0.0
         val last =
             charges.firstOrNull { charge ->
-                freed += charge.amount
+                if (now - charge.at < span) freed += charge.amount
                 freed > amount
             }
-        return last?.let { window - (now - it.at) } ?: window
+        return last?.let { span - (now - it.at) }
     }
 
     private companion object {
--- a/core/src/main/kotlin/gypsumcart/core/membership/PeerQuotaView.kt
+++ b/core/src/main/kotlin/gypsumcart/core/membership/PeerQuotaView.kt
@@ -2,6 +2,8 @@
 
 import gypsumcart.core.MonotonicTime
 import gypsumcart.core.TeamName
+import gypsumcart.core.admission.Lender
+import gypsumcart.core.admission.LendingNodes
 import gypsumcart.core.admission.QuotaPeers
 import gypsumcart.core.admission.QuotaUse
 
@@ -39,9 +41,22 @@
             nodeCount = latest.size + 1,
             isolated = isIsolated,
             isolatedFraction = isolatedFraction(now, startedAt),
+            lending = lendingNodes(live),
         )
     }
 
+    /** A node that does not accept clients starts or stops, and lends nothing. */
+    private fun lendingNodes(live: List<PeerTable.Entry>): LendingNodes? {
+        if (settings.peerAddress == null) return null
+        val own = table[NodeKey(settings.node, settings.incarnation)]?.report
+        val accepting = (live.map { it.report } + listOfNotNull(own)).filter { it.accepting }
+        val lenders =
+            accepting.mapNotNull { report ->
+                report.peerAddress?.let { Lender(report.node, it, report.zone) }
+            }
+        return LendingNodes(settings.node, lenders.sortedBy { it.node })
+    }
+
     /**
      * Returns the part of the last reported use that still lies in the quota window, assuming no use since then.
      *
--- a/core/src/test/kotlin/gypsumcart/core/membership/SimulatedFleet.kt
+++ b/core/src/test/kotlin/gypsumcart/core/membership/SimulatedFleet.kt
@@ -211,7 +211,8 @@
         tasks += Task(now + delay, lastOrder++, run)
     }
 
-    private fun transmit(from: NodeId, to: NodeId, deliver: () -> Unit) {
+    /** Passes a message from one node to another as the network lets it: late, twice or not at all. */
+    fun transmit(from: NodeId, to: NodeId, deliver: () -> Unit) {
         if (from to to in cuts || random.nextDouble() < network.lossRate) return
         schedule(delay(), deliver)
         if (random.nextDouble() < network.repeatRate) schedule(delay() * 3, deliver)
--- a/node/src/main/kotlin/gypsumcart/node/Metrics.kt
+++ b/node/src/main/kotlin/gypsumcart/node/Metrics.kt
@@ -61,6 +61,10 @@
             .counter("gypsumcart.peer.exchanges", "result", if (succeeded) "answered" else "failed")
             .increment()
 
+    /** Counts a loan of quota that ended with [result]; [side] says whether this node `asked` or `answered`. */
+    fun countLoan(side: String, result: String): Unit =
+        registry.counter("gypsumcart.quota.loans", "side", side, "result", result).increment()
+
     /** Registers a gauge for the number of events that wait in [ring]. */
     fun registerGauges(ring: Ring<*>) {
         registry.gauge("gypsumcart.ring.events", listOf(tag("ring", ring.name)), ring) { it.size.toDouble() }
--- a/node/src/main/kotlin/gypsumcart/node/Node.kt
+++ b/node/src/main/kotlin/gypsumcart/node/Node.kt
@@ -102,9 +102,15 @@
     private val edge =
         ClientEdge(platform.codec, calls, EdgeRings(rings.admission, rings.routing, rings.dispatch), clock, metrics)
     private val peerLink = PeerLink(rings.membership, client, runtime.scope, metrics)
+    private val loanLink = QuotaLoanLink(identity.node, rings.admission, client, runtime.scope, clock, metrics)
+    private val peerHandler =
+        RequestHandler { request, response ->
+            val handler = if (request.path == LOAN_PATH) loanLink else peerLink
+            handler.handle(request, response)
+        }
     private val readPace = FleetReadPace()
     private val duties: List<Duty> =
-        RequestDuties(rings, edge, state, platform, timers, clock, settings.bounds, features).all +
+        RequestDuties(rings, edge, loanLink, state, platform, timers, clock, settings.bounds, features).all +
             FleetDuties(
                 rings,
                 state,
@@ -127,7 +133,7 @@
     private val metricsServer =
         settings.metrics.takeIf { it.isNotEmpty() }?.let { createServer("metrics", it, metrics.handler) }
     private val peerServer =
-        settings.peers.takeIf { it.isNotEmpty() }?.let { createServer("peers", it, peerLink, ::peerLimits) }
+        settings.peers.takeIf { it.isNotEmpty() }?.let { createServer("peers", it, peerHandler, ::peerLimits) }
     private val shutdown =
         ShutdownDuty(
             rings,
--- a/node/src/main/kotlin/gypsumcart/node/RequestDuties.kt
+++ b/node/src/main/kotlin/gypsumcart/node/RequestDuties.kt
@@ -36,6 +36,7 @@
 internal class RequestDuties(
     private val rings: Rings,
     private val edge: ClientEdge,
+    private val loans: QuotaLoanLink,
     private val state: NodeState,
     private val platform: Platform,
     private val timers: Timers,
@@ -71,6 +72,15 @@
                 edge.deliver(effect.ticket, EdgeCommand.Conclude(effect.outcome))
             }
 
+            is AdmissionEffect.AskLoan -> loans.ask(effect)
+
+            is AdmissionEffect.AnswerLoan -> loans.answer(effect)
+
+            is AdmissionEffect.CheckLoansAt ->
+                timers.after((effect.time - clock.now()).coerceAtLeast(Duration.ZERO)) {
+                    rings.admission.offer(AdmissionEvent.CheckLoans)
+                }
+
             is AdmissionEffect.Report -> rings.membership.offer(MembershipEvent.QuotaUseMeasured(effect.use))
         }
     }
