--- a/node/src/main/kotlin/gypsumcart/node/Node.kt
+++ b/node/src/main/kotlin/gypsumcart/node/Node.kt
@@ -119,9 +119,10 @@
             metrics,
         ) { call, result, started -> rollout?.observeEnd(call, result, started) }
     private val peerLink = PeerLink(rings.membership, client, runtime.scope, metrics)
+    private val loanLink = QuotaLoanLink(identity.node, rings.admission, client, runtime.scope, clock, metrics)
     private val readPace = FleetReadPace()
     private val duties: List<Duty> =
-        RequestDuties(rings, edge, state, platform, timers, clock, settings.bounds, features).all +
+        RequestDuties(rings, edge, loanLink, state, platform, timers, clock, settings.bounds, features).all +
             FleetDuties(
                 rings,
                 state,
@@ -147,7 +148,8 @@
     private val peerHandler =
         RequestHandler { request, response ->
             val relay = platform.feedRelay?.takeIf { it.handles(request.path) }
-            (relay?.handler ?: peerLink).handle(request, response)
+            val handler = relay?.handler ?: if (request.path == LOAN_PATH) loanLink else peerLink
+            handler.handle(request, response)
         }
     private val peerServer =
         settings.peers.takeIf { it.isNotEmpty() }?.let { createServer("peers", it, peerHandler, ::peerLimits) }
