Eject back ends that are far worse than their peers, and end calls to dark ones

Change, with `learnedCapacity`: ejection by errors, latency and silence compared with the median of the service, by the sums of all nodes, never of more than a third of it; a trial call returns it, each ejection in succession lasts longer. A call that waits longer than its class ever does for an instance that responds to nobody, or is no longer listed, is ended and retried where the route and the retry budget allow it. Nodes also tell the calls that wait for their first piece.

Tests: ServingFleet has branches for the new effects, which fail as no node there learns capacity; no check changed.

--- a/core/src/main/kotlin/gypsumcart/core/capacity/CapacityReport.kt
+++ b/core/src/main/kotlin/gypsumcart/core/capacity/CapacityReport.kt
@@ -20,12 +20,14 @@
  * @property slowness the sum of the latencies of these calls, each as a multiple of what its route usually takes
  * @property failures the number of these calls that failed
  * @property inProgress the number of calls that have not ended
+ * @property waiting the number of calls whose response has not started
  */
 public data class CallSums(
     public val calls: Double,
     public val slowness: Double,
     public val failures: Double = 0.0,
     public val inProgress: Double = 0.0,
+    public val waiting: Double = 0.0,
 ) {
     /** Adds the calls of both. */
     public operator fun plus(other: CallSums): CallSums =
@@ -34,11 +36,15 @@
             slowness + other.slowness,
             failures + other.failures,
             inProgress + other.inProgress,
+            waiting + other.waiting,
         )
 
     /** Counts each call [factor] times. */
     public operator fun times(factor: Double): CallSums =
-        CallSums(calls * factor, slowness * factor, failures * factor, inProgress * factor)
+        CallSums(calls * factor, slowness * factor, failures * factor, inProgress * factor, waiting * factor)
+
+    /** The number of calls whose response started. */
+    internal val responses: Double get() = calls - failures
 
     /** Whether the sums are so small that they may be forgotten. */
     internal val isNegligible: Boolean get() = calls + inProgress < NEGLIGIBLE_CALLS
--- a/core/src/main/kotlin/gypsumcart/core/capacity/OwnSums.kt
+++ b/core/src/main/kotlin/gypsumcart/core/capacity/OwnSums.kt
@@ -9,10 +9,14 @@
     private class Entry(now: MonotonicTime) {
         val sums = DecayingSums(CallSums.NONE, now)
         var inProgress = 0
+        var waiting = 0
         var untoldChanges = 0
         var toldAt = now
 
-        fun asOf(now: MonotonicTime): CallSums = sums.asOf(now).copy(inProgress = inProgress.toDouble())
+        fun asOf(now: MonotonicTime): CallSums = sums
+            .asOf(
+                now,
+            ).copy(inProgress = inProgress.toDouble(), waiting = waiting.toDouble())
     }
 
     private val entries = HashMap<InstanceTag, Entry>()
@@ -20,9 +24,12 @@
     fun add(instance: InstanceTag, call: CallSums, now: MonotonicTime): Unit =
         change(instance, now) { it.sums.add(call, now) }
 
-    /** Counts a call that starts, or ends if [change] is -1. */
-    fun countInProgress(instance: InstanceTag, change: Int, now: MonotonicTime): Unit =
-        change(instance, now) { it.inProgress += change }
+    /** Changes the number of calls in progress, and of those whose response has not started. */
+    fun count(instance: InstanceTag, inProgress: Int, waiting: Int, now: MonotonicTime): Unit =
+        change(instance, now) {
+            it.inProgress += inProgress
+            it.waiting += waiting
+        }
 
     private inline fun change(instance: InstanceTag, now: MonotonicTime, action: (Entry) -> Unit) {
         val entry = entries.getOrPut(instance) { Entry(now) }
--- a/core/src/main/kotlin/gypsumcart/core/capacity/PeerSums.kt
+++ b/core/src/main/kotlin/gypsumcart/core/capacity/PeerSums.kt
@@ -12,15 +12,19 @@
 internal class PeerSums {
     private val sumsByNode = HashMap<NodeId, HashMap<InstanceTag, DecayingSums>>()
 
-    /** Records what [node] counted up to the time [asOf]. */
-    fun learn(node: NodeId, report: CapacityReport, asOf: MonotonicTime) {
+    /** Records what [node] counted up to the time [asOf]; calls [onResponse] with instances that responded to it. */
+    fun learn(
+        node: NodeId,
+        report: CapacityReport,
+        asOf: MonotonicTime,
+        onResponse: (InstanceTag) -> Unit,
+    ) {
         val known = sumsByNode.getOrPut(node, ::HashMap)
         for ((instance, sums) in report.sums) {
-            val former = known[instance]
-            when {
-                former == null -> known[instance] = DecayingSums(sums, asOf)
-                asOf > former.at -> former.replace(sums, asOf)
-            }
+            val decaying = known.getOrPut(instance) { DecayingSums(CallSums.NONE, asOf - MEMORY) }
+            if (asOf <= decaying.at) continue
+            if (sums.responses - decaying.asOf(asOf).responses >= MIN_RESPONSES) onResponse(instance)
+            decaying.replace(sums, asOf)
         }
     }
 
@@ -35,4 +39,9 @@
             ofNode.isEmpty()
         }
     }
+
+    private companion object {
+        /** More than what the rounding of sums in reports can add to the responses, and less than one response. */
+        const val MIN_RESPONSES = 0.4
+    }
 }
--- a/core/src/main/kotlin/gypsumcart/core/dispatch/Dispatch.kt
+++ b/core/src/main/kotlin/gypsumcart/core/dispatch/Dispatch.kt
@@ -34,6 +34,9 @@
         public val result: CallResult,
     ) : DispatchEvent()
 
+    /** The call to [instance] waits for a back end that responds to nobody. */
+    public data class CallOverdue(public val ticket: Ticket, public val instance: InstanceKey) : DispatchEvent()
+
     /** Routing ended the request without a further call. */
     public data class Concluded(public val ticket: Ticket) : DispatchEvent()
 
@@ -96,6 +99,9 @@
     /** Ends the call in flight for the request with [ticket]; its end is reported like that of any other call. */
     public data class Abort(public val ticket: Ticket) : DispatchEffect()
 
+    /** Ends the call in flight for the request with [ticket], as timed out, if its response has not started. */
+    public data class EndCall(public val ticket: Ticket) : DispatchEffect()
+
     /** Reports the [durations] of recent requests by route, those in progress included. */
     public data class ReportDurations(public val durations: Map<RouteKey, RequestDurations>) : DispatchEffect()
 
@@ -165,6 +171,8 @@
 
             is DispatchEvent.CallEnded -> endCall(event, now)
 
+            is DispatchEvent.CallOverdue -> endOverdue(event)
+
             is DispatchEvent.Concluded -> {
                 requests[event.ticket]?.let { end(it, now) }
                 emptyList()
@@ -216,6 +224,14 @@
         return listOf(release) + afterCall(request, event.result, now)
     }
 
+    private fun endOverdue(event: DispatchEvent.CallOverdue): List<DispatchEffect> {
+        val request = requests[event.ticket] ?: return emptyList()
+        val timedOut = CallResult.Failed(CallFailure.TimedOut, DeliveryProgress.None)
+        val isCurrent = request.backEnd?.key == event.instance && request.lastEventId == null
+        val endsWell = isCurrent && mayRetry(request, timedOut, runs = request.possibleRuns + 1)
+        return if (endsWell) listOf(DispatchEffect.EndCall(event.ticket)) else emptyList()
+    }
+
     private fun afterCall(request: RequestState, result: CallResult, now: MonotonicTime): List<DispatchEffect> =
         when (result) {
             is CallResult.Answered, CallResult.ClientGone -> {
@@ -265,10 +281,15 @@
             Outcome.NotRun(RefusalReason.Declined, DECLINED_RETRY_AFTER)
         }
 
-    private fun mayRetry(request: RequestState, result: CallResult.Failed): Boolean {
+    /** Returns whether a request may be retried of which [runs] calls may have run. */
+    private fun mayRetry(
+        request: RequestState,
+        result: CallResult.Failed,
+        runs: Int = request.possibleRuns,
+    ): Boolean {
         if (request.attempt.number >= request.admitted.route.maxAttempts + EXTRA_DECLINED_ATTEMPTS) return false
         if (!result.failure.mayHaveRun && result.progress == DeliveryProgress.None) return true
-        if (request.possibleRuns >= request.admitted.route.maxAttempts) return false
+        if (runs >= request.admitted.route.maxAttempts) return false
         if (request.admitted.submission.prompt != null && request.unstartedCuts >= MAX_UNSTARTED_CUTS) return false
         return when (result.progress) {
             DeliveryProgress.None -> request.admitted.route.kind.isRetryable
--- a/core/src/main/kotlin/gypsumcart/core/routing/BackEndChoice.kt
+++ b/core/src/main/kotlin/gypsumcart/core/routing/BackEndChoice.kt
@@ -40,7 +40,7 @@
 internal fun BackEndChoice.recordCall(instance: InstanceKey, now: MonotonicTime) {
     when (this) {
         BackEndChoice.Even -> Unit
-        is BackEndChoice.ByCapacity -> capacity.recordStart(instance.tag, now)
+        is BackEndChoice.ByCapacity -> capacity.recordCall(instance.tag, now)
     }
 }
 
@@ -48,8 +48,10 @@
 internal fun BackEndChoice.recordStart(instance: InstanceKey, call: InFlightCall, now: MonotonicTime) {
     when (this) {
         BackEndChoice.Even -> Unit
-        is BackEndChoice.ByCapacity ->
+        is BackEndChoice.ByCapacity -> {
+            capacity.recordStart(instance.tag, now)
             capacity.recordResponse(instance.tag, call.admitted.callClass, now - call.startedAt, now)
+        }
     }
 }
 
@@ -63,7 +65,7 @@
     when (this) {
         BackEndChoice.Even -> Unit
         is BackEndChoice.ByCapacity -> {
-            capacity.recordEnd(event.instance.tag, now)
+            capacity.recordEnd(event.instance.tag, isWaiting = !call.started, now)
             if (!call.started) capacity.recordResult(event, call, backEnd, now)
         }
     }
@@ -80,19 +82,19 @@
     when (event.health) {
         HealthSignal.HEALTHY ->
             when {
-                event.isError -> recordFailure(instance, now)
+                event.isError -> recordFailure(instance, call.startedAt, now)
                 call.admitted.route.kind !is CallKind.Streamed ->
                     recordResponse(instance, call.admitted.callClass, elapsed, now)
             }
 
-        HealthSignal.FAILING -> recordFailure(instance, now)
+        HealthSignal.FAILING -> recordFailure(instance, call.startedAt, now)
 
         // A back end that drains is expected to end connections.
-        HealthSignal.DISCONNECTED -> if (!backEnd.draining) recordFailure(instance, now)
+        HealthSignal.DISCONNECTED -> if (!backEnd.draining) recordFailure(instance, call.startedAt, now)
 
         HealthSignal.UNKNOWN ->
             if (event.isError) {
-                recordFailure(instance, now)
+                recordFailure(instance, call.startedAt, now)
             } else {
                 recordAbandoned(instance, call.admitted.callClass, elapsed, now)
             }
--- a/core/src/main/kotlin/gypsumcart/core/routing/Candidates.kt
+++ b/core/src/main/kotlin/gypsumcart/core/routing/Candidates.kt
@@ -74,7 +74,17 @@
     fun isAvailable(excluded: Set<InstanceKey>, place: NodePlace, now: MonotonicTime): Boolean =
         !backEnd.draining && backEnd.key !in excluded && limiter.isOpen(place, now)
 
-    fun isEjected(now: MonotonicTime): Boolean = ejectedUntil?.let { now < it } ?: false
+    /** Returns whether the instance must not get the request with [ticket], or any request if it is null. */
+    fun isEjected(now: MonotonicTime, ticket: Ticket? = null): Boolean {
+        if (ejectedUntil?.let { now < it } ?: false) return true
+        val known = capacity ?: return false
+        return known.isEjected(now, if (ticket == null) 1.0 else drawOf(ticket), ::hasCallSince)
+    }
+
+    private fun hasCallSince(time: MonotonicTime): Boolean = calls.values.any { it.startedAt >= time }
+
+    /** The calls whose responses have not started. */
+    val unstartedCalls: List<InFlightCall> get() = calls.values.filterNot { it.started }
 
     fun startCall(admitted: AdmittedRequest, cost: Double, now: MonotonicTime) {
         limiter.take()
--- a/core/src/main/kotlin/gypsumcart/core/routing/Routing.kt
+++ b/core/src/main/kotlin/gypsumcart/core/routing/Routing.kt
@@ -57,7 +57,9 @@
             is RoutingEvent.CapacityReported -> noEffects { choice.learn(event) }
             is RoutingEvent.LimitStated -> hearLimit(event, now)
             is RoutingEvent.PauseStated -> pauseCalls(event, now)
-            RoutingEvent.Sweep -> assignWaiting(now) + expireWaiting(now)
+            RoutingEvent.Sweep ->
+                assignWaiting(now) + expireWaiting(now) +
+                    choice.endOverdueCalls(candidates.values, retryBudgets, place, now)
             RoutingEvent.ReportDue -> report(now)
             RoutingEvent.Aborted ->
                 waiting.values
@@ -189,7 +191,7 @@
     ): RoutingEffect? {
         val available = candidatesByService[admitted.service].orEmpty().filter { it.isAvailable(excluded, place, now) }
         if (available.isEmpty() || attempt == AttemptNumber.FIRST && isAtCapacity(admitted, now)) return null
-        val eligible = available.filterNot { it.isEjected(now) }.ifEmpty { available }
+        val eligible = available.filterNot { it.isEjected(now, admitted.ticket) }.ifEmpty { available }
         val cost = costOf(admitted)
         val chosen = if (isTrial) eligible.leastLoaded(admitted.ticket) else choice.choose(eligible, admitted, cost)
         chosen.startCall(admitted, cost, now)
@@ -313,13 +315,14 @@
             }
         // The other nodes are assumed to have as many requests as this one.
         val lost = candidatesByService.lostCapacity { retryBudgets.requestRate(it, now) * place.nodeCount }
-        return apply(quarantine.expire(now), now) + shareFindings(now) +
+        val capacity = choice.update(now)
+        return apply(quarantine.expire(now), now) + shareFindings(now) + choice.standingChanges(candidates.values) +
             RoutingEffect.ReportLoad(
                 load,
                 latencies.slowestTenths(now),
                 lost,
                 calls = candidates.values.sumOf { it.inFlightCalls },
-                capacity = choice.update(now),
+                capacity = capacity,
             )
     }
 
--- a/core/src/main/kotlin/gypsumcart/core/routing/RoutingEvents.kt
+++ b/core/src/main/kotlin/gypsumcart/core/routing/RoutingEvents.kt
@@ -9,6 +9,7 @@
 import gypsumcart.core.ServiceName
 import gypsumcart.core.Ticket
 import gypsumcart.core.capacity.CapacityReport
+import gypsumcart.core.capacity.StandingChange
 
 /** Represents an input of the [Routing] decider. */
 public sealed class RoutingEvent {
@@ -158,6 +159,15 @@
         public val requestsPerSecond: Double?,
     ) : RoutingEffect()
 
+    /** Ends the call for the request with [ticket] to [instance], which responds to nobody, if it may be repeated. */
+    public data class EndCall(public val ticket: Ticket, public val instance: InstanceKey) : RoutingEffect()
+
+    /** Reports that [instance] was ejected or has returned. */
+    public data class StandingChanged(
+        public val instance: InstanceKey,
+        public val change: StandingChange,
+    ) : RoutingEffect()
+
     /** Reports that a prompt part was quarantined, or no longer is. */
     public data class QuarantineChanged(public val change: QuarantineChange) : RoutingEffect()
 }
--- a/core/src/main/kotlin/gypsumcart/core/routing/WeightedChoice.kt
+++ b/core/src/main/kotlin/gypsumcart/core/routing/WeightedChoice.kt
@@ -82,6 +82,9 @@
     return drawn
 }
 
+/** Returns a number from 0 to 1 that is different for each request. */
+internal fun drawOf(ticket: Ticket): Double = unitInterval(mix(ticket.number.hashCode()))
+
 /** Maps a hash to the open interval from 0 to 1. */
 private fun unitInterval(hash: Int): Double = (hash.toUInt().toDouble() + HALF) / HASHES
 
--- a/core/src/test/kotlin/gypsumcart/core/capacity/EngineFleet.kt
+++ b/core/src/test/kotlin/gypsumcart/core/capacity/EngineFleet.kt
@@ -1,15 +1,19 @@
 package gypsumcart.core.capacity
 
 import gypsumcart.core.BackEnd
+import gypsumcart.core.CallFailure
 import gypsumcart.core.CallKind
 import gypsumcart.core.Features
 import gypsumcart.core.LEDGER
 import gypsumcart.core.NodeId
+import gypsumcart.core.Outcome
 import gypsumcart.core.Prompt
+import gypsumcart.core.Ticket
 import gypsumcart.core.admitted
 import gypsumcart.core.at
 import gypsumcart.core.backEnd
 import gypsumcart.core.routing.HealthSignal
+import gypsumcart.core.routing.InstanceKey
 import gypsumcart.core.routing.RetryLimits
 import gypsumcart.core.routing.Routing
 import gypsumcart.core.routing.RoutingEffect
@@ -45,7 +49,16 @@
 }
 
 /** Describes one call that ended or whose response started: the time, the engine, and how long it took. */
-internal class CallRecord(val at: Duration, val engine: FakeEngine, val latency: Duration, val read: Boolean)
+internal class CallRecord(
+    val at: Duration,
+    val engine: FakeEngine,
+    val latency: Duration,
+    val read: Boolean,
+    val attempt: Int,
+)
+
+/** Describes that the standing of an engine changed at a node. */
+internal class StandingRecord(val at: Duration, val node: NodeId, val engine: FakeEngine, val change: StandingChange)
 
 /** Runs the routing of many nodes before engines in virtual time; reports reach other nodes late. */
 internal class EngineFleet(
@@ -61,6 +74,7 @@
     }
 
     private inner class Server(val id: NodeId, val rank: Int) {
+        val assigned = HashMap<Ticket, RoutingEffect.Assign>()
         val routing = Routing(RetryLimits(0.2, 50, 10.seconds), features)
 
         fun decide(event: RoutingEvent): Unit = routing.decide(event, at(now)).forEach { execute(this, it) }
@@ -78,6 +92,12 @@
         private set
     val calls = ArrayList<CallRecord>()
 
+    val standings = ArrayList<StandingRecord>()
+    private val running = HashSet<Pair<Ticket, InstanceKey>>()
+
+    /** When calls were ended before their response started. */
+    val endedCalls = ArrayList<Duration>()
+
     /** When requests were refused. */
     val refusals = ArrayList<Duration>()
 
@@ -136,7 +156,14 @@
 
     private fun execute(server: Server, effect: RoutingEffect) {
         when (effect) {
-            is RoutingEffect.Assign -> call(server, effect)
+            is RoutingEffect.Assign -> {
+                server.assigned[effect.admitted.ticket] = effect
+                call(server, effect)
+            }
+            is RoutingEffect.EndCall -> endAndRetry(server, effect)
+            is RoutingEffect.StandingChanged ->
+                standings +=
+                    StandingRecord(now, server.id, engines.first { it.backEnd.key == effect.instance }, effect.change)
             is RoutingEffect.ReportLoad ->
                 servers.filter { it !== server }.forEach { other ->
                     val counted = at(now)
@@ -153,19 +180,20 @@
         val engine = engines.first { it.backEnd.key == effect.backEnd.key }
         val prefix =
             effect.admitted.submission.prompt
-                ?.parts
-                ?.first { it.id.text != "system" }
-                ?.id
-                ?.text
+                ?.sharedPart
         val read = prefix != null && cached.add(engine.backEnd.id.text to prefix)
-        val latency = engine.timeOfCall(base)
+        val latency = if (engine.dark) HOLD_TIME else engine.timeOfCall(base)
         engine.inProgress++
-        calls += CallRecord(now, engine, latency, read)
-        val isStream = effect.admitted.route.kind is CallKind.Streamed
-        if (isStream) schedule(latency) { start(server, effect) }
-        schedule(if (isStream) latency * 2 else latency) {
-            engine.inProgress--
-            release(server, effect, HealthSignal.HEALTHY)
+        running += effect.admitted.ticket to effect.backEnd.key
+        calls += CallRecord(now, engine, latency, read, effect.attempt.number)
+        when {
+            engine.failing -> schedule(FAILURE_TIME) { release(server, effect, HealthSignal.UNKNOWN, isError = true) }
+            engine.dark -> schedule(latency) { release(server, effect, HealthSignal.FAILING) }
+            effect.admitted.route.kind is CallKind.Streamed -> {
+                schedule(latency) { start(server, effect) }
+                schedule(latency * 2) { release(server, effect, HealthSignal.HEALTHY) }
+            }
+            else -> schedule(latency) { release(server, effect, HealthSignal.HEALTHY) }
         }
     }
 
@@ -174,8 +202,36 @@
         server.decide(RoutingEvent.FirstPieceReceived(ticket, LEDGER, effect.backEnd.key, fraction = null))
     }
 
-    private fun release(server: Server, effect: RoutingEffect.Assign, health: HealthSignal): Unit =
-        server.decide(RoutingEvent.CallReleased(effect.admitted.ticket, effect.backEnd.key, health))
+    private fun release(
+        server: Server,
+        effect: RoutingEffect.Assign,
+        health: HealthSignal,
+        isError: Boolean = false,
+    ) {
+        val key = effect.backEnd.key
+        val ticket = effect.admitted.ticket
+        if (!running.remove(ticket to key)) return
+        engines.first { it.backEnd.key == key }.inProgress--
+        server.decide(RoutingEvent.CallReleased(ticket, key, health, isError))
+    }
+
+    /** Ends a call as dispatch does for requests that may be repeated. */
+    private fun endAndRetry(server: Server, effect: RoutingEffect.EndCall) {
+        val assigned = server.assigned.getValue(effect.ticket)
+        if (effect.ticket to effect.instance !in running) return
+        endedCalls += now
+        release(server, assigned, HealthSignal.FAILING)
+        server.decide(
+            RoutingEvent.RetryRequested(
+                assigned.admitted,
+                assigned.attempt.next(),
+                setOf(effect.instance),
+                Outcome.Failed(CallFailure.TimedOut),
+            ),
+        )
+    }
+
+    private val Prompt.sharedPart: String get() = parts.first { it.id.text != "system" }.id.text
 
     fun run(duration: Duration) {
         val end = now + duration
@@ -198,6 +254,20 @@
         return (recent.count { it.latency > target } + refused).toDouble() / (recent.size + refused)
     }
 
+    /** Returns the most engines that a single node had ejected at once. */
+    fun mostEjected(): Int =
+        standings.groupBy { it.node }.values.maxOf { ofNode ->
+            val out = HashSet<FakeEngine>()
+            ofNode.maxOf {
+                when (it.change) {
+                    is StandingChange.Ejected -> out += it.engine
+                    is StandingChange.Returned -> out -= it.engine
+                    is StandingChange.Weighed -> Unit
+                }
+                out.size
+            }
+        }
+
     /** Returns the calls since [since] to each engine, as a multiple of the mean. */
     fun shares(since: Duration): Map<FakeEngine, Double> {
         val recent = calls.filter { it.at >= since }
@@ -210,5 +280,9 @@
         val REPORT_PERIOD = 500.milliseconds
         val NOISE_PERIOD = 600.milliseconds
         const val NOISE_FACTOR = 2.5
+
+        /** How long a call to a dark engine is held: until the deadline of its client. */
+        val HOLD_TIME = 5.seconds
+        val FAILURE_TIME = 5.milliseconds
     }
 }
--- a/core/src/test/kotlin/gypsumcart/core/dispatch/DispatchTest.kt
+++ b/core/src/test/kotlin/gypsumcart/core/dispatch/DispatchTest.kt
@@ -112,6 +112,41 @@
         expectThat(fail(request, CallFailure.TimedOut, now = at(2.seconds)).last()).isA<DispatchEffect.Conclude>()
     }
 
+    private fun reportOverdue(admitted: AdmittedRequest, name: String = "x"): List<DispatchEffect> =
+        dispatch.decide(DispatchEvent.CallOverdue(admitted.ticket, backEnd(name).key), MonotonicTime(0))
+
+    // Guards against calls that are held on dark back ends until their clients give up (issue 43).
+    @Test
+    fun `an overdue call is ended and the request goes to another back end if it may run again`() {
+        for (kind in listOf(CallKind.Idempotent, resumable)) {
+            val request = admitted(kind)
+            assign(request)
+            expectThat(reportOverdue(request)).isEqualTo(listOf(DispatchEffect.EndCall(request.ticket)))
+            expectThat(fail(request, CallFailure.TimedOut).last()).isA<DispatchEffect.Retry>()
+            assign(request, attempt = 2, name = "y")
+            dispatch.decide(DispatchEvent.Concluded(request.ticket), MonotonicTime(0))
+        }
+    }
+
+    @Test
+    fun `an overdue call is left alone if the request may run at most once, or not once more`() {
+        val once = admitted(CallKind.AtMostOnce)
+        assign(once)
+        expectThat(reportOverdue(once)).isEmpty()
+        val last = admitted(CallKind.Idempotent, number = 2, maxAttempts = 1)
+        assign(last)
+        expectThat(reportOverdue(last)).isEmpty()
+    }
+
+    @Test
+    fun `a call to another back end than the overdue one is left alone`() {
+        val request = admitted(CallKind.Idempotent)
+        assign(request)
+        fail(request, CallFailure.TimedOut)
+        assign(request, attempt = 2, name = "y")
+        expectThat(reportOverdue(request, "x")).isEmpty()
+    }
+
     @Test
     fun `the result of an earlier attempt is ignored`() {
         val request = admitted(CallKind.Idempotent)
--- a/core/src/test/kotlin/gypsumcart/core/routing/ServingFleet.kt
+++ b/core/src/test/kotlin/gypsumcart/core/routing/ServingFleet.kt
@@ -203,6 +203,7 @@
                         is DispatchEffect.Retry ->
                             route(RoutingEvent.RetryRequested(it.admitted, it.attempt, it.excluded, it.fallbackOutcome))
                         is DispatchEffect.Abort, is DispatchEffect.ReportDurations -> error("no node stops")
+                        is DispatchEffect.EndCall -> error("no call is overdue")
                     }
                 }
         }
@@ -238,6 +239,7 @@
                 is RoutingEffect.LimitChanged ->
                     if (effect.requestsPerSecond == null) limited -= effect.instance else limited += effect.instance
                 is RoutingEffect.ReportLoad -> Unit
+                is RoutingEffect.EndCall, is RoutingEffect.StandingChanged -> error("capacity is not learned here")
             }
         }
 
--- a/node/src/main/kotlin/gypsumcart/node/CapacityCodec.kt
+++ b/node/src/main/kotlin/gypsumcart/node/CapacityCodec.kt
@@ -8,8 +8,8 @@
 /**
  * Represents what a node tells of its recent calls, in reports to other nodes and in rows of the store.
  *
- * Each instance has the tenths of its calls, of their slowness, of those in progress and, if there are any, of the
- * failures.
+ * Each instance has the tenths of its calls and of their slowness, the calls in progress, those of them that wait and,
+ * if there are any, the tenths of the failures.
  */
 internal typealias WireCapacity = Map<String, List<Int>>
 
@@ -17,7 +17,14 @@
     sums.entries.associate { (instance, sums) -> instance.number.toString(TAG_RADIX) to sums.toTenths() }
 
 private fun CallSums.toTenths(): List<Int> {
-    val known = listOf(calls, slowness, inProgress, failures).map { (it * TENTHS).roundToInt() }
+    val known =
+        listOf(
+            calls * TENTHS,
+            slowness * TENTHS,
+            inProgress,
+            waiting,
+            failures * TENTHS,
+        ).map { it.roundToInt() }
     return if (known.last() == 0) known.dropLast(1) else known
 }
 
@@ -37,15 +44,16 @@
     return CallSums(
         calls = this[0] / TENTHS,
         slowness = this[1] / TENTHS,
-        inProgress = this[2] / TENTHS,
+        inProgress = this[2].toDouble(),
+        waiting = this[3].toDouble(),
         failures = (getOrNull(SUMS.first) ?: 0) / TENTHS,
     )
 }
 
 private const val TENTHS = 10.0
 
-/** Calls, slowness, calls in progress, and failures if there are any. */
-private val SUMS = 3..4
+/** Calls, slowness, calls in progress, those that wait, and failures if there are any. */
+private val SUMS = 4..5
 
 /** The largest radix that digits and letters allow. */
 private const val TAG_RADIX = 36
--- a/node/src/main/kotlin/gypsumcart/node/ClientEdge.kt
+++ b/node/src/main/kotlin/gypsumcart/node/ClientEdge.kt
@@ -74,6 +74,9 @@
         @Volatile
         private var aborted = false
 
+        @Volatile
+        private var ended: Job? = null
+
         @Volatile
         private var runningCall: Job? = null
 
@@ -83,7 +86,15 @@
             runningCall?.cancel()
         }
 
-        /** Returns the result of [call], or the failure if [abort] ends it first. */
+        /** Ends the call in progress unless its response has started; it counts as timed out. */
+        fun endUnstartedCall() {
+            val call = runningCall ?: return
+            if (response.isStarted) return
+            ended = call
+            call.cancel()
+        }
+
+        /** Returns the result of [call], or the failure if [abort] or [endUnstartedCall] ends it first. */
         suspend fun runUnlessAborted(call: suspend () -> CallResult): CallResult {
             var result: CallResult? = null
             try {
@@ -94,9 +105,10 @@
                 }
             } catch (e: CancellationException) {
                 currentCoroutineContext().ensureActive()
-                if (!aborted) throw e
+                if (!aborted && ended !== runningCall) throw e
             }
-            return result ?: CallResult.Failed(CallFailure.Aborted, response.progress)
+            val failure = if (aborted) CallFailure.Aborted else CallFailure.TimedOut
+            return result ?: CallResult.Failed(failure, response.progress)
         }
     }
 
@@ -119,6 +131,11 @@
         pendingRequests[ticket]?.abort()
     }
 
+    /** Ends the call of the request with [ticket] as timed out, unless its response has started. */
+    fun endUnstartedCall(ticket: Ticket) {
+        pendingRequests[ticket]?.endUnstartedCall()
+    }
+
     override suspend fun handle(request: HttpRequest, response: ResponseWriter) {
         val ticket = Ticket(tickets.incrementAndGet())
         val submission = codec.decode(request, ticket, clock.now())
--- a/node/src/main/kotlin/gypsumcart/node/Metrics.kt
+++ b/node/src/main/kotlin/gypsumcart/node/Metrics.kt
@@ -84,6 +84,7 @@
         registry.gauge("gypsumcart.lease.held", state) { if (it.leaseHeld) 1.0 else 0.0 }
         registry.gauge("gypsumcart.linked", state) { if (it.linked) 1.0 else 0.0 }
         registry.gauge("gypsumcart.limited.back.ends", state) { it.limitedBackEnds.size.toDouble() }
+        registry.gauge("gypsumcart.ejected.back.ends", state) { it.ejectedBackEnds.size.toDouble() }
         registry.gauge("gypsumcart.quarantined.parts", state) { it.quarantinedParts.size.toDouble() }
         registry.gauge("gypsumcart.members", state) { it.members.size.toDouble() }
         registry.gauge("gypsumcart.back.ends", listOf(tag("state", "staying")), state) { it.activeBackEnds.toDouble() }
--- a/node/src/main/kotlin/gypsumcart/node/NodeState.kt
+++ b/node/src/main/kotlin/gypsumcart/node/NodeState.kt
@@ -43,6 +43,10 @@
     @Volatile
     var limitedBackEnds: Set<InstanceKey> = emptySet()
 
+    /** The back ends that get no calls of this node, since they are far worse than their peers. */
+    @Volatile
+    var ejectedBackEnds: Set<InstanceKey> = emptySet()
+
     /** Whether this node holds the lease and so acts for the whole fleet. */
     @Volatile
     var leaseHeld = false
--- a/node/src/main/kotlin/gypsumcart/node/RequestDuties.kt
+++ b/node/src/main/kotlin/gypsumcart/node/RequestDuties.kt
@@ -109,6 +109,10 @@
 
             is RoutingEffect.LimitChanged -> recordLimit(effect)
 
+            is RoutingEffect.EndCall -> rings.dispatch.put(DispatchEvent.CallOverdue(effect.ticket, effect.instance))
+
+            is RoutingEffect.StandingChanged -> effect.record(state)
+
             is RoutingEffect.QuarantineChanged -> recordQuarantine(effect.change)
         }
     }
@@ -166,6 +170,8 @@
 
             is DispatchEffect.Abort -> edge.abort(effect.ticket)
 
+            is DispatchEffect.EndCall -> edge.endUnstartedCall(effect.ticket)
+
             // If the ring of admission is full, requests are accepted as if nothing were known of earlier ones.
             is DispatchEffect.ReportDurations ->
                 rings.admission.offer(AdmissionEvent.DurationsMeasured(effect.durations))
@@ -219,7 +225,9 @@
             is DirectoryEffect.Publish -> {
                 state.backEndsListed = true
                 state.drainingBackEnds = effect.backEnds.count { it.draining }
-                state.limitedBackEnds = state.limitedBackEnds intersect effect.backEnds.mapTo(HashSet()) { it.key }
+                val listed = effect.backEnds.mapTo(HashSet()) { it.key }
+                state.limitedBackEnds = state.limitedBackEnds intersect listed
+                state.ejectedBackEnds = state.ejectedBackEnds intersect listed
                 state.activeBackEnds = effect.backEnds.size - state.drainingBackEnds
                 log.info(
                     "event=back_ends_listed count={} leaving={}",
--- a/node/src/test/kotlin/gypsumcart/node/CapacityCodecTest.kt
+++ b/node/src/test/kotlin/gypsumcart/node/CapacityCodecTest.kt
@@ -18,20 +18,29 @@
         val report =
             CapacityReport(
                 mapOf(
-                    InstanceTag(-5) to CallSums(3.14, 4.26, 0.0, 2.0),
+                    InstanceTag(-5) to CallSums(3.14, 4.26, 0.0, 2.0, 1.0),
                     InstanceTag(5) to CallSums(1.0, 8.0, 1.0, 0.0),
                 ),
             )
         val read =
             CapacityReport(
-                mapOf(InstanceTag(-5) to CallSums(3.1, 4.3, 0.0, 2.0), InstanceTag(5) to CallSums(1.0, 8.0, 1.0, 0.0)),
+                mapOf(
+                    InstanceTag(-5) to CallSums(3.1, 4.3, 0.0, 2.0, 1.0),
+                    InstanceTag(5) to CallSums(1.0, 8.0, 1.0, 0.0),
+                ),
             )
         expectThat(report.toWire().toCapacity()).isEqualTo(read)
     }
 
     @Test
     fun `entries of another form are left out`() {
-        val wire = mapOf("" to listOf(1, 1, 1), "a" to listOf(1), "b" to listOf(1, -1, 0), "c" to listOf(10, 10, 0))
+        val wire =
+            mapOf(
+                "" to listOf(1, 1, 1, 1),
+                "a" to listOf(1),
+                "b" to listOf(1, -1, 0, 0),
+                "c" to listOf(10, 10, 0, 0),
+            )
         val read = CapacityReport(mapOf(InstanceTag(12) to CallSums(1.0, 1.0)))
         expectThat(wire.toCapacity()).isEqualTo(read)
     }
@@ -39,7 +48,7 @@
     @Test
     fun `an instance takes less than 30 bytes of a report`() {
         val tag = InstanceKey(BackEndId("i-7f3a91c2d04c"), Incarnation(1_765_000_000_000)).tag
-        val wire = CapacityReport(mapOf(tag to CallSums(123.4, 234.5, inProgress = 9.0))).toWire()
+        val wire = CapacityReport(mapOf(tag to CallSums(123.4, 234.5, inProgress = 9.0, waiting = 2.0))).toWire()
         expectThat(wire.entries.sumOf { (key, value) -> key.length + value.toString().length + 4 }).isLessThan(30)
     }
 }
--- a/node/src/test/kotlin/gypsumcart/node/ClientEdgeTest.kt
+++ b/node/src/test/kotlin/gypsumcart/node/ClientEdgeTest.kt
@@ -4,6 +4,7 @@
 import gypsumcart.core.AttemptNumber
 import gypsumcart.core.BackEnd
 import gypsumcart.core.BackEndId
+import gypsumcart.core.CallFailure
 import gypsumcart.core.CallKind
 import gypsumcart.core.Incarnation
 import gypsumcart.core.MonotonicTime
@@ -17,6 +18,7 @@
 import gypsumcart.core.addressOrNull
 import gypsumcart.core.admission.AdmissionEvent
 import gypsumcart.core.dispatch.CallResult
+import gypsumcart.core.dispatch.DeliveryProgress
 import gypsumcart.core.dispatch.DispatchEffect
 import gypsumcart.core.dispatch.DispatchEvent
 import gypsumcart.core.routing.AvailabilityStatement
@@ -86,7 +88,7 @@
         return socket to submitted.submission
     }
 
-    private fun callFor(submission: Submission): DispatchEffect.Call {
+    private fun callFor(submission: Submission, backEndPort: Int = 1): DispatchEffect.Call {
         val route = Route("x", "/a/", CallKind.Idempotent, 1.seconds, 1.seconds, 3, emptyList(), 1, isPublic = true)
         val deadline = MonotonicClock.SYSTEM.now() + 5.seconds
         val admitted = AdmittedRequest(submission, route, ServiceName("s"), null, priority = 3, deadline)
@@ -95,7 +97,7 @@
                 id = BackEndId("i-1"),
                 incarnation = Incarnation(1),
                 service = ServiceName("s"),
-                address = checkNotNull(addressOrNull("127.0.0.1:1")),
+                address = checkNotNull(addressOrNull("127.0.0.1:$backEndPort")),
                 zone = ZoneName("a"),
                 slots = 1,
                 draining = false,
@@ -146,6 +148,25 @@
         expectThat(dispatch.takeOrNull(2.seconds)).isEqualTo(ended)
     }
 
+    @Test
+    fun `a call to a back end that does not respond is ended on demand as timed out, and its connection is closed`() {
+        runBlocking { server.start() }
+        ServerSocket(0).use { silent ->
+            val (_, submission) = sendRequest()
+            edge.deliver(submission.ticket, EdgeCommand.Call(callFor(submission, silent.localPort)))
+            silent.accept().use { connection ->
+                connection.soTimeout = 2_000
+                val received = connection.getInputStream()
+                check(received.read() >= 0) { "the back end got no request" }
+                edge.endUnstartedCall(submission.ticket)
+                val failed = CallResult.Failed(CallFailure.TimedOut, DeliveryProgress.None)
+                val ended = DispatchEvent.CallEnded(submission.ticket, AttemptNumber.FIRST, failed)
+                expectThat(dispatch.takeOrNull(2.seconds)).isEqualTo(ended)
+                received.readAllBytes()
+            }
+        }
+    }
+
     /** Decodes no more of a request than the edge needs. */
     private object Codec : CallCodec {
         override fun decode(request: HttpRequest, ticket: Ticket, arrivedAt: MonotonicTime): Submission =
