--- a/core/src/main/kotlin/gypsumcart/core/routing/Routing.kt
+++ b/core/src/main/kotlin/gypsumcart/core/routing/Routing.kt
@@ -58,7 +58,9 @@
                 versions.update(event.rules)
                 assignWaiting(now) + versions.uses(candidates)
             }
-            RoutingEvent.Sweep -> assignWaiting(now) + expireWaiting(now)
+            RoutingEvent.Sweep ->
+                assignWaiting(now) + expireWaiting(now) +
+                    choice.endOverdueCalls(candidates.values, retryBudgets, place, now)
             RoutingEvent.ReportDue -> report(now)
             RoutingEvent.Aborted ->
                 waiting.values
@@ -205,7 +207,7 @@
         val available = ofVersion.filter { it.isAvailable(excluded, place, now) }
         val needsPlace = attempt == AttemptNumber.FIRST
         if (available.isEmpty() || needsPlace && places.areFull(admitted, ofVersion, place, now)) return null
-        val eligible = available.filterNot { it.isEjected(now) }.ifEmpty { available }
+        val eligible = available.filterNot { it.isEjected(now, admitted.ticket) }.ifEmpty { available }
         val cost = costOf(admitted)
         val chosen = if (isTrial) eligible.leastLoaded(admitted.ticket) else choice.choose(eligible, admitted, cost)
         chosen.startCall(admitted, cost, now)
@@ -319,13 +321,15 @@
             }
         // The other nodes are assumed to have as many requests as this one.
         val lost = candidatesByService.lostCapacity { retryBudgets.requestRate(it, now) * place.nodeCount }
+        val capacity = choice.update(now)
         return apply(quarantine.expire(now), now) + shareFindings(now) + versions.uses(candidates) +
+            choice.standingChanges(candidates.values) +
             RoutingEffect.ReportLoad(
                 load,
                 latencies.slowestTenths(now),
                 lost,
                 calls = candidates.values.sumOf { it.inFlightCalls },
-                capacity = choice.update(now),
+                capacity = capacity,
             )
     }
 
--- a/node/src/test/kotlin/gypsumcart/node/ClientEdgeTest.kt
+++ b/node/src/test/kotlin/gypsumcart/node/ClientEdgeTest.kt
@@ -4,6 +4,7 @@
 import gypsumcart.core.AttemptNumber
 import gypsumcart.core.BackEnd
 import gypsumcart.core.BackEndId
+import gypsumcart.core.CallFailure
 import gypsumcart.core.CallKind
 import gypsumcart.core.Incarnation
 import gypsumcart.core.MonotonicTime
@@ -17,6 +18,7 @@
 import gypsumcart.core.addressOrNull
 import gypsumcart.core.admission.AdmissionEvent
 import gypsumcart.core.dispatch.CallResult
+import gypsumcart.core.dispatch.DeliveryProgress
 import gypsumcart.core.dispatch.DispatchEffect
 import gypsumcart.core.dispatch.DispatchEvent
 import gypsumcart.core.routing.AvailabilityStatement
@@ -171,6 +173,25 @@
         }
     }
 
+    @Test
+    fun `a call to a back end that does not respond is ended on demand as timed out, and its connection is closed`() {
+        runBlocking { server.start() }
+        ServerSocket(0).use { silent ->
+            val (_, submission) = sendRequest()
+            edge.deliver(submission.ticket, EdgeCommand.Call(callFor(submission, silent.localPort)))
+            silent.accept().use { connection ->
+                connection.soTimeout = 2_000
+                val received = connection.getInputStream()
+                check(received.read() >= 0) { "the back end got no request" }
+                edge.endUnstartedCall(submission.ticket)
+                val failed = CallResult.Failed(CallFailure.TimedOut, DeliveryProgress.None)
+                val ended = DispatchEvent.CallEnded(submission.ticket, AttemptNumber.FIRST, failed)
+                expectThat(dispatch.takeOrNull(2.seconds)).isEqualTo(ended)
+                received.readAllBytes()
+            }
+        }
+    }
+
     /** Decodes no more of a request than the edge needs. */
     private object Codec : CallCodec {
         override fun decode(request: HttpRequest, ticket: Ticket, arrivedAt: MonotonicTime): Submission =
