--- a/core/src/main/kotlin/gypsumcart/core/rollout/Rollout.kt
+++ b/core/src/main/kotlin/gypsumcart/core/rollout/Rollout.kt
@@ -31,6 +31,7 @@
     private val busy = HashSet<ServiceName>()
 
     private var sharedNews: List<News> = emptyList()
+    private var revision = 0L
     private var rules: List<VersionRule> = emptyList()
 
     override fun decide(event: RolloutEvent, now: MonotonicTime): List<RolloutEffect> {
@@ -59,7 +60,15 @@
             is RolloutEvent.HoldingChanged -> noEffects { token = event.token }
             is RolloutEvent.ReportsReceived -> merge(event, now)
             is RolloutEvent.VersionsUsed ->
-                noEffects { event.uses.forEach { trackers[it.rule.service]?.record(it) } }
+                noEffects {
+                    event.uses.forEach {
+                        trackers[it.rule.service]?.record(
+                            it,
+                            isCurrent =
+                                it.revision == revision,
+                        )
+                    }
+                }
             is RolloutEvent.CallObserved -> noEffects { trackers[event.service]?.observe(event.call, now) }
             is RolloutEvent.OldCallEnded -> noEffects { trackers[event.service]?.recordOldCall(event.elapsed) }
             RolloutEvent.Tick -> judge() + advance(now)
@@ -148,6 +157,6 @@
         val current = trackers.values.mapNotNull { it.ruleOrNull(now) }
         if (current == rules) return emptyList()
         rules = current
-        return listOf(RolloutEffect.Rule(current))
+        return listOf(RolloutEffect.Rule(current, ++revision))
     }
 }
--- a/core/src/main/kotlin/gypsumcart/core/rollout/RolloutEvents.kt
+++ b/core/src/main/kotlin/gypsumcart/core/rollout/RolloutEvents.kt
@@ -59,8 +59,12 @@
 
 /** Represents an output of the [Rollout] decider. */
 public sealed class RolloutEffect {
-    /** Replaces the rules by which routing divides requests between versions. */
-    public data class Rule(public val rules: List<VersionRule>) : RolloutEffect()
+    /**
+     * Replaces the rules by which routing divides requests between versions.
+     *
+     * @property revision a number that grows with each change, by which routing states what it has done by the rules
+     */
+    public data class Rule(public val rules: List<VersionRule>, public val revision: Long) : RolloutEffect()
 
     /**
      * Shares what this node knows and has seen of the roll-outs with the other nodes.
--- a/core/src/main/kotlin/gypsumcart/core/rollout/RolloutTracker.kt
+++ b/core/src/main/kotlin/gypsumcart/core/rollout/RolloutTracker.kt
@@ -142,12 +142,16 @@
         longestCall = maxOf(longestCall, elapsed)
     }
 
-    /** Records what routing did; the old version is sealed once all calls to it have ended and none can follow. */
-    fun record(used: VersionUse) {
+    /**
+     * Records what routing did; the old version is sealed once all calls to it have ended and none can follow.
+     *
+     * @param isCurrent whether routing still goes by the same rules
+     */
+    fun record(used: VersionUse, isCurrent: Boolean) {
         use = used
         val committed = row?.takeIf { it.stage == RolloutStage.Committed } ?: return
         val isNew = used.rule.mode == VersionMode.New && used.rule.order == committed.order
-        if (isNew && used.oldCalls == 0) sealed = true
+        if (isCurrent && isNew && used.oldCalls == 0) sealed = true
     }
 
     /** Adds the report of another node; returns the row that it shows if that is newer. */
--- a/core/src/main/kotlin/gypsumcart/core/rollout/VersionRule.kt
+++ b/core/src/main/kotlin/gypsumcart/core/rollout/VersionRule.kt
@@ -45,12 +45,14 @@
 /**
  * Describes what routing has done by a rule.
  *
+ * @property revision the revision of the rules that were in force
  * @property requests the number of requests since the order
  * @property exposed the number of these that went to the new version
  * @property oldCalls the number of calls in progress on other versions
  */
 public data class VersionUse(
     public val rule: VersionRule,
+    public val revision: Long,
     public val requests: Int,
     public val exposed: Int,
     public val oldCalls: Int,
--- a/core/src/main/kotlin/gypsumcart/core/rollout/VersionSplit.kt
+++ b/core/src/main/kotlin/gypsumcart/core/rollout/VersionSplit.kt
@@ -48,10 +48,12 @@
     }
 
     private val divisions = HashMap<ServiceName, Division>()
+    private var revision = 0L
     private val warmAt = HashMap<InstanceKey, MonotonicTime>()
 
     /** Replaces the rules; the counts of a service start anew with each order. */
-    fun update(rules: List<VersionRule>) {
+    fun update(rules: List<VersionRule>, revision: Long) {
+        this.revision = revision
         divisions.keys.retainAll(rules.mapTo(HashSet()) { it.service })
         for (rule in rules) {
             val division = divisions[rule.service]
@@ -129,7 +131,7 @@
             divisions.values.map { division ->
                 val rule = division.rule
                 val old = candidates.values.filter { it.backEnd.service == rule.service && it.isOld(rule) }
-                VersionUse(rule, division.requests, division.exposed, old.sumOf { it.inFlightCalls })
+                VersionUse(rule, revision, division.requests, division.exposed, old.sumOf { it.inFlightCalls })
             }
         return listOf(RoutingEffect.VersionsUsed(uses))
     }
--- a/core/src/main/kotlin/gypsumcart/core/routing/Routing.kt
+++ b/core/src/main/kotlin/gypsumcart/core/routing/Routing.kt
@@ -52,7 +52,7 @@
             is RoutingEvent.LimitStated -> hearLimit(event, now)
             is RoutingEvent.PauseStated -> pauseCalls(event, now)
             is RoutingEvent.VersionsRuled -> {
-                versions.update(event.rules)
+                versions.update(event.rules, event.revision)
                 assignWaiting(now) + versions.uses(candidates)
             }
             RoutingEvent.Sweep -> assignWaiting(now) + expireWaiting(now)
--- a/core/src/main/kotlin/gypsumcart/core/routing/RoutingEvents.kt
+++ b/core/src/main/kotlin/gypsumcart/core/routing/RoutingEvents.kt
@@ -91,7 +91,10 @@
     ) : RoutingEvent()
 
     /** The rules by which requests are divided between versions of their service are now [rules]. */
-    public data class VersionsRuled(public val rules: List<VersionRule>) : RoutingEvent()
+    public data class VersionsRuled(
+        public val rules: List<VersionRule>,
+        public val revision: Long,
+    ) : RoutingEvent()
 
     /** The time given by [RoutingEffect.SweepAt], at which requests that have waited too long are ended. */
     public data object Sweep : RoutingEvent()
--- a/core/src/test/kotlin/gypsumcart/core/rollout/RolloutFleet.kt
+++ b/core/src/test/kotlin/gypsumcart/core/rollout/RolloutFleet.kt
@@ -224,7 +224,7 @@
 
         private fun execute(effect: RolloutEffect) {
             when (effect) {
-                is RolloutEffect.Rule -> route(RoutingEvent.VersionsRuled(effect.rules))
+                is RolloutEffect.Rule -> route(RoutingEvent.VersionsRuled(effect.rules, effect.revision))
                 is RolloutEffect.Share -> node.decide(MembershipEvent.RolloutsUpdated(effect.reports, effect.isUrgent))
                 is RolloutEffect.Write -> fleet.schedule(NETWORK_TIME) { write(effect) }
                 is RolloutEffect.Read -> fleet.schedule(NETWORK_TIME) { read(effect) }
--- a/core/src/test/kotlin/gypsumcart/core/rollout/VersionSplitTest.kt
+++ b/core/src/test/kotlin/gypsumcart/core/rollout/VersionSplitTest.kt
@@ -30,7 +30,10 @@
 
     private fun rule(mode: VersionMode) {
         routing.decide(RoutingEvent.BackEndsListed(old + new), at(1.seconds))
-        routing.decide(RoutingEvent.VersionsRuled(listOf(VersionRule(LEDGER, OrderNumber(1), V2, mode))), at(1.seconds))
+        routing.decide(
+            RoutingEvent.VersionsRuled(listOf(VersionRule(LEDGER, OrderNumber(1), V2, mode)), 1),
+            at(1.seconds),
+        )
     }
 
     private fun assign(number: Long): BackEnd {
@@ -84,7 +87,10 @@
         val cold = new.map { it.copy(warmsUpIn = if (it.id.text == "new-3") 0.seconds else 5.seconds) }
         routing.decide(RoutingEvent.BackEndsListed(old + cold), at(1.seconds))
         val mode = VersionMode.Divided(share = 0.5, exposedShare = 1.0, exposedExtra = 100)
-        routing.decide(RoutingEvent.VersionsRuled(listOf(VersionRule(LEDGER, OrderNumber(1), V2, mode))), at(1.seconds))
+        routing.decide(
+            RoutingEvent.VersionsRuled(listOf(VersionRule(LEDGER, OrderNumber(1), V2, mode)), 1),
+            at(1.seconds),
+        )
         val used = (1L..100).map(::assign).filter { it.version == V2 }
         expectThat(used).all { get { id.text }.isEqualTo("new-3") }
     }
@@ -93,7 +99,7 @@
     fun `a barred version gets nothing, and a rule of a roll-out that has ended leaves another one`() {
         val rule = VersionRule(LEDGER, OrderNumber(1), V2, VersionMode.New, barred = setOf(V1), isSettled = true)
         routing.decide(RoutingEvent.BackEndsListed(old + new), at(1.seconds))
-        routing.decide(RoutingEvent.VersionsRuled(listOf(rule)), at(1.seconds))
+        routing.decide(RoutingEvent.VersionsRuled(listOf(rule), 1), at(1.seconds))
         expectThat((1L..50).map { assign(it).version }).all { isEqualTo(V2) }
         routing.decide(RoutingEvent.BackEndsListed(listOf(old[0], old[1].copy(version = V3))), at(1.seconds))
         expectThat((51L..60).map { assign(it).version }).all { isEqualTo(V3) }
--- a/node/src/main/kotlin/gypsumcart/node/RolloutDuty.kt
+++ b/node/src/main/kotlin/gypsumcart/node/RolloutDuty.kt
@@ -110,7 +110,7 @@
             is RolloutEffect.Rule -> {
                 state.rolledOutVersions =
                     effect.rules.filterNot { it.isSettled }.associate { it.service to it.target }
-                rings.routing.put(RoutingEvent.VersionsRuled(effect.rules))
+                rings.routing.put(RoutingEvent.VersionsRuled(effect.rules, effect.revision))
             }
 
             is RolloutEffect.Share ->
