Let an order back to the old version end a roll-out without a gap

Cause: a node took the old version for one to be rolled out while the version of the ended roll-out was still listed, and had no back end left to send to.

Change: a row names the versions that it replaces and those that were given up; an order to one that is in force is complete when no call is in progress on another.

--- a/core/src/main/kotlin/gypsumcart/core/rollout/RolloutRow.kt
+++ b/core/src/main/kotlin/gypsumcart/core/rollout/RolloutRow.kt
@@ -63,6 +63,7 @@
  * @property elapsed the time from the order to the event that the row came with
  * @property token the fencing token of the holder that wrote the row
  * @property givenUp the versions of earlier roll-outs that may still be listed and get no requests
+ * @property replaced the versions that were in force when the order was taken up
  * @property version the store's version of the row, which every write increases; 0 in a row that is to be written
  */
 public data class RolloutRow(
@@ -75,6 +76,7 @@
     public val token: FencingToken,
     public val version: Long,
     public val givenUp: Set<BackEndVersion> = emptySet(),
+    public val replaced: Set<BackEndVersion> = emptySet(),
 )
 
 /** Describes how a write of a roll-out's row ended. */
--- a/core/src/main/kotlin/gypsumcart/core/rollout/RolloutTracker.kt
+++ b/core/src/main/kotlin/gypsumcart/core/rollout/RolloutTracker.kt
@@ -194,8 +194,8 @@
     /** Returns the rule by which routing divides requests now, or null if there is nothing to divide. */
     fun ruleOrNull(now: MonotonicTime): VersionRule? {
         val last = row
-        val pending = order?.takeIf { isPending && !isInForce }
-        val awaited = pending?.target?.takeIf { last != null && !isInForceBy(last, it) }
+        val pending = order?.takeIf { isPending && !isInForce && last?.uses(it.target) != true }
+        val awaited = pending?.target?.takeIf { last != null }
         val barred = last?.givenUp.orEmpty() + setOfNotNull(awaited)
         return when {
             last != null && !isForgotten ->
@@ -212,9 +212,6 @@
         }
     }
 
-    private fun isInForceBy(last: RolloutRow, version: BackEndVersion): Boolean =
-        if (last.stage is RolloutStage.RolledBack) version != last.target else version == last.target
-
     private fun modeOf(last: RolloutRow, now: MonotonicTime): VersionMode =
         when (val stage = last.stage) {
             RolloutStage.Prepared, is RolloutStage.RolledBack -> VersionMode.Old
@@ -287,44 +284,8 @@
     /** Returns the row with which the holder takes up the newest order, or null if it has been taken up. */
     fun firstRowOrNull(services: Set<ServiceName>, token: FencingToken): RolloutRow? {
         val ordered = order?.takeIf { isPending } ?: return null
-        val running = row?.takeUnless { it.stage.isFinal }
-        val stage =
-            when {
-                running != null && running.target == ordered.target -> running.stage
-                running?.stage == RolloutStage.Committed -> return null
-                running != null -> return running.copy(
-                    stage = RolloutStage.RolledBack(RollbackCause.REPLACED),
-                    token = token,
-                )
-                service !in services -> RolloutStage.RolledBack(RollbackCause.UNKNOWN_SERVICE)
-                isInForce ||
-                    row?.let {
-                        isInForceBy(
-                            it,
-                            ordered.target,
-                        ) &&
-                            isAlone(ordered.target)
-                    } ?: false -> RolloutStage.Complete
-                else -> RolloutStage.Prepared
-            }
-        return RolloutRow(
-            service = service,
-            order = ordered.number,
-            target = ordered.target,
-            stage = stage,
-            duration = ordered.duration,
-            elapsed = Duration.ZERO,
-            token = token,
-            version = 0,
-            givenUp = if (running == null) givenUp(ordered.target) else running.givenUp,
-        )
-    }
-
-    /** Returns the listed versions that neither the last roll-out left in force nor the new order names. */
-    private fun givenUp(target: BackEndVersion): Set<BackEndVersion> {
-        val last = row ?: return emptySet()
-        val listed = backEnds.mapNotNullTo(HashSet()) { it.version } - target
-        return listed.filterTo(HashSet()) { it in last.givenUp || !isInForceBy(last, it) }
+        val listed = backEnds.mapNotNullTo(HashSet()) { it.version }
+        return RolloutSuccession(ordered, row, isInForce, listed).firstRowOrNull(services, token)
     }
 
     private companion object {
--- a/core/src/test/kotlin/gypsumcart/core/rollout/RolloutFailuresTest.kt
+++ b/core/src/test/kotlin/gypsumcart/core/rollout/RolloutFailuresTest.kt
@@ -163,6 +163,22 @@
         ).isEqualTo(setOf(V1, V3))
     }
 
+    @Test
+    fun `an order back to the old version ends a roll-out at once, and all requests are served there`() {
+        val fleet = fleet()
+        fleet.order(V2, DURATION)
+        fleet.run(5.seconds)
+        fleet.order(V1, DURATION, bootTime = null)
+        fleet.run(2.seconds)
+        expectThat(fleet.row?.target).isEqualTo(V1)
+        fleet.expectComplete()
+        val sentBefore = fleet.sent.size
+        fleet.run(3.seconds)
+        val later = fleet.sent.drop(sentBefore)
+        expectThat(later.size).isGreaterThan(600)
+        expectThat(later).all { get { version }.isEqualTo(V1) }
+    }
+
     @Test
     fun `an order to the version in force is complete at once, and one back to the old version is a roll-out`() {
         val fleet = fleet()
--- a/node/src/main/kotlin/gypsumcart/node/RolloutCodec.kt
+++ b/node/src/main/kotlin/gypsumcart/node/RolloutCodec.kt
@@ -35,6 +35,7 @@
     val started: Long,
     @SerialName("fence") val token: Long,
     val givenUp: List<String> = emptyList(),
+    val replaced: List<String> = emptyList(),
 )
 
 /** Represents the same row in a report; [elapsed] is the time since the order, in milliseconds. */
@@ -48,6 +49,7 @@
     @SerialName("fence") val token: Long,
     val version: Long,
     val givenUp: List<String> = emptyList(),
+    val replaced: List<String> = emptyList(),
 )
 
 /** Represents what a node knows of a roll-out and has seen of it; times are in milliseconds. */
@@ -94,6 +96,7 @@
                 storeMillis - elapsed.inWholeMilliseconds,
                 token.number,
                 givenUp.map { it.text },
+                replaced.map { it.text },
             ),
         ).encodeToByteArray()
 
@@ -112,6 +115,7 @@
         FencingToken(row.token),
         version.number,
         row.givenUp.mapTo(HashSet(), ::BackEndVersion),
+        row.replaced.mapTo(HashSet(), ::BackEndVersion),
     )
 }
 
@@ -157,6 +161,7 @@
         token.number,
         version,
         givenUp.map { it.text },
+        replaced.map { it.text },
     )
 
 private fun WireRolloutRow.toRowOrNull(service: ServiceName): RolloutRow? =
@@ -171,6 +176,7 @@
             FencingToken(token),
             version,
             givenUp.mapTo(HashSet(), ::BackEndVersion),
+            replaced.mapTo(HashSet(), ::BackEndVersion),
         )
     }
 
--- a/node/src/test/kotlin/gypsumcart/node/RolloutCodecTest.kt
+++ b/node/src/test/kotlin/gypsumcart/node/RolloutCodecTest.kt
@@ -30,6 +30,7 @@
             FencingToken(6),
             version = 9,
             givenUp = setOf(BackEndVersion("v0")),
+            replaced = setOf(BackEndVersion("v1")),
         )
 
     private val stages =
