--- a/core/src/main/kotlin/gypsumcart/core/routing/Routing.kt
+++ b/core/src/main/kotlin/gypsumcart/core/routing/Routing.kt
@@ -55,7 +55,7 @@
             is RoutingEvent.LimitStated -> hearLimit(event, now)
             is RoutingEvent.PauseStated -> pauseCalls(event, now)
             is RoutingEvent.VersionsRuled -> {
-                versions.update(event.rules)
+                versions.update(event.rules, event.revision)
                 assignWaiting(now) + versions.uses(candidates)
             }
             RoutingEvent.Sweep ->
