--- a/core/src/test/kotlin/gypsumcart/core/admission/QuotaLoansFleetTest.kt
+++ b/core/src/test/kotlin/gypsumcart/core/admission/QuotaLoansFleetTest.kt
@@ -49,7 +49,7 @@
     @ParameterizedTest
     @MethodSource("runs")
     fun `loans that are lost, late or repeated never add up to more than the quota`(run: Run) {
-        val network = SimulatedNetwork(maxDelay = 60.milliseconds, lossRate = 0.2, repeatRate = 0.3)
+        val network = SimulatedNetwork(maxDelay = 25.milliseconds, lossRate = 0.2, repeatRate = 0.3)
         expectThat(run(run, EVEN_OVERLOAD, network).maxInWindow()).isLessThanOrEqualTo(QuotaFleet.TOLERATED)
     }
 
