Order lost engines again as they were, and give the place of on-demand engines to spot ones evenly

Change, behind `demandScaling`: on-demand engines go evenly over the zones, and more are ordered only for what spot ones can't make up, in zones that are dry or whose last order failed.

--- a/core/src/main/kotlin/gypsumcart/core/replicas/DemandDivision.kt
+++ b/core/src/main/kotlin/gypsumcart/core/replicas/DemandDivision.kt
@@ -44,27 +44,30 @@
 /**
  * Returns how many on-demand back ends make up for the spot ones that are missing, by zone.
  *
- * Spot back ends that still boot count when more on-demand ones might be ordered, but not when some might go: those go
- * only when the spot ones that replace them are listed.
+ * Spot back ends that boot or are to be ordered count when more on-demand ones might be ordered, unless their zone is
+ * dry or their last order failed, but not when some might go: those go only when the spot ones that replace them are
+ * listed.
  */
 private fun ZoneDivision.ByDemand.onDemandByDemand(
     requirement: Requirement,
     fleet: ServiceFleet,
     dry: Set<ZoneName>,
 ): Map<ZoneName, Int> {
-    val booting =
-        (fleet.zones - dry).associateWith { zone ->
-            orders.provisionedCount(fleet.pool(zone, spot = true), fleet.staying, fleet.scaling, fleet.now)
+    val obtainable =
+        fleet.zones.associateWith { zone ->
+            val listed = fleet.spotByZone[zone] ?: 0
+            val isDoubtful = zone in dry || orders.hasFailed(fleet.pool(zone, spot = true))
+            if (isDoubtful) listed else maxOf(listed, spotTarget(zone, requirement, fleet, onDemand = 0))
         }
     val lost = if (dry.isEmpty()) 1 else 0
-    val least = requirement.missingBeside(fleet.spotByZone + booting, lost)
+    val least = requirement.missingBeside(obtainable, lost)
     val most = requirement.missingBeside(fleet.spotByZone, lost)
     val provisioned =
         fleet.zones.associateWith { zone ->
             orders.provisionedCount(fleet.pool(zone, spot = false), fleet.staying, fleet.scaling, fleet.now)
         }
     val total = withoutEarlyReduction(least, maxOf(least, most), provisioned.values.sum(), fleet)
-    return placeOnDemand(total, provisioned, fleet, dry)
+    return placeOnDemand(total, provisioned, obtainable, fleet, dry)
 }
 
 /**
@@ -86,22 +89,27 @@
 private fun Requirement.missingBeside(spotByZone: Map<ZoneName, Int>, lost: Int): Int =
     maxOf(count - spotByZone.afterLossOf(lost), countAfterTwoLosses - spotByZone.afterLossOf(lost + 1), 0)
 
-/** Keeps those [provisioned] as far as they count among [total], and adds others in the cheapest zones with room. */
+/**
+ * Keeps those [provisioned] as far as they count among [total], and adds others in the cheapest zones with room beside
+ * the [spot] ones.
+ */
 private fun placeOnDemand(
     total: Int,
     provisioned: Map<ZoneName, Int>,
+    spot: Map<ZoneName, Int>,
     fleet: ServiceFleet,
     dry: Set<ZoneName>,
 ): Map<ZoneName, Int> {
-    var missing = total
-    val counts = HashMap<ZoneName, Int>()
-    for (zone in fleet.zones) {
-        counts[zone] = minOf(missing, provisioned.getValue(zone))
-        missing -= counts.getValue(zone)
+    val counts = HashMap(provisioned)
+    // Those that go make room for spot ones where there is least of it, of equal zones in the dearest.
+    repeat(provisioned.values.sum() - total) {
+        val fullest = fleet.zones.asReversed().maxBy(counts::getValue)
+        counts[fullest] = counts.getValue(fullest) - 1
     }
+    var missing = total - counts.values.sum()
     // A zone that refuses orders now gets them only if the others have no room left.
     for (zone in fleet.zones.sortedBy { it in dry }) {
-        val headroom = fleet.scaling.max - (fleet.spotByZone[zone] ?: 0) - counts.getValue(zone)
+        val headroom = fleet.scaling.max - spot.getValue(zone) - counts.getValue(zone)
         val added = missing.coerceIn(0, headroom.coerceAtLeast(0))
         counts[zone] = counts.getValue(zone) + added
         missing -= added
--- a/core/src/main/kotlin/gypsumcart/core/replicas/OrderBook.kt
+++ b/core/src/main/kotlin/gypsumcart/core/replicas/OrderBook.kt
@@ -56,6 +56,9 @@
     fun isDry(service: ServiceName, zone: ZoneName): Boolean =
         dryPools.any { it.service == service && it.zone == zone }
 
+    /** Returns whether the last order for [pool] did not succeed. */
+    fun hasFailed(pool: Pool): Boolean = lastOrders[pool]?.let { it.count == null } ?: false
+
     /** Returns whether the last order for spot back ends of [service] in any zone did not succeed. */
     fun hasRefusedSpot(service: ServiceName): Boolean =
         lastOrders.any { (pool, last) -> pool.service == service && pool.spot && last.count == null }
--- a/core/src/test/kotlin/gypsumcart/core/replicas/ScalingFixture.kt
+++ b/core/src/test/kotlin/gypsumcart/core/replicas/ScalingFixture.kt
@@ -11,6 +11,7 @@
 import gypsumcart.core.configuration
 import gypsumcart.core.leases.CommandResult
 import gypsumcart.core.leases.FencedCommand
+import kotlin.random.Random
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
@@ -95,6 +96,11 @@
         dryUntil[zone] = elapsed + dry
     }
 
+    /** Lets [count] engines fail, of all zones alike. */
+    fun crash(count: Int) {
+        engines.shuffled(Random(count)).take(count).forEach { engines -= it }
+    }
+
     /** Lets the engines run for [duration], in steps of half a second, while [rate] requests arrive per second. */
     fun run(duration: Duration, rate: (Duration) -> Double = { 0.0 }) {
         val end = elapsed + duration
--- a/core/src/test/kotlin/gypsumcart/core/replicas/ScalingPatternsTest.kt
+++ b/core/src/test/kotlin/gypsumcart/core/replicas/ScalingPatternsTest.kt
@@ -82,6 +82,37 @@
         expectThat(fleet.refused).isEqualTo(0.0)
     }
 
+    // Guards against on-demand engines that keep the place of the spot ones by which they would be replaced.
+    @Test
+    fun `on-demand engines of the start give way also where the limit of a zone leaves little room beside them`() {
+        val fleet = FakeFleet(maxPerZone = 66)
+        fleet.hold()
+        fleet.register(98, over = 2.seconds)
+        fleet.run(60.seconds)
+        expectThat(fleet.staying.count { !it.spot }).isLessThanOrEqualTo(2)
+        expectThat(
+            ZONES.minOf { zone ->
+                fleet.staying.count { it.spot && it.zone == zone }
+            },
+        ).isGreaterThanOrEqualTo(64)
+    }
+
+    // Guards against on-demand engines that take the place of spot ones in the midst of an overload.
+    @Test
+    fun `engines that crash are ordered again as they were`() {
+        val fleet = FakeFleet(maxPerZone = 66)
+        fleet.hold()
+        fleet.register(98, over = 2.seconds)
+        fleet.run(40.seconds)
+        fleet.run(10.seconds) { LEVEL * 1.5 }
+        val earlier = fleet.orders.size
+        fleet.crash(34)
+        fleet.run(10.seconds) { LEVEL * 2 }
+        val orders = fleet.orders.drop(earlier).map { it.second }
+        expectThat(orders.filter { it.spot }.minOf { it.count }).isGreaterThanOrEqualTo(64)
+        expectThat(orders.filter { !it.spot }.sumOf { it.count }).isLessThanOrEqualTo(2)
+    }
+
     @Test
     fun `a steady demand is not answered with orders`() {
         val fleet = fleet()
