--- a/node/src/main/kotlin/gypsumcart/node/FleetDuties.kt
+++ b/node/src/main/kotlin/gypsumcart/node/FleetDuties.kt
@@ -1,19 +1,12 @@
 package gypsumcart.node
 
-import com.github.michaelbull.result.Err
-import com.github.michaelbull.result.Ok
-import com.github.michaelbull.result.Result
 import com.github.michaelbull.result.fold
-import com.github.michaelbull.result.getError
-import com.github.michaelbull.result.getOrElse
-import com.github.michaelbull.result.map
 import com.github.michaelbull.result.mapBoth
 import com.github.michaelbull.result.mapError
 import gypsumcart.core.Features
 import gypsumcart.core.FencingToken
 import gypsumcart.core.Incarnation
 import gypsumcart.core.NodeId
-import gypsumcart.core.ServiceName
 import gypsumcart.core.UnixMillis
 import gypsumcart.core.admission.AdmissionEvent
 import gypsumcart.core.leases.CommandResult
@@ -281,7 +274,7 @@
                 ScalingPolicy.ByLoad ->
                     rows.put(Tables.FLEET, INITIAL_COUNTS_KEY, encodeInitialCounts(effect.counts), expected = null)
 
-                ScalingPolicy.ByDemand -> raiseInitialCounts(effect.counts)
+                ScalingPolicy.ByDemand -> raiseInitialCounts(rows, effect.counts)
             }
         written.mapError {
             metrics.countFailedWrite("initial_counts")
@@ -289,23 +282,6 @@
         }
     }
 
-    /**
-     * Stores [counts] where they are higher than the stored ones, also if another node stores some at the same time.
-     */
-    private suspend fun raiseInitialCounts(counts: Map<ServiceName, Int>): Result<Unit, StoreFailure> {
-        val written = writeHigher(counts, rows.get(Tables.FLEET, INITIAL_COUNTS_KEY).getOrElse { return Err(it) })
-        val conflict = written.getError() as? StoreFailure.Conflict ?: return written
-        return writeHigher(counts, conflict.current)
-    }
-
-    private suspend fun writeHigher(counts: Map<ServiceName, Int>, current: Row?): Result<Unit, StoreFailure> {
-        val stored = current?.toInitialCountsOrNull().orEmpty()
-        val highest = (stored.keys + counts.keys).associateWith { maxOf(stored[it] ?: 0, counts[it] ?: 0) }
-        if (highest == stored) return Ok(Unit)
-        val expected = current?.version ?: RowVersion.ABSENT
-        return rows.put(Tables.FLEET, INITIAL_COUNTS_KEY, encodeInitialCounts(highest), expected).map {}
-    }
-
     private companion object {
         private val log = LoggerFactory.getLogger(FleetDuties::class.java)
     }
