Share usage counts sooner, estimate lost ones, read the fleet's table less often

Change: counts are collected four times a second and shared with the next renewal; a node that stops shares its counts before it ends; with relayed feeds, the counts of the half second before the end of a node are estimated from its rate, and nodes with a relay read the fleet's table every 8 s.

--- a/core/src/main/kotlin/gypsumcart/core/usage/Usage.kt
+++ b/core/src/main/kotlin/gypsumcart/core/usage/Usage.kt
@@ -65,8 +65,13 @@
  *
  * @property window the length of a window
  * @property lateAfter the time after the end of a window from which its report is late
+ * @property unsharedTime the mean time for which a node that ends has not shared its counts; they are estimated
  */
-public data class UsageSettings(public val window: Duration, public val lateAfter: Duration)
+public data class UsageSettings(
+    public val window: Duration,
+    public val lateAfter: Duration,
+    public val unsharedTime: Duration = Duration.ZERO,
+)
 
 /**
  * Counts the requests that started to run and, on the lease holder, reports the sum over all nodes for each window.
@@ -76,6 +81,7 @@
 public class Usage(private val settings: UsageSettings) : Decider<UsageEvent, UsageEffect> {
     private class PendingReport(var storedCounts: Map<TeamName, Int>?, var attemptedAt: MonotonicTime)
 
+    private val losses = LostCounts(settings)
     private val counts = HashMap<WindowNumber, HashMap<TeamName, Int>>()
     private val pending = HashMap<WindowNumber, PendingReport>()
     private var reports: List<NodeReport> = emptyList()
@@ -151,6 +157,7 @@
     private fun sumOf(window: WindowNumber): Map<TeamName, Int> {
         val sum = HashMap<TeamName, Int>()
         for (report in reports) report.usage[window]?.forEach { (team, n) -> sum.merge(team, n, Int::plus) }
+        for ((team, estimate) in losses.sumOf(window, reports)) sum.merge(team, estimate, Int::plus)
         return sum
     }
 
--- a/core/src/test/kotlin/gypsumcart/core/membership/SimulatedFleet.kt
+++ b/core/src/test/kotlin/gypsumcart/core/membership/SimulatedFleet.kt
@@ -35,6 +35,7 @@
     zoneSizes: List<Int>,
     private val network: SimulatedNetwork = SimulatedNetwork(),
     seed: Long = 1,
+    private val relaysTables: Boolean = false,
     private val relayRankOf: (NodeId) -> RelayRank = { RelayRank.LOWEST },
 ) {
     private class Task(val at: Duration, val order: Long, val run: () -> Unit)
@@ -74,6 +75,9 @@
         val target = PeerTarget(key, address, zone, relayRankOf(id))
         var running = true
         var linked = false
+
+        /** Whether another node follows the tables of the store for this one. */
+        var relayed = false
         var members: List<NodeId> = emptyList()
         var reports: Map<NodeKey, NodeReport> = emptyMap()
         var storeReads = 0
@@ -109,9 +113,16 @@
         private fun readStorePeriodically() {
             if (running) readStore()
             val round = ++readRound
-            schedule(if (linked) 4.seconds else 700.milliseconds) { if (round == readRound) readStorePeriodically() }
+            schedule(readPause()) { if (round == readRound) readStorePeriodically() }
         }
 
+        private fun readPause(): Duration =
+            when {
+                !linked -> 700.milliseconds
+                relayed -> 8.seconds
+                else -> 4.seconds
+            }
+
         private fun readStore() {
             if (!reachesStore) return
             storeReads++
@@ -139,6 +150,7 @@
                 is MembershipEffect.UpdateMembers -> members = effect.members.map { it.node }
                 is MembershipEffect.DistributeReports -> reports = effect.reports.associateBy { it.key }
                 is MembershipEffect.LinkChanged -> changeLink(effect.linked)
+                is MembershipEffect.RelaysChosen -> relayed = relaysTables && effect.relay != null
                 is MembershipEffect.UpdateQuotaPeers -> quotaPeers = effect.peers
                 is MembershipEffect.Refuse -> refused += effect.sender
                 is MembershipEffect.Send -> send(effect)
--- a/node/src/main/kotlin/gypsumcart/node/FleetDuties.kt
+++ b/node/src/main/kotlin/gypsumcart/node/FleetDuties.kt
@@ -3,6 +3,7 @@
 import com.github.michaelbull.result.fold
 import com.github.michaelbull.result.mapBoth
 import com.github.michaelbull.result.mapError
+import gypsumcart.core.Features
 import gypsumcart.core.FencingToken
 import gypsumcart.core.Incarnation
 import gypsumcart.core.NodeId
@@ -32,6 +33,7 @@
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.launch
 import org.slf4j.LoggerFactory
+import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 
@@ -51,13 +53,21 @@
     private val clock: MonotonicClock,
     private val identity: MembershipSettings,
     bounds: Bounds,
+    features: Features,
 ) {
     private val node: NodeId get() = identity.node
     private val incarnation: Incarnation get() = identity.incarnation
     private val rows: RowStore get() = platform.rowStore
 
     private val lease = Lease(node, incarnation, bounds.lease, bounds.clockJumpMillis.milliseconds)
-    private val usage = Usage(UsageSettings(bounds.usageWindowSeconds.seconds, bounds.usageLateSeconds.seconds))
+    private val usage =
+        Usage(
+            UsageSettings(
+                bounds.usageWindowSeconds.seconds,
+                bounds.usageLateSeconds.seconds,
+                unsharedTime = if (features.relayedFeeds) MEAN_UNSHARED_TIME else Duration.ZERO,
+            ),
+        )
 
     val all: List<Duty> =
         listOf(
@@ -97,8 +107,7 @@
 
             is MembershipEffect.LinkChanged -> changeLink(effect)
 
-            is MembershipEffect.RelaysChosen ->
-                platform.feedRelay?.follow(effect.relay?.address, effect.others.map { it.address })
+            is MembershipEffect.RelaysChosen -> chooseRelays(effect)
 
             is MembershipEffect.PeerLost -> logLostPeer(effect)
 
@@ -118,6 +127,13 @@
         log.info("event=link_changed linked={} silent_zones={}", effect.linked, effect.silentZones.joinToString(","))
     }
 
+    private fun chooseRelays(effect: MembershipEffect.RelaysChosen) {
+        val feedRelay = platform.feedRelay ?: return
+        readPace.relayed = effect.relay != null
+        feedRelay.follow(effect.relay?.address, effect.others.map { it.address })
+        log.info("event=relay_chosen relay={}", effect.relay?.key?.node)
+    }
+
     private fun logLostPeer(effect: MembershipEffect.PeerLost) {
         log.info(
             "event=peer_lost peer={} incarnation={} zone={} report_age_ms={} link_age_ms={} store_age_ms={} linked={}",
@@ -270,6 +286,9 @@
 
     private companion object {
         private val log = LoggerFactory.getLogger(FleetDuties::class.java)
+
+        /** Counts are a quarter of a second old when they are shared, which happens every half second. */
+        val MEAN_UNSHARED_TIME: Duration = 500.milliseconds
     }
 }
 
--- a/node/src/main/kotlin/gypsumcart/node/Node.kt
+++ b/node/src/main/kotlin/gypsumcart/node/Node.kt
@@ -118,6 +118,7 @@
                 clock,
                 identity,
                 settings.bounds,
+                features,
             ).all
     private val fleetClock = FleetClock(platform.rowStore)
 
@@ -206,7 +207,10 @@
         timers.every(REPORT_PERIOD) { triggerReports() }
         timers.every(FLEET_TICK_PERIOD) { triggerFleetDuties() }
         if (peerServer != null) {
-            timers.every(EXCHANGE_PERIOD) { rings.membership.offer(MembershipEvent.ExchangeDue) }
+            timers.every(EXCHANGE_PERIOD) {
+                rings.membership.offer(MembershipEvent.ExchangeDue)
+                rings.usage.offer(UsageEvent.Tick)
+            }
         }
         timers.every(LEASE_TICK_PERIOD) { rings.lease.offer(LeaseEvent.Tick(wallTime())) }
         timers.every(READINESS_CHECK_PERIOD) { checkReadiness() }
@@ -285,10 +289,13 @@
         /** How often a node renews its report, from which the others compute their shares of the quotas. */
         val REPORT_PERIOD: Duration = 500.milliseconds
 
-        /** If a host fails, the usage counts of at most this time are lost with it. */
+        /** If a host without a peer link fails, the usage counts of at most this time are lost with it. */
         val FLEET_TICK_PERIOD: Duration = 1.seconds
 
-        /** A report takes up to three exchanges to reach the nodes of another zone. */
+        /**
+         * A report takes up to three exchanges to reach the nodes of another zone. Usage counts are collected as often,
+         * so that each has left the host with the second renewal of the report after it at the latest.
+         */
         val EXCHANGE_PERIOD: Duration = 250.milliseconds
 
         /**
--- a/node/src/main/kotlin/gypsumcart/node/ShutdownDuty.kt
+++ b/node/src/main/kotlin/gypsumcart/node/ShutdownDuty.kt
@@ -11,17 +11,20 @@
 import gypsumcart.core.shutdown.ShutdownEffect
 import gypsumcart.core.shutdown.ShutdownEvent
 import gypsumcart.core.shutdown.ShutdownLimits
+import gypsumcart.core.usage.UsageEvent
 import gypsumcart.http.HttpServer
 import gypsumcart.pipeline.Duty
 import gypsumcart.pipeline.MonotonicClock
 import gypsumcart.pipeline.Timers
 import gypsumcart.pipeline.deciderDuty
 import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.delay
 import kotlinx.coroutines.joinAll
 import kotlinx.coroutines.launch
 import org.slf4j.LoggerFactory
 import java.util.concurrent.CountDownLatch
 import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
 
 /**
  * Runs the decider of a node's shutdown.
@@ -82,14 +85,29 @@
         timers.after(timeUntil(effect.processEndsAt), finished::countDown)
         val refusal = codec.outcomeHead(Outcome.NotRun.STOPPING, id = null)
         scope.launch {
-            servers.map { launch { it.finish(effect.closeTimeout, refusal) } }.joinAll()
+            val sharing = launch { shareLastCounts() }
+            (servers.map { launch { it.finish(effect.closeTimeout, refusal) } } + sharing).joinAll()
             finished.countDown()
         }
     }
 
+    /** Shares the usage counts of the last requests, over the link and through the store. */
+    private suspend fun shareLastCounts() {
+        rings.usage.offer(UsageEvent.Tick)
+        delay(COUNTING_TIME)
+        rings.membership.offer(MembershipEvent.AcceptingChanged(false))
+        delay(SHARING_TIME)
+    }
+
     private fun timeUntil(time: MonotonicTime): Duration = (time - clock.now()).coerceAtLeast(Duration.ZERO)
 
     private companion object {
         private val log = LoggerFactory.getLogger(ShutdownDuty::class.java)
+
+        /** Several times what the usage duty takes to pass its counts on. */
+        val COUNTING_TIME = 50.milliseconds
+
+        /** Longer than the time after which each node of the zone turns to its relay again. */
+        val SHARING_TIME = 300.milliseconds
     }
 }
