--- a/node/src/main/kotlin/gypsumcart/node/FleetDuties.kt
+++ b/node/src/main/kotlin/gypsumcart/node/FleetDuties.kt
@@ -36,6 +36,7 @@
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.launch
 import org.slf4j.LoggerFactory
+import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 
@@ -63,7 +64,14 @@
 
     private val lease = Lease(node, incarnation, bounds.lease, bounds.clockJumpMillis.milliseconds)
     private val scalingPolicy = if (features.demandScaling) ScalingPolicy.ByDemand else ScalingPolicy.ByLoad
-    private val usage = Usage(UsageSettings(bounds.usageWindowSeconds.seconds, bounds.usageLateSeconds.seconds))
+    private val usage =
+        Usage(
+            UsageSettings(
+                bounds.usageWindowSeconds.seconds,
+                bounds.usageLateSeconds.seconds,
+                unsharedTime = if (features.relayedFeeds) MEAN_UNSHARED_TIME else Duration.ZERO,
+            ),
+        )
 
     val all: List<Duty> =
         listOf(
@@ -110,8 +118,7 @@
 
             is MembershipEffect.LinkChanged -> changeLink(effect)
 
-            is MembershipEffect.RelaysChosen ->
-                platform.feedRelay?.follow(effect.relay?.address, effect.others.map { it.address })
+            is MembershipEffect.RelaysChosen -> chooseRelays(effect)
 
             is MembershipEffect.PeerLost -> logLostPeer(effect)
 
@@ -134,6 +141,13 @@
         log.info("event=link_changed linked={} silent_zones={}", effect.linked, effect.silentZones.joinToString(","))
     }
 
+    private fun chooseRelays(effect: MembershipEffect.RelaysChosen) {
+        val feedRelay = platform.feedRelay ?: return
+        readPace.relayed = effect.relay != null
+        feedRelay.follow(effect.relay?.address, effect.others.map { it.address })
+        log.info("event=relay_chosen relay={}", effect.relay?.key?.node)
+    }
+
     private fun logLostPeer(effect: MembershipEffect.PeerLost) {
         log.info(
             "event=peer_lost peer={} incarnation={} zone={} report_age_ms={} link_age_ms={} store_age_ms={} linked={}",
@@ -298,6 +312,9 @@
 
     private companion object {
         private val log = LoggerFactory.getLogger(FleetDuties::class.java)
+
+        /** Counts are a quarter of a second old when they are shared, which happens every half second. */
+        val MEAN_UNSHARED_TIME: Duration = 500.milliseconds
     }
 }
 
