Look for overdue calls with the reports, and let services fill up before new instances start slowly

An instance starts slowly only if its service was first listed 3 s before. No function reference is made for each candidate of a call.

--- a/core/src/main/kotlin/gypsumcart/core/capacity/CapacityLearner.kt
+++ b/core/src/main/kotlin/gypsumcart/core/capacity/CapacityLearner.kt
@@ -6,6 +6,7 @@
 import gypsumcart.core.ServiceName
 import gypsumcart.core.routing.key
 import kotlin.time.Duration
+import kotlin.time.Duration.Companion.seconds
 
 /**
  * Learns from the calls of all nodes how much each instance of a back end takes compared with its peers.
@@ -19,18 +20,20 @@
     private val own = OwnSums()
     private val peers = PeerSums()
     private val instances = HashMap<InstanceTag, InstanceCapacity>()
+    private val servicesSince = HashMap<ServiceName, MonotonicTime>()
     private val instancesByService = HashMap<ServiceName, List<InstanceCapacity>>()
 
-    /** Replaces the instances; one that joins others of its service starts slowly. */
+    /** Replaces the instances; one that joins others that have been known for a while starts slowly. */
     fun list(backEnds: List<BackEnd>, now: MonotonicTime) {
-        val knownServices = instancesByService.filterValues { it.isNotEmpty() }.keys.toSet()
         val listed =
             backEnds.map { backEnd ->
                 val tag = backEnd.key.tag
-                val rampFrom = now.takeIf { backEnd.service in knownServices }
+                val knownSince = servicesSince.getOrPut(backEnd.service) { now }
+                val rampFrom = now.takeIf { it - knownSince >= SETTLING_TIME }
                 instances.getOrPut(tag) { InstanceCapacity(tag, backEnd.service, rampFrom, now) }
             }
         instances.values.retainAll(listed.toSet())
+        servicesSince.keys.retainAll(backEnds.mapTo(HashSet()) { it.service })
         instancesByService.clear()
         instancesByService += listed.groupBy { it.service }
     }
@@ -135,6 +138,9 @@
         /** Bounds the effect of one call, since a single one may have waited for a reason of its own. */
         const val MAX_SLOWNESS = 8.0
 
+        /** For so long after its first instance was listed, those of a service may be listed one after another. */
+        val SETTLING_TIME: Duration = 3.seconds
+
         /** Of latencies whose logarithms are spread normally, one in 700 is longer. */
         const val TAIL_DEVIATIONS = 3.0
 
--- a/core/src/main/kotlin/gypsumcart/core/routing/Candidates.kt
+++ b/core/src/main/kotlin/gypsumcart/core/routing/Candidates.kt
@@ -49,6 +49,7 @@
 /** Tracks the in-flight calls and the outlier ejection of one back-end instance, as seen by this node. */
 internal class Candidate(var backEnd: BackEnd) {
     private val calls = HashMap<Ticket, InFlightCall>()
+    private val hasCallSince = { time: MonotonicTime -> calls.values.any { it.startedAt >= time } }
     private var consecutiveFailures = 0
     private var ejectedUntil: MonotonicTime? = null
 
@@ -78,11 +79,9 @@
     fun isEjected(now: MonotonicTime, ticket: Ticket? = null): Boolean {
         if (ejectedUntil?.let { now < it } ?: false) return true
         val known = capacity ?: return false
-        return known.isEjected(now, if (ticket == null) 1.0 else drawOf(ticket), ::hasCallSince)
+        return known.isEjected(now, if (ticket == null) 1.0 else drawOf(ticket), hasCallSince)
     }
 
-    private fun hasCallSince(time: MonotonicTime): Boolean = calls.values.any { it.startedAt >= time }
-
     /** The calls whose responses have not started. */
     val unstartedCalls: List<InFlightCall> get() = calls.values.filterNot { it.started }
 
--- a/core/src/main/kotlin/gypsumcart/core/routing/Routing.kt
+++ b/core/src/main/kotlin/gypsumcart/core/routing/Routing.kt
@@ -57,10 +57,9 @@
             is RoutingEvent.CapacityReported -> noEffects { choice.learn(event) }
             is RoutingEvent.LimitStated -> hearLimit(event, now)
             is RoutingEvent.PauseStated -> pauseCalls(event, now)
-            RoutingEvent.Sweep ->
-                assignWaiting(now) + expireWaiting(now) +
-                    choice.endOverdueCalls(candidates.values, retryBudgets, place, now)
-            RoutingEvent.ReportDue -> report(now)
+            RoutingEvent.Sweep -> assignWaiting(now) + expireWaiting(now)
+            RoutingEvent.ReportDue ->
+                choice.endOverdueCalls(candidates.values, retryBudgets, place, now) + report(now)
             RoutingEvent.Aborted ->
                 waiting.values
                     .map { RoutingEffect.Conclude(it.admitted, Outcome.NotRun.STOPPING) }
--- a/core/src/test/kotlin/gypsumcart/core/capacity/LearnedCapacityTest.kt
+++ b/core/src/test/kotlin/gypsumcart/core/capacity/LearnedCapacityTest.kt
@@ -86,6 +86,19 @@
         expectThat(fleet.shares(13.seconds).getValue(added)).isGreaterThan(0.6)
     }
 
+    @Test
+    fun `start, engines that are listed soon after the first ones get as much as if they had been among these`() {
+        val shares =
+            listOf(4, 5).map { listed ->
+                val fleet = EngineFleet(nodeCount = 20, List(listed) { 1.0 })
+                fleet.serve(1.seconds, perSecond = 200, prefixes = 400)
+                if (listed == 4) fleet.add(FakeEngine(backEnd("e4", slots = 64), 1.0))
+                fleet.serve(2.seconds, perSecond = 200, prefixes = 400)
+                fleet.shares(1.seconds).getValue(fleet.engines.last())
+            }
+        expectThat(shares[0]).isGreaterThan(shares[1] * 0.85)
+    }
+
     private companion object {
         val SPEEDS = listOf(0.6, 1.0, 1.6)
         val TARGET: Duration = 400.milliseconds
