--- a/core/src/main/kotlin/gypsumcart/core/routing/Routing.kt
+++ b/core/src/main/kotlin/gypsumcart/core/routing/Routing.kt
@@ -58,10 +58,9 @@
                 versions.update(event.rules, event.revision)
                 assignWaiting(now) + versions.uses(candidates)
             }
-            RoutingEvent.Sweep ->
-                assignWaiting(now) + expireWaiting(now) +
-                    choice.endOverdueCalls(candidates.values, retryBudgets, place, now)
-            RoutingEvent.ReportDue -> report(now)
+            RoutingEvent.Sweep -> assignWaiting(now) + expireWaiting(now)
+            RoutingEvent.ReportDue ->
+                choice.endOverdueCalls(candidates.values, retryBudgets, place, now) + report(now)
             RoutingEvent.Aborted ->
                 waiting.values
                     .map { RoutingEffect.Conclude(it.admitted, Outcome.NotRun.STOPPING) }
