--- a/node/src/test/kotlin/gypsumcart/node/InitialCountsRowTest.kt
+++ b/node/src/test/kotlin/gypsumcart/node/InitialCountsRowTest.kt
@@ -33,6 +33,11 @@
             return Ok(version)
         }
 
+        override suspend fun putTogether(
+            rows: List<TableRow>,
+            expected: RowVersion,
+        ): Result<RowVersion, StoreFailure> = Err(StoreFailure.NoAnswer)
+
         override suspend fun remove(table: TableName, keys: List<RowKey>): Result<RowVersion, StoreFailure> =
             Err(StoreFailure.NoAnswer)
 
