--- a/core/src/main/kotlin/gypsumcart/core/admission/Admission.kt
+++ b/core/src/main/kotlin/gypsumcart/core/admission/Admission.kt
@@ -30,7 +30,16 @@
     /** Is null unless the node shuts down. */
     private var drainGate: DrainGate? = null
 
-    override fun decide(event: AdmissionEvent, now: MonotonicTime): List<AdmissionEffect> =
+    override fun decide(event: AdmissionEvent, now: MonotonicTime): List<AdmissionEffect> {
+        val effects = handle(event, now)
+        // What a team asks beyond its quota is not owed, so no back ends are ordered for it.
+        for (effect in effects) {
+            if (effect is AdmissionEffect.Route) arrivals.add(effect.admitted.submission, effect.admitted.service, now)
+        }
+        return effects
+    }
+
+    private fun handle(event: AdmissionEvent, now: MonotonicTime): List<AdmissionEffect> =
         when (event) {
             is AdmissionEvent.Configured -> configure(event.configuration, now)
 
@@ -115,7 +124,6 @@
         now: MonotonicTime,
     ): List<AdmissionEffect> {
         val admitted = admit(submission, route, team)
-        arrivals.add(submission, admitted.service, now)
         val quota = team?.quota ?: return listOf(AdmissionEffect.Route(admitted))
         val cost = quota.unit.costOf(submission.prompt)
         return when (sharing) {
--- a/core/src/main/kotlin/gypsumcart/core/admission/AdmissionEvents.kt
+++ b/core/src/main/kotlin/gypsumcart/core/admission/AdmissionEvents.kt
@@ -100,7 +100,7 @@
     /** Requests an [AdmissionEvent.CheckLoans] at [time], when a request will have waited too long for a loan. */
     public data class CheckLoansAt(public val time: MonotonicTime) : AdmissionEffect()
 
-    /** Reports the use of quotas through this node, by team, and what arrives for each service, admitted or not. */
+    /** Reports the use of quotas through this node, by team, and what arrives within them for each service. */
     public data class Report(
         public val use: Map<TeamName, QuotaUse>,
         public val arrivals: Map<ServiceName, Arrivals> = emptyMap(),
--- a/core/src/main/kotlin/gypsumcart/core/membership/MembershipEvents.kt
+++ b/core/src/main/kotlin/gypsumcart/core/membership/MembershipEvents.kt
@@ -53,7 +53,7 @@
         public val capacity: CapacityReport = CapacityReport.NONE,
     ) : MembershipEvent()
 
-    /** What clients ask of each service through this node, admitted or not, was measured. */
+    /** What clients ask of each service through this node within the quotas was measured. */
     public data class ArrivalsMeasured(public val arrivals: Map<ServiceName, Arrivals>) : MembershipEvent()
 
     /** What this node has found out about back ends was updated; the ages in [findings] count from now. */
--- a/core/src/main/kotlin/gypsumcart/core/membership/NodeReport.kt
+++ b/core/src/main/kotlin/gypsumcart/core/membership/NodeReport.kt
@@ -32,7 +32,7 @@
  * @property lostCapacity the capacity that limits of back ends take away as the node sees it, as a number of back ends
  * by service
  * @property capacity what the node tells of its recent calls to each back end
- * @property arrivals what clients ask of each service through the node, admitted or not
+ * @property arrivals what clients ask of each service through the node within the quotas
  * @property rollouts what the node knows and has seen of the roll-outs that run; none otherwise
  * @property lease the lease row as last written by the node, or null if it has not written one
  * @property relayRank what the node's host can carry as the relay of its zone
--- a/core/src/main/kotlin/gypsumcart/core/replicas/ArrivalMeter.kt
+++ b/core/src/main/kotlin/gypsumcart/core/replicas/ArrivalMeter.kt
@@ -9,7 +9,7 @@
 import kotlin.time.DurationUnit
 
 /**
- * Describes what clients ask of one service through one or more nodes, whether or not it is served.
+ * Describes what clients ask of one service through one or more nodes within their quotas, whether or not it is served.
  *
  * @property promptTokensPerSecond the tokens of prompts, including parts that back ends may hold in their caches
  * @property newTokensPerSecond the tokens to generate, as clients estimate them
@@ -46,7 +46,7 @@
 }
 
 /**
- * Measures what arrives for each service, before quotas or capacity decide about it.
+ * Measures what arrives for each service within the quotas of teams, whether or not there is room for it.
  *
  * A client that comes back with a request that this node has already seen is not new demand. It is recognized by the
  * last part of its prompt, which belongs to the request or its session, and by its remaining time, which goes on where
--- a/core/src/main/kotlin/gypsumcart/core/replicas/AutoscalerEvents.kt
+++ b/core/src/main/kotlin/gypsumcart/core/replicas/AutoscalerEvents.kt
@@ -25,7 +25,7 @@
      * their latency target, one map for each node
      * @property lostCapacity the capacity that limits of back ends take away, as a number of back ends by service, one
      * map for each node
-     * @property arrivals what clients ask of each service, admitted or not, one map for each node
+     * @property arrivals what clients ask of each service within the quotas, one map for each node
      */
     public data class LoadMeasured(
         public val loads: List<Map<ServiceName, Double>>,
