--- a/core/src/main/kotlin/gypsumcart/core/routing/Routing.kt
+++ b/core/src/main/kotlin/gypsumcart/core/routing/Routing.kt
@@ -329,6 +329,7 @@
                 lost,
                 calls = candidates.values.sumOf { it.inFlightCalls },
                 capacity = capacity,
+                waiting = waiting.size,
             )
     }
 
--- a/core/src/main/kotlin/gypsumcart/core/routing/RoutingEvents.kt
+++ b/core/src/main/kotlin/gypsumcart/core/routing/RoutingEvents.kt
@@ -152,6 +152,7 @@
      * @property lostCapacity the capacity that limits of back ends take away, as a number of back ends
      * @property calls the number of calls in flight, which count against the capacity that this node may use
      * @property capacity what this node tells the others of its calls to each back end
+     * @property waiting the number of requests that wait for a back end
      */
     public data class ReportLoad(
         public val load: Map<ServiceName, Double>,
@@ -159,6 +160,7 @@
         public val lostCapacity: Map<ServiceName, Double>,
         public val calls: Int,
         public val capacity: CapacityReport = CapacityReport.NONE,
+        public val waiting: Int = 0,
     ) : RoutingEffect()
 
     /** Shares what this node has found out about back ends with the other nodes. */
--- a/core/src/main/kotlin/gypsumcart/core/routing/WaitingRequests.kt
+++ b/core/src/main/kotlin/gypsumcart/core/routing/WaitingRequests.kt
@@ -49,6 +49,8 @@
 
     val values: List<WaitingRequest> get() = entries.values.map { it.request }
 
+    val size: Int get() = entries.size
+
     fun isEmpty(): Boolean = entries.isEmpty()
 
     fun count(service: ServiceName): Int = entries.values.count { it.request.admitted.service == service }
--- a/node/src/main/kotlin/gypsumcart/node/Metrics.kt
+++ b/node/src/main/kotlin/gypsumcart/node/Metrics.kt
@@ -94,6 +94,7 @@
         registerGauge("gypsumcart.requests.in.progress", inProgress)
         registerGauge("gypsumcart.paused.back.ends", pausedBackEnds)
         registry.gauge("gypsumcart.calls.in.flight", state) { it.callsInFlight.toDouble() }
+        registry.gauge("gypsumcart.waiting.requests", state) { it.waitingRequests.toDouble() }
         registry.gauge("gypsumcart.ready", state) { if (it.isReady) 1.0 else 0.0 }
         registry.gauge("gypsumcart.lease.held", state) { if (it.leaseHeld) 1.0 else 0.0 }
         registry.gauge("gypsumcart.linked", state) { if (it.linked) 1.0 else 0.0 }
--- a/node/src/main/kotlin/gypsumcart/node/NodeState.kt
+++ b/node/src/main/kotlin/gypsumcart/node/NodeState.kt
@@ -37,6 +37,10 @@
     @Volatile
     var callsInFlight = 0
 
+    /** The number of requests that wait for a back end. */
+    @Volatile
+    var waitingRequests = 0
+
     /** The prompt parts that crash back ends, requests with which are refused. */
     @Volatile
     var quarantinedParts: Set<PromptPartId> = emptySet()
--- a/node/src/main/kotlin/gypsumcart/node/RequestDuties.kt
+++ b/node/src/main/kotlin/gypsumcart/node/RequestDuties.kt
@@ -117,6 +117,7 @@
 
             is RoutingEffect.ReportLoad -> {
                 state.callsInFlight = effect.calls
+                state.waitingRequests = effect.waiting
                 rings.membership.offer(
                     MembershipEvent.LoadMeasured(effect.load, effect.latency, effect.lostCapacity, effect.capacity),
                 )
