--- a/core/src/main/kotlin/gypsumcart/core/replicas/DemandDivision.kt
+++ b/core/src/main/kotlin/gypsumcart/core/replicas/DemandDivision.kt
@@ -7,8 +7,8 @@
  * Divides [requirement] so that the loss of one zone's spot back ends leaves [Requirement.count], and the loss of two
  * zones [Requirement.countAfterTwoLosses].
  *
- * While a zone is being reclaimed or refuses orders, its loss has happened: those that stay are the required number,
- * and only the next zone counts as lost in addition.
+ * Zones are reclaimed in waves, so a zone that is being reclaimed or refuses orders leaves fewer to lose, and not a
+ * smaller risk: those that stay must bear the same two losses.
  */
 internal fun ZoneDivision.ByDemand.divideByDemand(requirement: Requirement, fleet: ServiceFleet): Map<Pool, Int> {
     val dry = fleet.zones.filter { it in fleet.reclaimedZones || orders.isDry(fleet.service, it) }.toSet()
@@ -59,9 +59,8 @@
             val isDoubtful = zone in dry || orders.hasFailed(fleet.pool(zone, spot = true))
             if (isDoubtful) listed else maxOf(listed, spotTarget(zone, requirement, fleet, onDemand = 0))
         }
-    val lost = if (dry.isEmpty()) 1 else 0
-    val least = requirement.missingBeside(obtainable, lost)
-    val most = requirement.missingBeside(fleet.spotByZone, lost)
+    val least = requirement.missingBeside(obtainable)
+    val most = requirement.missingBeside(fleet.spotByZone)
     val provisioned =
         fleet.zones.associateWith { zone ->
             orders.provisionedCount(fleet.pool(zone, spot = false), fleet.staying, fleet.scaling, fleet.now)
@@ -85,9 +84,12 @@
     return if (isEarly) maxOf(least, provisioned) else provisioned.coerceIn(least, most)
 }
 
-/** Returns how many back ends are missing beside spot ones of which [lost] zones count as lost, and later one more. */
-private fun Requirement.missingBeside(spotByZone: Map<ZoneName, Int>, lost: Int): Int =
-    maxOf(count - spotByZone.afterLossOf(lost), countAfterTwoLosses - spotByZone.afterLossOf(lost + 1), 0)
+/**
+ * Returns how many back ends are missing beside the spot ones of [spotByZone], of which one zone counts as lost, and
+ * later another one.
+ */
+private fun Requirement.missingBeside(spotByZone: Map<ZoneName, Int>): Int =
+    maxOf(count - spotByZone.afterLossOf(1), countAfterTwoLosses - spotByZone.afterLossOf(2), 0)
 
 /**
  * Keeps those [provisioned] as far as they count among [total], and adds others in the cheapest zones with room beside
