--- a/core/src/test/kotlin/gypsumcart/core/replicas/ScalingPatternsTest.kt
+++ b/core/src/test/kotlin/gypsumcart/core/replicas/ScalingPatternsTest.kt
@@ -58,6 +58,18 @@
         expectThat(fleet.refused).isEqualTo(0.0)
     }
 
+    @Test
+    fun `two zones reclaimed 6 s after the third leave what the demand of the moment takes`() {
+        val fleet = fleet()
+        fleet.run(20.seconds) { LEVEL }
+        fleet.reclaim(ZONES[2], dry = 13.seconds)
+        fleet.run(6.seconds) { LEVEL }
+        fleet.reclaim(ZONES[0], dry = 13.seconds)
+        fleet.reclaim(ZONES[1], dry = 13.seconds)
+        fleet.run(10.seconds) { LEVEL }
+        expectThat(fleet.refused).isEqualTo(0.0)
+    }
+
     @Test
     fun `what a reclaim leaves missing is ordered once and where it can be had`() {
         val fleet = fleet()
