Wait long only for a place, not for a back end that is not listed

Cause: with shared room a request waited up to half of its target also if no back end was listed, and was then refused. Change: the long wait needs engines that accept requests; names say what they mean (maxWait, isTooLate; ServiceRoom has a file of its own).

--- a/core/src/main/kotlin/gypsumcart/core/routing/Places.kt
+++ b/core/src/main/kotlin/gypsumcart/core/routing/Places.kt
@@ -32,17 +32,18 @@
             is RoomPolicy.ByDemand -> policy.roomOf(service).limit(slots, nodeCount)
         }
 
-    /** Returns how long [admitted] may wait for a place. */
-    fun patienceFor(admitted: AdmittedRequest, now: MonotonicTime): Duration {
+    /** Returns how long [admitted] may wait for a place if they are full, or otherwise for a back end. */
+    fun maxWaitFor(admitted: AdmittedRequest, isFull: Boolean, now: MonotonicTime): Duration {
         val target = admitted.route.targetLatency
+        val short = target / MAX_WAIT_DIVISOR
         return when (policy) {
-            RoomPolicy.Even -> target / MAX_WAIT_DIVISOR
-            is RoomPolicy.ByDemand -> policy.roomOf(admitted.service).patience(target, now)
+            RoomPolicy.Even -> short
+            is RoomPolicy.ByDemand -> if (isFull) policy.roomOf(admitted.service).maxWait(target, now) else short
         }
     }
 
     /** Notes that [request] found no place; returns whether none is expected in time behind [ahead] others. */
-    fun isHopeless(request: WaitingRequest, ahead: Int, now: MonotonicTime): Boolean =
+    fun isTooLate(request: WaitingRequest, ahead: Int, now: MonotonicTime): Boolean =
         when (policy) {
             RoomPolicy.Even -> false
 
--- a/core/src/main/kotlin/gypsumcart/core/routing/Routing.kt
+++ b/core/src/main/kotlin/gypsumcart/core/routing/Routing.kt
@@ -116,18 +116,18 @@
             val assigned = assignOrNull(admitted, AttemptNumber.FIRST, excluded, now, isTrial)
             if (assigned != null) return earlier + assigned
         }
-        val limit = admitted.submission.arrivedAt + places.patienceFor(admitted, now)
+        val isFull = limiters.isNotEmpty() && places.areFull(admitted, ofService, place, now)
+        val limit = admitted.submission.arrivedAt + places.maxWaitFor(admitted, isFull, now)
         val request = WaitingRequest(admitted, excluded, minOf(limit, admitted.deadline))
         if (limiters.areUsedUp(place, now)) return earlier + awaitLimit(request, limiters, now)
-        return earlier + awaitPlace(request, now)
+        return earlier + awaitPlace(request, isFull, now)
     }
 
     /** Lets a request wait for a place, or refuses it at once if none is expected in time. */
-    private fun awaitPlace(request: WaitingRequest, now: MonotonicTime): RoutingEffect {
+    private fun awaitPlace(request: WaitingRequest, isFull: Boolean, now: MonotonicTime): RoutingEffect {
         val admitted = request.admitted
         val ahead = waiting.count(admitted.service)
-        val ofService = candidatesByService[admitted.service].orEmpty()
-        if (places.areFull(admitted, ofService, place, now) && places.isHopeless(request, ahead, now)) {
+        if (isFull && places.isTooLate(request, ahead, now)) {
             return RoutingEffect.Conclude(admitted, places.refusalOf(admitted, ahead, now))
         }
         waiting.add(request, costOf(admitted))
--- a/core/src/main/kotlin/gypsumcart/core/routing/RoomShares.kt
+++ b/core/src/main/kotlin/gypsumcart/core/routing/ServiceRoom.kt
@@ -67,9 +67,9 @@
     }
 
     /** Returns how long a request may wait for a place so that its response can still be on time. */
-    fun patience(targetLatency: Duration, now: MonotonicTime): Duration {
+    fun maxWait(targetLatency: Duration, now: MonotonicTime): Duration {
         val latency = latencies.slowestTenthOrNull(now) ?: DEFAULT_LATENCY
-        return targetLatency * (LATE_FRACTION - latency).coerceIn(MIN_PATIENCE, MAX_PATIENCE)
+        return targetLatency * (LATE_FRACTION - latency).coerceIn(MIN_WAIT_FRACTION, MAX_WAIT_FRACTION)
     }
 
     /** Returns the calls a second that end, each of which leaves a place to a waiting request. */
@@ -107,8 +107,8 @@
         const val DEFAULT_LATENCY = 0.5
 
         /** The fractions of the target for which a request waits at least and at most. */
-        const val MIN_PATIENCE = 0.125
-        const val MAX_PATIENCE = 0.5
+        const val MIN_WAIT_FRACTION = 0.125
+        const val MAX_WAIT_FRACTION = 0.5
 
         /** With fewer ended calls a second, their rate says little about the next one. */
         const val MIN_KNOWN_RATE = 1.0
--- a/core/src/test/kotlin/gypsumcart/core/routing/PlacesTest.kt
+++ b/core/src/test/kotlin/gypsumcart/core/routing/PlacesTest.kt
@@ -91,6 +91,13 @@
         expectThat(observe(latency = 0.3, reports = 30)).isEqualTo(100)
     }
 
+    @Test
+    fun `a request for which no back end is listed does not wait as for a place`() {
+        val routing = Routing(RetryLimits(0.2, 8, 10.seconds), Features(sharedRoom = true))
+        val sweep = routing.submit(1, at(1.seconds)).single() as RoutingEffect.SweepAt
+        expectThat(sweep.time).isEqualTo(at(1.seconds) + 50.milliseconds)
+    }
+
     @Test
     fun `a request that can't be served in time is refused at once, and those refused return one after the other`() {
         val routing = routing(nodes = 8)
