--- a/core/src/main/kotlin/gypsumcart/core/admission/Admission.kt
+++ b/core/src/main/kotlin/gypsumcart/core/admission/Admission.kt
@@ -80,7 +80,10 @@
 
             AdmissionEvent.CheckLoans -> loans.check(now)
 
-            AdmissionEvent.ReportDue -> listOf(AdmissionEffect.Report(quotas.use(now), arrivals.perSecond(now)))
+            // Makes up for a check that found the ring full.
+            AdmissionEvent.ReportDue ->
+                loans.check(now) +
+                    listOf(AdmissionEffect.Report(quotas.use(now), arrivals.perSecond(now)))
         }
 
     private fun configure(configuration: Configuration, now: MonotonicTime): List<AdmissionEffect> {
--- a/core/src/main/kotlin/gypsumcart/core/admission/LoanQueue.kt
+++ b/core/src/main/kotlin/gypsumcart/core/admission/LoanQueue.kt
@@ -177,7 +177,9 @@
     private fun refuseExpired(queue: TeamQueue, now: MonotonicTime): List<AdmissionEffect> {
         val waitedSince = queue.waiting.filter { it.until <= now }.maxOfOrNull { it.since } ?: return emptyList()
         // The answers may still come and serve later requests.
-        queue.loans.filter { it.askedAt <= waitedSince }.forEach { queue.pause(it.lender, now + SILENCE_MEMORY) }
+        queue.loans
+            .filter { it.askedAt <= waitedSince && now - it.askedAt >= MAX_WAIT }
+            .forEach { queue.pause(it.lender, now + SILENCE_MEMORY) }
         return refuseIf(queue, now) { it.until <= now }
     }
 
--- a/core/src/main/kotlin/gypsumcart/core/membership/PeerTable.kt
+++ b/core/src/main/kotlin/gypsumcart/core/membership/PeerTable.kt
@@ -136,7 +136,7 @@
         position = TablePosition(position.number + 1)
         val previous = entries[report.key]
         previous?.let { entriesByPosition -= it.position }
-        val fullUsagePosition = if (hasAllUsage || previous == null) position else previous.fullUsagePosition
+        val fullUsagePosition = if (hasAllUsage) position else previous?.fullUsagePosition ?: TablePosition.START
         val usagePositions = report.usage.mapValues { (window, counts) -> changePosition(previous, window, counts) }
         val entry = Entry(report, source, heardAt, linkedAt, position, fullUsagePosition, usagePositions)
         previous?.let { entry.confirm(it.aliveAt) }
--- a/core/src/main/kotlin/gypsumcart/core/rollout/RolloutTracker.kt
+++ b/core/src/main/kotlin/gypsumcart/core/rollout/RolloutTracker.kt
@@ -85,7 +85,9 @@
         if (known != null && row.version <= known.version) return false
         this.row = row
         if (row.stage != known?.stage) isForgotten = false
-        if (row.stage != RolloutStage.Committed) sealed = false
+        val hasOtherTarget = row.target != known?.target
+        if (row.stage != RolloutStage.Committed || hasOtherTarget) sealed = false
+        if (hasOtherTarget) absentSince = readAt.takeIf { newBackEnds.isEmpty() }
         this.confirmedAt = confirmedAt
         startTimes.keys.retainAll(setOfNotNull(row.order, order?.number))
         restartEvidence()
@@ -130,7 +132,7 @@
         val given =
             when (last.stage) {
                 RolloutStage.Complete -> backEnds.filter { it.version != last.target }
-                is RolloutStage.RolledBack -> backEnds.filter { it.version == last.target }
+                // Back ends of a version that was given up may still come, or come back, after their entries were gone.
                 else -> return
             }
         if (backEnds.isNotEmpty() && given.isEmpty()) isForgotten = true
--- a/core/src/main/kotlin/gypsumcart/core/routing/OverdueCalls.kt
+++ b/core/src/main/kotlin/gypsumcart/core/routing/OverdueCalls.kt
@@ -22,15 +22,13 @@
         is BackEndChoice.ByCapacity ->
             candidates.groupBy { it.backEnd.service }.flatMap { (service, ofService) ->
                 val overdue = ofService.flatMap { capacity.overdueCalls(it, now) }
-                val canRetry =
-                    overdue.isNotEmpty() &&
-                        budgets.hasRetry(service, place.nodeCount, now) &&
-                        ofService.any {
-                            it.capacity != null &&
-                                it.isAvailable(emptySet(), place, now) &&
-                                !it.isEjected(now)
-                        }
-                if (canRetry) overdue else emptyList()
+                val hasOthers =
+                    ofService.any {
+                        it.capacity != null && it.isAvailable(emptySet(), place, now) && !it.isEjected(now)
+                    }
+                val retries =
+                    if (overdue.isEmpty() || !hasOthers) 0 else budgets.retriesLeft(service, place.nodeCount, now)
+                overdue.take(retries)
             }
     }
 
--- a/core/src/main/kotlin/gypsumcart/core/routing/RetryBudget.kt
+++ b/core/src/main/kotlin/gypsumcart/core/routing/RetryBudget.kt
@@ -38,17 +38,17 @@
 
     /** Takes one retry from this node's share among [nodeCount] nodes, or returns false if the share is used up. */
     fun tryAcquireRetry(nodeCount: Int, now: MonotonicTime): Boolean {
-        if (!hasRetry(nodeCount, now)) return false
+        if (retriesLeft(nodeCount, now) == 0) return false
         retries.addLast(now)
         return true
     }
 
-    /** Returns whether this node's share among [nodeCount] nodes is not used up. */
-    fun hasRetry(nodeCount: Int, now: MonotonicTime): Boolean {
+    /** Returns how many retries are left of this node's share among [nodeCount] nodes. */
+    fun retriesLeft(nodeCount: Int, now: MonotonicTime): Int {
         removeExpired(requests, now)
         removeExpired(retries, now)
         val allowed = limits.ratio * requests.size + limits.extra.toDouble() / nodeCount.coerceAtLeast(1)
-        return retries.size + 1 <= allowed * USABLE_FRACTION
+        return ((allowed * USABLE_FRACTION).toInt() - retries.size).coerceAtLeast(0)
     }
 
     private fun removeExpired(times: ArrayDeque<MonotonicTime>, now: MonotonicTime) {
@@ -71,9 +71,9 @@
     fun tryAcquireRetry(service: ServiceName, nodeCount: Int, now: MonotonicTime): Boolean =
         budgetOf(service).tryAcquireRetry(nodeCount, now)
 
-    /** Returns whether this node's share for [service] is not used up. */
-    fun hasRetry(service: ServiceName, nodeCount: Int, now: MonotonicTime): Boolean =
-        budgetOf(service).hasRetry(nodeCount, now)
+    /** Returns how many retries are left of this node's share for [service]. */
+    fun retriesLeft(service: ServiceName, nodeCount: Int, now: MonotonicTime): Int =
+        budgetOf(service).retriesLeft(nodeCount, now)
 
     /** Returns the requests a second for [service] through this node. */
     fun requestRate(service: ServiceName, now: MonotonicTime): Double = budgetOf(service).requestRate(now)
--- a/core/src/main/kotlin/gypsumcart/core/routing/Routing.kt
+++ b/core/src/main/kotlin/gypsumcart/core/routing/Routing.kt
@@ -47,9 +47,14 @@
             is RoutingEvent.CallReleased -> releaseCall(event, now)
             is RoutingEvent.FirstPieceReceived -> startResponse(event, now)
             is RoutingEvent.RequestCancelled -> noEffects { waiting -= event.ticket }
-            is RoutingEvent.NodeCountUpdated ->
-                noEffects { place = NodePlace(event.nodeCount.coerceAtLeast(1), event.rank) }
-            is RoutingEvent.FleetLoadMeasured -> noEffects { places.update(event.loads, now) }
+            is RoutingEvent.NodeCountUpdated -> {
+                place = NodePlace(event.nodeCount.coerceAtLeast(1), event.rank)
+                assignWaiting(now)
+            }
+            is RoutingEvent.FleetLoadMeasured -> {
+                places.update(event.loads, now)
+                assignWaiting(now)
+            }
             is RoutingEvent.FindingsReceived -> learn(event.findings, event.asOf, now)
             is RoutingEvent.CapacityReported -> noEffects { choice.learn(event) }
             is RoutingEvent.LimitStated -> hearLimit(event, now)
@@ -126,7 +131,7 @@
     /** Lets a request wait for a place, or refuses it at once if none is expected in time. */
     private fun awaitPlace(request: WaitingRequest, isFull: Boolean, now: MonotonicTime): RoutingEffect {
         val admitted = request.admitted
-        val ahead = waiting.count(admitted.service)
+        val ahead = waiting.countBefore(admitted, costOf(admitted))
         if (isFull && places.isTooLate(request, ahead, now)) {
             return RoutingEffect.Conclude(admitted, places.refusalOf(admitted, ahead, now))
         }
--- a/core/src/main/kotlin/gypsumcart/core/routing/ServiceRoom.kt
+++ b/core/src/main/kotlin/gypsumcart/core/routing/ServiceRoom.kt
@@ -42,13 +42,17 @@
         this.load = load
         val latency = latencies.slowestTenthOrNull(now)
         when {
-            latency == null -> Unit
+            latency == null -> if (wasFull) raiseTo(INITIAL_UTILIZATION)
             latency > LATE_FRACTION -> utilization = maxOf(utilization * REDUCTION, MIN_UTILIZATION)
-            latency < EARLY_FRACTION && wasFull -> utilization = minOf(utilization + RAISE, 1.0)
+            latency < EARLY_FRACTION && wasFull -> raiseTo(1.0)
         }
         wasFull = false
     }
 
+    private fun raiseTo(most: Double) {
+        utilization = maxOf(utilization, minOf(utilization + RAISE, most))
+    }
+
     /** Records that a call took [fraction] of its request's latency target until the first piece. */
     fun addLatency(fraction: Double, now: MonotonicTime): Unit = latencies.add(fraction, now)
 
--- a/core/src/main/kotlin/gypsumcart/core/routing/WaitingRequests.kt
+++ b/core/src/main/kotlin/gypsumcart/core/routing/WaitingRequests.kt
@@ -40,7 +40,7 @@
  * of others; a large request has its turn when the virtual time has passed its tag.
  */
 internal class WaitingRequests(private val order: WaitingOrder) {
-    private class Entry(val request: WaitingRequest, val tag: Double)
+    private data class Entry(val request: WaitingRequest, val tag: Double)
 
     private val entries = LinkedHashMap<Ticket, Entry>()
     private val lastTags = HashMap<TeamName?, Double>()
@@ -55,10 +55,28 @@
 
     fun count(service: ServiceName): Int = entries.values.count { it.request.admitted.service == service }
 
+    /** Returns how many requests would have their turn before [admitted], which asks for [work]. */
+    fun countBefore(admitted: AdmittedRequest, work: Double): Int =
+        when (order) {
+            WaitingOrder.ByPriority -> count(admitted.service)
+
+            WaitingOrder.FairAmongTeams -> {
+                val tag = nextTag(admitted.team, work)
+                entries.values.count { (request, itsTag) ->
+                    val other = request.admitted
+                    val isMoreUrgent = other.priority < admitted.priority
+                    val isEarlier = other.priority == admitted.priority && itsTag <= tag
+                    other.service == admitted.service && (isMoreUrgent || isEarlier)
+                }
+            }
+        }
+
+    private fun nextTag(team: TeamName?, work: Double): Double = maxOf(virtualTime, lastTags[team] ?: 0.0) + work
+
     /** Adds [request], which asks for [work]. */
     fun add(request: WaitingRequest, work: Double) {
         val team = request.admitted.team
-        val tag = maxOf(virtualTime, lastTags[team] ?: 0.0) + work
+        val tag = nextTag(team, work)
         lastTags[team] = tag
         entries[request.admitted.ticket] = Entry(request, tag)
     }
--- a/core/src/test/kotlin/gypsumcart/core/routing/WaitingRequestsTest.kt
+++ b/core/src/test/kotlin/gypsumcart/core/routing/WaitingRequestsTest.kt
@@ -69,6 +69,14 @@
         expectThat(waiting.inOrder().map { it.admitted.ticket }).containsExactly(soon, late)
     }
 
+    @Test
+    fun `a team that fills the queue is not counted before the first request of another`() {
+        repeat(30) { add("hot") }
+        expectThat(waiting.countBefore(request("small"), work = 1.0)).isLessThan(3)
+        expectThat(waiting.countBefore(request("hot"), work = 1.0)).isEqualTo(30)
+        expectThat(waiting.countBefore(request("hot", priority = 0), work = 1.0)).isEqualTo(0)
+    }
+
     @Test
     fun `a team that did not ask for a while has no credit for it`() {
         repeat(20) { add("busy") }
--- a/node/src/main/kotlin/gypsumcart/node/FleetDuties.kt
+++ b/node/src/main/kotlin/gypsumcart/node/FleetDuties.kt
@@ -254,7 +254,8 @@
 
     private fun execute(effect: UsageEffect) {
         when (effect) {
-            is UsageEffect.Publish -> rings.membership.put(MembershipEvent.UsageCounted(effect.usage, effect.until))
+            // The next tick repeats what does not fit into the ring.
+            is UsageEffect.Publish -> rings.membership.offer(MembershipEvent.UsageCounted(effect.usage, effect.until))
             is UsageEffect.StoreReport -> scope.launch { rings.usage.put(storeReport(effect)) }
             is UsageEffect.SendReport -> rings.lease.put(LeaseEvent.CommandRequested(effect.command, wallTime()))
         }
