Log responses that were rejected, cut or ended by their connection

Nothing in the logs told a response that was rejected as malformed from a connection that was cut, a body without length and chunks from others, or that the writer of a request had failed while its response was read.

exchange_doubtful has one bounded line for such an exchange, without any content; other exchanges log nothing. No logic is changed: the number of bytes of a body is counted where it is read.

--- a/http/src/main/kotlin/gypsumcart/http/HttpClient.kt
+++ b/http/src/main/kotlin/gypsumcart/http/HttpClient.kt
@@ -153,17 +153,20 @@
         val connection = idle ?: connectOrNull(endpoint) ?: return Err(ExchangeFailure.NotConnected)
         var reusable = false
         val reservation = loop.memory.open(request.traffic)
+        val trace = ExchangeTrace(endpoint)
         try {
             if (!request.isWanted()) return Err(ExchangeFailure.NotWanted)
             return coroutineScope {
-                val writer = launch { connection.write(endpoint, request) }
-                val result = connection.receive(request.method, reservation, receive)
+                val writer = launch { connection.write(endpoint, request, trace) }
+                val result = connection.receive(request.method, reservation, trace, receive)
                 reusable = result.reusable && writer.isCompleted && connection.isOpenAndEmpty
                 coroutineContext.cancelChildren()
+                trace.log()
                 result.value
             }
         } catch (e: IOException) {
-            log.debug("event=exchange_cut endpoint={}:{} error={}", endpoint.host, endpoint.port, e.message)
+            trace.cut(e.message)
+            trace.log()
             return Err(ExchangeFailure.ConnectionLost)
         } finally {
             reservation.close()
@@ -187,22 +190,30 @@
     private suspend fun <T> Connection.receive(
         method: String,
         reservation: Reservation,
+        trace: ExchangeTrace,
         receive: suspend (ReceivedResponse) -> T,
     ): Received<T> {
         val isFirst = !isUsed
+        trace.isFirstOnConnection = isFirst
         isUsed = true
         val input = socket.input
         val head =
-            input.readResponseHead(reservation).getOrElse { return Received(Err(it.toExchangeFailure()), false) }
-        val source = input.bodySourceOrNull(head, method) ?: return Received(Err(ExchangeFailure.Malformed), false)
+            input.readResponseHead(reservation).getOrElse {
+                trace.headFailed(it)
+                return Received(Err(it.toExchangeFailure()), false)
+            }
+        val source = input.bodySourceOrNull(head, method)
+        trace.headReceived(head, source)
+        if (source == null) return Received(Err(ExchangeFailure.Malformed), false)
         val body = ResponseBody(source, reservation)
         val value = receive(ReceivedResponse(head, body, isFirst))
+        trace.bodyReceived(body.isComplete)
         head.headers.keepAliveTimeoutOrNull()?.let { idleTimeout = it }
         val keepAlive = "close" !in head.headers.tokens("Connection")
         return Received(Ok(value), body.isComplete && source.isConnectionReusable && keepAlive)
     }
 
-    private suspend fun Connection.write(endpoint: Endpoint, request: OutgoingRequest) {
+    private suspend fun Connection.write(endpoint: Endpoint, request: OutgoingRequest, trace: ExchangeTrace) {
         val builder = RequestResponseBuilder()
         builder.requestLine(HttpMethod(request.method), request.target, "HTTP/1.1")
         request.headers.fields.forEach { builder.headerLine(it.name, it.value) }
@@ -216,7 +227,9 @@
             output.writePacket(builder.build())
             output.writeInPieces(request.body)
             output.flush()
+            trace.sending = ExchangeTrace.Sending.DONE
         } catch (e: IOException) {
+            trace.sending = ExchangeTrace.Sending.FAILED
             // Reading the response fails on the closed connection too, and reports the failure.
             log.debug("event=send_failed endpoint={}:{} error={}", endpoint.host, endpoint.port, e.message)
         }
--- a/http/src/main/kotlin/gypsumcart/http/ResponseReader.kt
+++ b/http/src/main/kotlin/gypsumcart/http/ResponseReader.kt
@@ -36,11 +36,18 @@
 
 /** Reads the body of a message up to the end that its framing defines. */
 internal sealed class BodySource {
+    /** The number of bytes of the body that were read. */
+    var receivedBytes = 0L
+        private set
+
     /**
      * Reads some bytes into [buffer] from [offset], at most [length], and returns their number, or -1 at the end of a
      * complete body.
      */
-    abstract suspend fun read(buffer: ByteArray, offset: Int, length: Int): Int
+    suspend fun read(buffer: ByteArray, offset: Int, length: Int): Int =
+        readSome(buffer, offset, length).also { if (it > 0) receivedBytes += it }
+
+    protected abstract suspend fun readSome(buffer: ByteArray, offset: Int, length: Int): Int
 
     /** The size of the whole body, or null if its framing does not say it in advance. */
     open val declaredBytes: Long? get() = null
@@ -53,7 +60,7 @@
 
         override val isConnectionReusable: Boolean get() = remaining == 0L
 
-        override suspend fun read(buffer: ByteArray, offset: Int, length: Int): Int {
+        override suspend fun readSome(buffer: ByteArray, offset: Int, length: Int): Int {
             if (remaining == 0L) return -1
             val n = input.readAvailable(buffer, offset, minOf(remaining, length.toLong()).toInt())
             if (n < 0) throw EOFException("connection closed $remaining bytes before the end of the body")
@@ -67,18 +74,15 @@
 
         override val isConnectionReusable: Boolean get() = chunks.isEnded
 
-        override suspend fun read(buffer: ByteArray, offset: Int, length: Int): Int = chunks.read(
-            buffer,
-            offset,
-            length,
-        )
+        override suspend fun readSome(buffer: ByteArray, offset: Int, length: Int): Int =
+            chunks.read(buffer, offset, length)
     }
 
     /** A body that ends when the server closes the connection; a reset is a failure and not the end of the body. */
     class UntilClose(private val input: ByteReadChannel) : BodySource() {
         override val isConnectionReusable: Boolean get() = false
 
-        override suspend fun read(buffer: ByteArray, offset: Int, length: Int): Int {
+        override suspend fun readSome(buffer: ByteArray, offset: Int, length: Int): Int {
             val n = input.readAvailable(buffer, offset, length)
             if (n < 0) input.closedCause?.let { throw it }
             return n
