Take a connection that failed for its writer as failed for its reader

Cause: the system reports the error of a connection once, to the call that comes first. If that is the writer's, which logged and dropped it, the next read returns the end of the input, and a body that ends with its connection was whole.

Change: TcpConnection keeps the writer's error, and the end of the input after it is that failure.

--- a/http/src/main/kotlin/gypsumcart/http/HttpClient.kt
+++ b/http/src/main/kotlin/gypsumcart/http/HttpClient.kt
@@ -230,7 +230,7 @@
             trace.sending = ExchangeTrace.Sending.DONE
         } catch (e: IOException) {
             trace.sending = ExchangeTrace.Sending.FAILED
-            // Reading the response fails on the closed connection too, and reports the failure.
+            // The connection reports the failure to the reader where its input ends.
             log.debug("event=send_failed endpoint={}:{} error={}", endpoint.host, endpoint.port, e.message)
         }
     }
--- a/http/src/main/kotlin/gypsumcart/http/TcpSockets.kt
+++ b/http/src/main/kotlin/gypsumcart/http/TcpSockets.kt
@@ -27,6 +27,9 @@
     private val interest = loop.register(channel)
     private var isClosed = false
 
+    /** The error that the writer received, which the system does not report to the reader again. */
+    private var writeFailure: IOException? = null
+
     val input: SocketInput = SocketInput()
     val output: ByteWriteChannel = SocketOutput()
 
@@ -92,12 +95,16 @@
             }
         }
 
-        /** Returns the number of bytes read, or -1 at the end. */
+        /**
+         * Returns the number of bytes read, or -1 at the end.
+         *
+         * The end after a failed write is that of a broken connection, whatever was received before.
+         */
         private fun readOnce(): Int {
             val buffer = loop.transferBuffer.clear()
             val n =
                 try {
-                    channel.read(buffer)
+                    channel.read(buffer).also { n -> if (n < 0) writeFailure?.let { throw it } }
                 } catch (e: IOException) {
                     closedCause = e
                     throw e
@@ -138,6 +145,7 @@
                 }
             } catch (e: IOException) {
                 closedCause = e
+                writeFailure = e
                 throw e
             }
         }
