Reject responses whose lines are not what HTTP/1.1 defines

Cause: the library's parser accepts nearly any line, skips or repairs it, and the end of the body was derived from what it made of the head. Content-Length was read by toLong, which takes a sign; an empty Transfer-Encoding counted as none; trailers were not looked at.

Accepted were, among others, field names beyond ASCII and with DEL or a no-break space, values with NUL, `Content-Length: +2`, `Transfer-Encoding:`, statuses 600 and 999, `0200`, two blanks or one in front, and every trailer that is no field.

Change: HeadSyntax follows the bytes that HeadLimiter sees anyway, each once, and checks status line and fields by RFC 9110 and 9112 before the parser gets them; it serves back ends, the store, the cloud interface and other nodes. Bare LF stays accepted. A Transfer-Encoding other than exactly `chunked`, and a length that is not of digits only, are ambiguous. A malformed body fails as malformed and not as cut, so that it does not count as a crash. Requests are checked as before but for their trailers.

--- a/http/src/main/kotlin/gypsumcart/http/ChunkReader.kt
+++ b/http/src/main/kotlin/gypsumcart/http/ChunkReader.kt
@@ -49,7 +49,9 @@
 
     private suspend fun skipTrailers() {
         repeat(MAX_TRAILERS) {
-            if (readLine().isEmpty()) return
+            val line = readLine()
+            if (line.isEmpty()) return
+            if (!line.isField()) throw MalformedMessageException("a trailer is no field")
         }
         throw IOException("more than $MAX_TRAILERS trailers")
     }
--- a/http/src/main/kotlin/gypsumcart/http/ExchangeTrace.kt
+++ b/http/src/main/kotlin/gypsumcart/http/ExchangeTrace.kt
@@ -1,5 +1,6 @@
 package gypsumcart.http
 
+import kotlinx.io.IOException
 import org.slf4j.LoggerFactory
 
 /** Collects what one exchange did on its connection, and logs it if the response can't be known to be whole. */
@@ -27,8 +28,10 @@
         result = if (isComplete) "whole" else "left"
     }
 
-    fun cut(cause: String?) {
-        result = "cut:${cause?.replace(' ', '_')}"
+    /** Logs an exchange that ended with [cause], which is not the caller's. */
+    fun logCut(cause: IOException) {
+        result = "cut:${cause.message?.replace(' ', '_')}"
+        log()
     }
 
     /** Logs an exchange that was rejected or cut, whose body its connection ended, or whose request was not sent. */
--- a/http/src/main/kotlin/gypsumcart/http/HttpClient.kt
+++ b/http/src/main/kotlin/gypsumcart/http/HttpClient.kt
@@ -165,9 +165,8 @@
                 result.value
             }
         } catch (e: IOException) {
-            trace.cut(e.message)
-            trace.log()
-            return Err(ExchangeFailure.ConnectionLost)
+            trace.logCut(e)
+            return Err(e.toExchangeFailure())
         } finally {
             reservation.close()
             if (reusable && !request.onNewConnection) addIdle(endpoint, connection) else connection.close()
@@ -292,3 +291,9 @@
         ReadFailure.HeaderTooLarge, ReadFailure.BodyTooLarge -> ExchangeFailure.Malformed
         ReadFailure.NoMemory, ReadFailure.Malformed -> ExchangeFailure.Malformed
     }
+
+private fun IOException.toExchangeFailure(): ExchangeFailure =
+    when (this) {
+        is MalformedMessageException -> ExchangeFailure.Malformed
+        else -> ExchangeFailure.ConnectionLost
+    }
--- a/http/src/main/kotlin/gypsumcart/http/ReadFailure.kt
+++ b/http/src/main/kotlin/gypsumcart/http/ReadFailure.kt
@@ -46,6 +46,8 @@
         Err(ReadFailure.HeaderTooLarge)
     } catch (_: NoMemoryException) {
         Err(ReadFailure.NoMemory)
+    } catch (_: MalformedMessageException) {
+        Err(ReadFailure.Malformed)
     } catch (_: ParserException) {
         Err(ReadFailure.Malformed)
     } catch (_: IOException) {
--- a/http/src/main/kotlin/gypsumcart/http/RequestReader.kt
+++ b/http/src/main/kotlin/gypsumcart/http/RequestReader.kt
@@ -45,7 +45,7 @@
     limits: MessageLimits,
     reservation: Reservation,
 ): Result<RequestHead, ReadFailure> {
-    val limiter = HeadLimiter(this, limits.maxHeaderBytes, reservation)
+    val limiter = HeadLimiter(this, limits.maxHeaderBytes, reservation, StartLine.Request)
     val request = parseRequest(limiter) ?: return Err(ReadFailure.Ended)
     try {
         return validateHead(request, limits)
@@ -86,7 +86,7 @@
     return if (length == null) Err(ReadFailure.Malformed) else Ok(BodyFraming.FixedLength(length))
 }
 
-private fun Char.isAsciiDigit(): Boolean = this in '0'..'9'
+internal fun Char.isAsciiDigit(): Boolean = this in '0'..'9'
 
 private suspend fun ByteReadChannel.readBody(
     head: RequestHead,
--- a/http/src/main/kotlin/gypsumcart/http/ResponseReader.kt
+++ b/http/src/main/kotlin/gypsumcart/http/ResponseReader.kt
@@ -17,7 +17,7 @@
     maxBytes: Int = MAX_RESPONSE_HEAD_BYTES,
 ): Result<ResponseHead, ReadFailure> =
     readCatching {
-        val limiter = HeadLimiter(this, maxBytes, reservation)
+        val limiter = HeadLimiter(this, maxBytes, reservation, StartLine.Status)
         val response = parseResponse(limiter)
         if (response == null) {
             Err(ReadFailure.Ended)
@@ -25,12 +25,8 @@
             val head = ResponseHead(response.status, response.headers.toHeaders())
             response.release()
             limiter.releaseParser()
-            when {
-                // The parser returns a head without any fields if the input ends between two lines.
-                !limiter.isHeadComplete -> Err(ReadFailure.Truncated)
-                head.status < FIRST_FINAL_STATUS -> Err(ReadFailure.Malformed)
-                else -> Ok(head)
-            }
+            // The parser returns a head without any fields if the input ends between two lines.
+            if (limiter.isHeadComplete) Ok(head) else Err(ReadFailure.Truncated)
         }
     }
 
@@ -92,7 +88,7 @@
 
 /** Returns a source for the body after [head], or null if the framing is invalid or ambiguous. */
 internal fun ByteReadChannel.bodySourceOrNull(head: ResponseHead, method: String): BodySource? {
-    val codings = head.headers.tokens("Transfer-Encoding")
+    val codings = head.headers.getAll("Transfer-Encoding").map { it.trim().lowercase() }
     val lengths =
         head.headers
             .getAll("Content-Length")
@@ -106,14 +102,12 @@
         else ->
             lengths
                 .single()
-                .toLongOrNull()
-                ?.takeIf { it >= 0 }
+                .takeIf { it.all(Char::isAsciiDigit) }
+                ?.toLongOrNull()
                 ?.let { BodySource.FixedLength(this, it) }
     }
 }
 
-private const val FIRST_FINAL_STATUS = 200
-
 /** Four times what common HTTP servers accept in a head. */
 private const val MAX_RESPONSE_HEAD_BYTES = 65_536
 
