Answer 400 to requests with lines that are no fields

What could happen: a request with such a line was accepted and its fields were passed on to a back end, which may see another field, or another end of the body, in the same bytes.

Accepted were names beyond ASCII and with DEL or a no-break space, and values with NUL or a bare CR.

Change: HeadSyntax checks the field lines of requests too. Their first line is left to the parser, and empty lines before it are skipped as before (RFC 9112, section 2.2).

--- a/http/src/main/kotlin/gypsumcart/http/HeadSyntax.kt
+++ b/http/src/main/kotlin/gypsumcart/http/HeadSyntax.kt
@@ -5,12 +5,12 @@
 /** Reports that received bytes are not a message as HTTP/1.1 defines it. */
 internal class MalformedMessageException(detail: String) : IOException(detail)
 
-/** Describes which lines of a head are checked. */
+/** Describes how strictly the first line of a head is checked. */
 internal sealed class StartLine {
-    /** None. Empty lines before the first one are skipped. */
+    /** Any line; the parser of requests checks it. Empty lines before it are skipped. */
     data object Request : StartLine()
 
-    /** All; the first one is a status line with the status of a final response. */
+    /** A status line with the status of a final response. */
     data object Status : StartLine()
 }
 
@@ -61,12 +61,12 @@
         }
     }
 
-    private val isChecked: Boolean get() = startLine == StartLine.Status
+    private val isChecked: Boolean get() = part != Part.START_LINE || startLine == StartLine.Status
 
     private fun addText(byte: Int) {
         when (part) {
             Part.START_LINE -> if (isChecked) checkStatusLine(byte)
-            Part.NAME -> if (isChecked) addNameByte(byte)
+            Part.NAME -> addNameByte(byte)
             Part.VALUE -> if (!isFieldText(byte)) throw MalformedMessageException("a field has a control character")
         }
         column++
@@ -94,7 +94,7 @@
     private fun endLine() {
         when (part) {
             Part.START_LINE -> endStartLine()
-            Part.NAME -> endNameLine()
+            Part.NAME -> if (column == 0) isComplete = true else throw MalformedMessageException("a field has no colon")
             Part.VALUE -> part = Part.NAME
         }
         lines++
@@ -102,11 +102,6 @@
         isAfterReturn = false
     }
 
-    private fun endNameLine() {
-        if (column > 0 && isChecked) throw MalformedMessageException("a field has no colon")
-        isComplete = column == 0
-    }
-
     private fun endStartLine() {
         if (startLine == StartLine.Status && column < STATUS_LINE_BYTES) {
             throw MalformedMessageException("the status line is invalid")
