Fail a body without framing that holds another response

What callers saw (MIXED): a back end that stutters writes its response and, some milliseconds later, a copy of it on the same connection, which then ends. If the response has neither length nor chunks, the client got response, the copy's head and the copy's body as one body, under a Content-Length of the node.

Cause: only the end of the connection ends such a body, which proves little, and nothing looked at what came before it.

Change: a body that ends with its connection has failed if it holds the start of a status line, at any position and across reads, or ends within one from `HTTP/` on. It counts as malformed, which is 502, or a retry or resumed call where allowed. A sound one that quotes a status line fails too, as nothing tells it from a copy; a length or chunks avoid that.

--- a/http/src/main/kotlin/gypsumcart/http/ResponseReader.kt
+++ b/http/src/main/kotlin/gypsumcart/http/ResponseReader.kt
@@ -74,13 +74,23 @@
             chunks.read(buffer, offset, length)
     }
 
-    /** A body that ends when the server closes the connection; a reset is a failure and not the end of the body. */
+    /**
+     * A body that ends when the server closes the connection; a reset is a failure and not the end of the body.
+     *
+     * The body has failed if it holds a status line: a server that repeats a response writes the copy behind it, and
+     * nothing else shows where the body ended.
+     */
     class UntilClose(private val input: ByteReadChannel) : BodySource() {
+        private val statusLine = StatusLineSearch()
+
         override val isConnectionReusable: Boolean get() = false
 
         override suspend fun readSome(buffer: ByteArray, offset: Int, length: Int): Int {
             val n = input.readAvailable(buffer, offset, length)
             if (n < 0) input.closedCause?.let { throw it }
+            if (if (n < 0) statusLine.isWithin else statusLine.isFoundIn(buffer, offset, n)) {
+                throw MalformedMessageException("the body holds another response")
+            }
             return n
         }
     }
