Reject responses without framing whose connection is said to persist

Cause: the end of the connection was taken for the end of a body whose own head says that the connection goes on.

Evidence: 2 of 5 cases fail on the code before: 200 is passed on for `Connection: keep-alive` and for `Keep-Alive`.

Change: such a head contradicts itself and is malformed. Without these fields, or with `Connection: close`, a response without framing is served as before (3 cases that passed before).

--- a/http/src/main/kotlin/gypsumcart/http/ResponseReader.kt
+++ b/http/src/main/kotlin/gypsumcart/http/ResponseReader.kt
@@ -108,7 +108,7 @@
         method == "HEAD" || head.status in STATUSES_WITHOUT_BODY -> BodySource.FixedLength(this, 0)
         codings == listOf("chunked") && lengths.isEmpty() -> BodySource.Chunked(this)
         codings.isNotEmpty() || lengths.size > 1 -> null
-        lengths.isEmpty() -> BodySource.UntilClose(this)
+        lengths.isEmpty() -> if (head.headers.keepsConnection()) null else BodySource.UntilClose(this)
         else ->
             lengths
                 .single()
@@ -121,5 +121,11 @@
 /** Four times what common HTTP servers accept in a head. */
 private const val MAX_RESPONSE_HEAD_BYTES = 65_536
 
+/** Whether these fields say that the connection persists, which contradicts a body that ends with it. */
+private fun Headers.keepsConnection(): Boolean {
+    val options = tokens("Connection")
+    return "close" !in options && ("keep-alive" in options || this["Keep-Alive"] != null)
+}
+
 /** Status codes whose responses have no body: No Content and Not Modified. */
 private val STATUSES_WITHOUT_BODY = setOf(204, 304)
--- a/standins/src/test/kotlin/gypsumcart/standins/RepeatedResponseTest.kt
+++ b/standins/src/test/kotlin/gypsumcart/standins/RepeatedResponseTest.kt
@@ -5,6 +5,7 @@
 import org.junit.jupiter.params.ParameterizedTest
 import org.junit.jupiter.params.provider.ValueSource
 import strikt.api.expectThat
+import strikt.assertions.endsWith
 import strikt.assertions.isEqualTo
 import strikt.assertions.startsWith
 import java.io.OutputStream
@@ -95,6 +96,27 @@
         expectThat(responses.map(::bodyOf).filter { it != "whole" && it.isNotEmpty() }).isEqualTo(emptyList())
     }
 
+    // Guards against a body whose end is not known, as its head says that the connection persists (MIXED).
+    @ParameterizedTest
+    @ValueSource(strings = ["Connection: keep-alive\r\n", "Keep-Alive: timeout=5\r\n"])
+    fun `a response without framing whose connection persists is not passed on`(fields: String) {
+        startWith { request ->
+            send(head(request.id, fields) + "perhaps whole")
+            false
+        }
+        expectThat(node.send("/confirms/1")).startsWith("HTTP/1.1 502")
+    }
+
+    @ParameterizedTest
+    @ValueSource(strings = ["Connection: close\r\n", "Connection: close\r\nKeep-Alive: timeout=5\r\n", ""])
+    fun `a response without framing whose connection ends is passed on`(fields: String) {
+        startWith { request ->
+            send(head(request.id, fields) + "whole, over HTTP")
+            false
+        }
+        expectThat(node.send("/confirms/1")).startsWith("HTTP/1.1 200").endsWith("\r\n\r\nwhole, over HTTP")
+    }
+
     // Guards against a stream that goes on with a copy of itself (MIXED).
     @ParameterizedTest
     @ValueSource(ints = [5, 12, 40, 1_000])
