--- a/http/src/main/kotlin/gypsumcart/http/ResponseReader.kt
+++ b/http/src/main/kotlin/gypsumcart/http/ResponseReader.kt
@@ -17,7 +17,7 @@
     maxBytes: Int = MAX_RESPONSE_HEAD_BYTES,
 ): Result<ResponseHead, ReadFailure> =
     readCatching {
-        val limiter = HeadLimiter(this, maxBytes, reservation)
+        val limiter = HeadLimiter(this, maxBytes, reservation, StartLine.Status)
         val response = parseResponse(limiter)
         if (response == null) {
             Err(ReadFailure.Ended)
@@ -25,22 +25,25 @@
             val head = ResponseHead(response.status, response.headers.toHeaders())
             response.release()
             limiter.releaseParser()
-            when {
-                // The parser returns a head without any fields if the input ends between two lines.
-                !limiter.isHeadComplete -> Err(ReadFailure.Truncated)
-                head.status < FIRST_FINAL_STATUS -> Err(ReadFailure.Malformed)
-                else -> Ok(head)
-            }
+            // The parser returns a head without any fields if the input ends between two lines.
+            if (limiter.isHeadComplete) Ok(head) else Err(ReadFailure.Truncated)
         }
     }
 
 /** Reads the body of a message up to the end that its framing defines. */
 internal sealed class BodySource {
+    /** The number of bytes of the body that were read. */
+    var receivedBytes = 0L
+        private set
+
     /**
      * Reads some bytes into [buffer] from [offset], at most [length], and returns their number, or -1 at the end of a
      * complete body.
      */
-    abstract suspend fun read(buffer: ByteArray, offset: Int, length: Int): Int
+    suspend fun read(buffer: ByteArray, offset: Int, length: Int): Int =
+        readSome(buffer, offset, length).also { if (it > 0) receivedBytes += it }
+
+    protected abstract suspend fun readSome(buffer: ByteArray, offset: Int, length: Int): Int
 
     /** The size of the whole body, or null if its framing does not say it in advance. */
     open val declaredBytes: Long? get() = null
@@ -53,7 +56,7 @@
 
         override val isConnectionReusable: Boolean get() = remaining == 0L
 
-        override suspend fun read(buffer: ByteArray, offset: Int, length: Int): Int {
+        override suspend fun readSome(buffer: ByteArray, offset: Int, length: Int): Int {
             if (remaining == 0L) return -1
             val n = input.readAvailable(buffer, offset, minOf(remaining, length.toLong()).toInt())
             if (n < 0) throw EOFException("connection closed $remaining bytes before the end of the body")
@@ -67,20 +70,27 @@
 
         override val isConnectionReusable: Boolean get() = chunks.isEnded
 
-        override suspend fun read(buffer: ByteArray, offset: Int, length: Int): Int = chunks.read(
-            buffer,
-            offset,
-            length,
-        )
+        override suspend fun readSome(buffer: ByteArray, offset: Int, length: Int): Int =
+            chunks.read(buffer, offset, length)
     }
 
-    /** A body that ends when the server closes the connection; a reset is a failure and not the end of the body. */
+    /**
+     * A body that ends when the server closes the connection; a reset is a failure and not the end of the body.
+     *
+     * The body has failed if it holds a status line: a server that repeats a response writes the copy behind it, and
+     * nothing else shows where the body ended.
+     */
     class UntilClose(private val input: ByteReadChannel) : BodySource() {
+        private val statusLine = StatusLineSearch()
+
         override val isConnectionReusable: Boolean get() = false
 
-        override suspend fun read(buffer: ByteArray, offset: Int, length: Int): Int {
+        override suspend fun readSome(buffer: ByteArray, offset: Int, length: Int): Int {
             val n = input.readAvailable(buffer, offset, length)
             if (n < 0) input.closedCause?.let { throw it }
+            if (if (n < 0) statusLine.isWithin else statusLine.isFoundIn(buffer, offset, n)) {
+                throw MalformedMessageException("the body holds another response")
+            }
             return n
         }
     }
@@ -88,7 +98,7 @@
 
 /** Returns a source for the body after [head], or null if the framing is invalid or ambiguous. */
 internal fun ByteReadChannel.bodySourceOrNull(head: ResponseHead, method: String): BodySource? {
-    val codings = head.headers.tokens("Transfer-Encoding")
+    val codings = head.headers.getAll("Transfer-Encoding").map { it.trim().lowercase() }
     val lengths =
         head.headers
             .getAll("Content-Length")
@@ -98,20 +108,24 @@
         method == "HEAD" || head.status in STATUSES_WITHOUT_BODY -> BodySource.FixedLength(this, 0)
         codings == listOf("chunked") && lengths.isEmpty() -> BodySource.Chunked(this)
         codings.isNotEmpty() || lengths.size > 1 -> null
-        lengths.isEmpty() -> BodySource.UntilClose(this)
+        lengths.isEmpty() -> if (head.headers.keepsConnection()) null else BodySource.UntilClose(this)
         else ->
             lengths
                 .single()
-                .toLongOrNull()
-                ?.takeIf { it >= 0 }
+                .takeIf { it.all(Char::isAsciiDigit) }
+                ?.toLongOrNull()
                 ?.let { BodySource.FixedLength(this, it) }
     }
 }
 
-private const val FIRST_FINAL_STATUS = 200
-
 /** Four times what common HTTP servers accept in a head. */
 private const val MAX_RESPONSE_HEAD_BYTES = 65_536
 
+/** Whether these fields say that the connection persists, which contradicts a body that ends with it. */
+private fun Headers.keepsConnection(): Boolean {
+    val options = tokens("Connection")
+    return "close" !in options && ("keep-alive" in options || this["Keep-Alive"] != null)
+}
+
 /** Status codes whose responses have no body: No Content and Not Modified. */
 private val STATUSES_WITHOUT_BODY = setOf(204, 304)
