--- a/standins/src/main/kotlin/gypsumcart/standins/StandInBackEnd.kt
+++ b/standins/src/main/kotlin/gypsumcart/standins/StandInBackEnd.kt
@@ -52,12 +52,14 @@
  * Simulates a replica of a service, as a test double.
  *
  * If the target of a request contains `stream`, streams the events from 1, or from the one after `Last-Event-Id`, to
- * [eventCount], one each [eventInterval]. Responds to any other request with [id] and the body of the request.
+ * [eventCount], one each [eventInterval], with [eventData] as their data, or their ids if it is null. Responds to any
+ * other request with [id] and the body of the request.
  */
 public class StandInBackEnd(
     public val id: String,
     private val eventCount: Int = 5,
     private val eventInterval: Duration = EVENT_INTERVAL,
+    private val eventData: String? = null,
 ) : RequestHandler {
     private val executed = CopyOnWriteArrayList<ExecutedRequest>()
     private val cancelled = CopyOnWriteArrayList<String>()
@@ -71,6 +73,10 @@
     @Volatile
     public var leaving: String? = null
 
+    /** Returns the number of events after which a stream that starts here, and does not resume, breaks off, or null. */
+    @Volatile
+    public var firstTruncation: (requestId: String) -> Int? = { null }
+
     private val received = AtomicInteger()
     private val running = AtomicInteger()
 
@@ -169,15 +175,17 @@
 
     private suspend fun stream(request: HttpRequest, requestId: String, truncateAfter: Int?, response: ResponseWriter) {
         val lastEventId = request.headers["Last-Event-Id"]?.toInt() ?: 0
+        val firstTruncation = if (lastEventId == 0) firstTruncation(requestId) else null
+        val truncateAt = (truncateAfter ?: firstTruncation)?.plus(lastEventId)
         val headers = responseHeaders(requestId) + listOf(HeaderField("Content-Type", "text/event-stream"))
         response.startChunked(ResponseHead(OK, headers))
         for (event in lastEventId + 1..eventCount) {
-            if (truncateAfter != null && event > lastEventId + truncateAfter) {
+            if (truncateAt != null && event > truncateAt) {
                 // Writes a part of the next event; returning without endChunked closes the connection.
                 response.writeChunk("id: $event\nda".toByteArray())
                 return
             }
-            response.writeChunk("id: $event\ndata: $event\n\n".toByteArray())
+            response.writeChunk("id: $event\ndata: ${eventData ?: event}\n\n".toByteArray())
             delay(eventInterval)
         }
         response.endChunked()
--- a/standins/src/main/kotlin/gypsumcart/standins/StandInFleet.kt
+++ b/standins/src/main/kotlin/gypsumcart/standins/StandInFleet.kt
@@ -108,7 +108,7 @@
         val platform = HttpPlatform(name, storeAddress, null, client)
         val node = Node(settings, platform, nodeRuntime, client, features)
         node.start()
-        return RunningNode(node, settings)
+        return RunningNode(node, settings, nodeRuntime)
     }
 
     private fun startServer(name: String, handler: RequestHandler): Address {
@@ -163,7 +163,14 @@
 }
 
 /** Represents a started node; [settings] has the addresses that it listens on. */
-public class RunningNode(public val node: Node, public val settings: NodeSettings)
+public class RunningNode(
+    public val node: Node,
+    public val settings: NodeSettings,
+    private val runtime: EdgeRuntime,
+) {
+    /** Ends all input and output of the node at once, as a loss of power does; its connections fall silent. */
+    public fun kill(): Unit = runtime.loop.close()
+}
 
 /**
  * Describes a route of the operator's configuration.
