Start with the default where an optional setting has no value

Cause: the template got fields for the policies, the host's limits and the bounds of the exposure. A field that is left unfilled stays as a placeholder, which is no valid YAML there, and one for which the platform has no value is null, which only nullable fields accepted.

Evidence: SettingsTemplateTest failed in 20 of 20 cases before, at `policies`, also for required fields, since the message named `policies` instead of them; it passes with the change.

Change: an unfilled placeholder counts as no value, as the platform renders it, and a field without a value as absent: an optional one takes its default, a required one is named in the error. An empty address or zone that is required is now an error too.

--- a/node/src/main/kotlin/gypsumcart/node/Settings.kt
+++ b/node/src/main/kotlin/gypsumcart/node/Settings.kt
@@ -3,6 +3,9 @@
 import com.charleskorn.kaml.Yaml
 import com.charleskorn.kaml.YamlConfiguration
 import com.charleskorn.kaml.YamlException
+import com.charleskorn.kaml.YamlMap
+import com.charleskorn.kaml.YamlNode
+import com.charleskorn.kaml.YamlNull
 import com.github.michaelbull.result.Err
 import com.github.michaelbull.result.Ok
 import com.github.michaelbull.result.Result
@@ -133,10 +136,15 @@
         Err(SettingsError.Unreadable(path.toString(), e.message ?: e::class.java.simpleName))
     }
 
-/** Parses and validates settings; unknown fields are ignored, wrong types and invalid values are errors. */
+/**
+ * Parses and validates settings; unknown fields are ignored, wrong types and invalid values are errors.
+ *
+ * A field without a value is absent, and so is one whose placeholder was left in the template that the file comes from.
+ */
 public fun parseSettings(text: String): Result<NodeSettings, SettingsError> =
     try {
-        val settings = yaml.decodeFromString(NodeSettings.serializer(), text)
+        val present = yaml.parseToYamlNode(text.replace(UNFILLED_PLACEHOLDER, "")).withoutNulls()
+        val settings = yaml.decodeFromYamlNode(NodeSettings.serializer(), present)
         settings.firstErrorOrNull()?.let { Err(it) } ?: Ok(settings)
     } catch (e: YamlException) {
         Err(
@@ -149,21 +157,25 @@
         Err(SettingsError.Invalid("settings", e.message.orEmpty()))
     }
 
+private fun YamlNode.withoutNulls(): YamlNode =
+    if (this is YamlMap) {
+        YamlMap(entries.filterValues { it !is YamlNull }.mapValues { (_, value) -> value.withoutNulls() }, path)
+    } else {
+        this
+    }
+
 private fun NodeSettings.firstErrorOrNull(): SettingsError? {
-    val addresses =
-        listOf(
-            "clients" to clients,
-            "readiness" to readiness,
-            "directory" to directory,
-            "peers" to peers,
-            "metrics" to metrics,
-            "store" to store,
-            "cloud" to cloud,
-        )
-    val invalid = addresses.firstOrNull { (_, text) -> text.isNotEmpty() && addressOrNull(text) == null }
+    val requiredAddresses =
+        listOf("clients" to clients, "readiness" to readiness, "directory" to directory, "store" to store)
+    val optionalAddresses = listOf("peers" to peers, "metrics" to metrics, "cloud" to cloud)
+    val required = listOf("node" to node, "zone" to zone) + requiredAddresses
+    val empty = required.firstOrNull { (_, text) -> text.isBlank() }
+    val invalid =
+        (requiredAddresses + optionalAddresses)
+            .firstOrNull { (_, text) -> text.isNotEmpty() && addressOrNull(text) == null }
     return when {
+        empty != null -> SettingsError.Invalid(empty.first, "is empty")
         invalid != null -> SettingsError.Invalid(invalid.first, "is not of the form host:port")
-        node.isBlank() -> SettingsError.Invalid("node", "is empty")
         bounds.leaseMillis <= 0 -> SettingsError.Invalid("bounds.lease_ms", "is not positive")
         bounds.quotaWindowSeconds <= 0 -> SettingsError.Invalid("bounds.quota_window_s", "is not positive")
         responses.maxBodyBytes <= 0 -> SettingsError.Invalid("responses.max_body_bytes", "is not positive")
@@ -183,4 +195,7 @@
 private const val DEFAULT_DRAIN_MILLIS = 2_000L
 private const val DEFAULT_LINK_MEGABITS = 1_000.0
 
+/** A placeholder of the settings template, as the platform's templates write them. */
+private val UNFILLED_PLACEHOLDER = Regex("\\{\\{[^{}]*\\}\\}")
+
 private val yaml = Yaml(configuration = YamlConfiguration(strictMode = false))
