Log the version of the back end of each call, and what it resumes

The log lines could not tell whether a stream went on at another version of the software because routing chose so or because the entry of the back end was old. event=call now names the version that the node took the back end for, and the event after which the call resumes a stream. No decision is changed.

--- a/node/src/main/kotlin/gypsumcart/node/ClientEdge.kt
+++ b/node/src/main/kotlin/gypsumcart/node/ClientEdge.kt
@@ -246,13 +246,16 @@
         val elapsed = clock.now() - submission.arrivedAt
         metrics.recordCall(call.backEnd.service, result, elapsed)
         log.info(
-            "event=call request={} team={} tokens={} attempt={} back_end={} service={} result={} after_ms={}",
+            "event=call request={} team={} tokens={} attempt={} back_end={} service={} version={} resumed_after={} " +
+                "result={} after_ms={}",
             submission.requestId,
             call.admitted.team,
             submission.prompt?.let { it.tokens + it.maxNewTokens },
             call.attempt,
             call.backEnd.id,
             call.backEnd.service,
+            call.backEnd.version,
+            call.resumeAfter,
             result.toLogValue(),
             elapsed.inWholeMilliseconds,
         )
