--- a/core/src/main/kotlin/gypsumcart/core/Outcomes.kt
+++ b/core/src/main/kotlin/gypsumcart/core/Outcomes.kt
@@ -52,6 +52,12 @@
     /** No back end of the service could accept the request in time. */
     public data object NoBackEnd : RefusalReason()
 
+    /** The client has a part of the stream, and no record tells which version of the software wrote it. */
+    public data object OriginUnknown : RefusalReason()
+
+    /** The client has a part of the stream, and no back end of the version that wrote it accepts requests. */
+    public data object OriginGone : RefusalReason()
+
     /** The back ends that were called declined the request or could not be reached. */
     public data object Declined : RefusalReason()
 }
--- a/core/src/main/kotlin/gypsumcart/core/Requests.kt
+++ b/core/src/main/kotlin/gypsumcart/core/Requests.kt
@@ -7,6 +7,7 @@
  *
  * @property remainingTime how long after [arrivedAt] the client still waits for the complete response, or null if the
  * request does not state it
+ * @property takeUp what the request says of the stream whose rest it asks for, or null if it asks for a whole response
  */
 public data class Submission(
     public val ticket: Ticket,
@@ -17,6 +18,7 @@
     public val remainingTime: Duration?,
     public val prompt: Prompt?,
     public val arrivedAt: MonotonicTime,
+    public val takeUp: StreamTakeUp? = null,
 )
 
 /**
@@ -49,6 +51,7 @@
  * @property service the service chosen for it from those of the route
  * @property priority its urgency; 0 is the most urgent
  * @property deadline the time by which the client must have the complete response
+ * @property origin which versions of the service's software may write the next events of the response
  */
 public data class AdmittedRequest(
     public val submission: Submission,
@@ -57,6 +60,7 @@
     public val team: TeamName?,
     public val priority: Int,
     public val deadline: MonotonicTime,
+    public val origin: StreamOrigin = StreamOrigin.Unwritten,
 ) {
     /** Identifies the request within the process. */
     public val ticket: Ticket get() = submission.ticket
--- a/node/src/main/kotlin/gypsumcart/node/LogValues.kt
+++ b/node/src/main/kotlin/gypsumcart/node/LogValues.kt
@@ -19,6 +19,8 @@
         RefusalReason.BackEndsPaused -> "paused"
         RefusalReason.Stopping -> "stopping"
         RefusalReason.NoBackEnd -> "no_back_end"
+        RefusalReason.OriginUnknown -> "origin_unknown"
+        RefusalReason.OriginGone -> "origin_gone"
         RefusalReason.Declined -> "declined"
     }
 
