Resume a stream only at the version of the software that began it

When events have reached the client, dispatch now binds the request to the version of the back end that wrote them (StreamOrigin.WrittenBy), unless it has an origin already. All further calls carry it: retries, and reassignments of calls that were withheld. If none is left, the stream is broken off as one that can't be resumed. Before any event, any version may answer. Back ends that state no version count as one.

--- a/core/src/main/kotlin/gypsumcart/core/dispatch/Dispatch.kt
+++ b/core/src/main/kotlin/gypsumcart/core/dispatch/Dispatch.kt
@@ -11,6 +11,7 @@
 import gypsumcart.core.RefusalReason
 import gypsumcart.core.RequestDurations
 import gypsumcart.core.RouteKey
+import gypsumcart.core.StreamOrigin
 import gypsumcart.core.Ticket
 import gypsumcart.core.routing.HealthSignal
 import gypsumcart.core.routing.InstanceKey
@@ -144,7 +145,7 @@
 
 /** Decides after each call whether its request is complete, is retried or fails. */
 public class Dispatch : Decider<DispatchEvent, DispatchEffect> {
-    private class RequestState(val admitted: AdmittedRequest) {
+    private class RequestState(var admitted: AdmittedRequest) {
         val calledInstances = HashSet<InstanceKey>()
         var attempt = AttemptNumber.FIRST
 
@@ -157,6 +158,14 @@
         /** The number of back ends that closed the connection before they started to respond. */
         var unstartedCuts = 0
         var lastEventId: String? = null
+
+        /** Records that events of [writer] have reached the client, so that only its version may write further ones. */
+        fun recordEvents(lastId: String?, writer: BackEnd) {
+            lastEventId = lastId
+            if (admitted.origin == StreamOrigin.Unwritten) {
+                admitted = admitted.copy(origin = StreamOrigin.WrittenBy(writer.version))
+            }
+        }
     }
 
     private val requests = HashMap<Ticket, RequestState>()
@@ -221,7 +230,7 @@
         request.backEnd = null
         val health = healthSignalOf(event.result)
         val release = DispatchEffect.Release(event.ticket, backEnd.key, health, event.result.isError)
-        return listOf(release) + afterCall(request, event.result, now)
+        return listOf(release) + afterCall(request, backEnd, event.result, now)
     }
 
     private fun endOverdue(event: DispatchEvent.CallOverdue): List<DispatchEffect> {
@@ -232,7 +241,12 @@
         return if (endsWell) listOf(DispatchEffect.EndCall(event.ticket)) else emptyList()
     }
 
-    private fun afterCall(request: RequestState, result: CallResult, now: MonotonicTime): List<DispatchEffect> =
+    private fun afterCall(
+        request: RequestState,
+        backEnd: BackEnd,
+        result: CallResult,
+        now: MonotonicTime,
+    ): List<DispatchEffect> =
         when (result) {
             is CallResult.Answered, CallResult.ClientGone -> {
                 end(request, now)
@@ -243,7 +257,7 @@
                 if (result.failure == CallFailure.Withheld) {
                     listOf(reassign(request, result))
                 } else {
-                    listOf(retryOrConclude(request, result, now))
+                    listOf(retryOrConclude(request, backEnd, result, now))
                 }
         }
 
@@ -261,7 +275,12 @@
             outcomeOf(request, result),
         )
 
-    private fun retryOrConclude(request: RequestState, result: CallResult.Failed, now: MonotonicTime): DispatchEffect {
+    private fun retryOrConclude(
+        request: RequestState,
+        backEnd: BackEnd,
+        result: CallResult.Failed,
+        now: MonotonicTime,
+    ): DispatchEffect {
         val outcome = outcomeOf(request, result)
         if (result.failure.mayHaveRun) request.possibleRuns++
         if (result.failure == CallFailure.Truncated && result.progress == DeliveryProgress.None) request.unstartedCuts++
@@ -269,7 +288,7 @@
             end(request, now)
             return DispatchEffect.Conclude(request.admitted, outcome)
         }
-        (result.progress as? DeliveryProgress.Started)?.let { request.lastEventId = it.lastEventId }
+        (result.progress as? DeliveryProgress.Started)?.let { request.recordEvents(it.lastEventId, backEnd) }
         request.attempt = request.attempt.next()
         return DispatchEffect.Retry(request.admitted, request.attempt, request.calledInstances.toSet(), outcome)
     }
--- a/core/src/main/kotlin/gypsumcart/core/rollout/VersionSplit.kt
+++ b/core/src/main/kotlin/gypsumcart/core/rollout/VersionSplit.kt
@@ -6,10 +6,12 @@
 import gypsumcart.core.MonotonicTime
 import gypsumcart.core.RouteKey
 import gypsumcart.core.ServiceName
+import gypsumcart.core.StreamOrigin
 import gypsumcart.core.routing.Candidate
 import gypsumcart.core.routing.InstanceKey
 import gypsumcart.core.routing.NodePlace
 import gypsumcart.core.routing.RoutingEffect
+import gypsumcart.core.routing.acceptedBy
 import gypsumcart.core.routing.key
 import kotlin.math.roundToInt
 
@@ -17,8 +19,8 @@
  * Divides the requests for a service between two versions, as the rules of its roll-out say.
  *
  * A version follows from the hash of a request's id, so that all calls for a request go to the same one, unless a call
- * to the new version has failed. Whatever the rules say, a node never sends more to the new version than its part of
- * what may be exposed.
+ * to the new version has failed. A request whose client has events goes to the version that wrote them or nowhere.
+ * Whatever the rules say, a node never sends more to the new version than its part of what may be exposed.
  */
 internal class VersionSplit {
     private class Division(var rule: VersionRule) {
@@ -71,6 +73,25 @@
         backEnds.filter { it.version != null }.forEach { warmAt.putIfAbsent(it.key, now + it.warmsUpIn) }
     }
 
+    /** Returns the candidates of [service] that the rules leave to requests of [origin], before they are divided. */
+    fun permitted(
+        service: ServiceName,
+        origin: StreamOrigin,
+        candidatesByService: Map<ServiceName, List<Candidate>>,
+    ): List<Candidate> {
+        val candidates = candidatesByService[service].orEmpty()
+        val rule = divisions[service]?.rule ?: return candidates.acceptedBy(origin)
+        val usable = candidates.filterNot { it.backEnd.version in rule.barred }
+        val (new, old) = usable.partition { it.backEnd.version == rule.target }
+        val ofMode =
+            when (rule.mode) {
+                VersionMode.Old -> if (rule.isSettled) old.ifEmpty { new } else old
+                VersionMode.New -> if (rule.isSettled) new.ifEmpty { old } else new
+                is VersionMode.Divided -> usable
+            }
+        return ofMode.acceptedBy(origin)
+    }
+
     /** Returns the candidates to one of which a call for [admitted] may go that is not to go to [excluded]. */
     fun select(
         admitted: AdmittedRequest,
@@ -79,26 +100,31 @@
         place: NodePlace,
         now: MonotonicTime,
     ): List<Candidate> {
-        val candidates = candidatesByService[admitted.service].orEmpty()
-        val division = divisions[admitted.service] ?: return candidates
-        val rule = division.rule
-        val usable = candidates.filterNot { it.backEnd.version in rule.barred }
-        val (new, old) = usable.partition { it.backEnd.version == rule.target }
-        return when (val mode = rule.mode) {
-            VersionMode.Old -> if (rule.isSettled) old.ifEmpty { new } else old
-            VersionMode.New -> if (rule.isSettled) new.ifEmpty { old } else new
+        val permitted = permitted(admitted.service, admitted.origin, candidatesByService)
+        val division = divisions[admitted.service] ?: return permitted
+        return when (val mode = division.rule.mode) {
+            VersionMode.Old, VersionMode.New -> permitted
             is VersionMode.Divided -> {
+                val (new, old) = permitted.partition { it.backEnd.version == division.rule.target }
                 val hasFailed = new.any { it.backEnd.key in excluded }
-                val isDrawn =
-                    !hasFailed &&
-                        admitted.draw(rule) < division.shareOf(admitted.route.key, mode.share) &&
-                        division.mayExpose(mode, place)
-                val ready = if (isDrawn) new.filter { it.isReady(excluded, place, now) } else emptyList()
-                ready.few(mode.share, place).ifEmpty { old }
+                val mayUseNew = division.mayExpose(mode, place)
+                val ready = if (mayUseNew) new.filter { it.isReady(excluded, place, now) } else emptyList()
+                when (admitted.origin) {
+                    StreamOrigin.Unwritten -> {
+                        val isDrawn = !hasFailed && division.isDrawn(admitted, mode)
+                        (if (isDrawn) ready.few(mode.share, place) else emptyList()).ifEmpty { old }
+                    }
+
+                    // One of both is empty, as all permitted candidates are of one version.
+                    is StreamOrigin.WrittenBy -> old + if (mayUseNew) ready.ifEmpty { new } else emptyList()
+                }
             }
         }
     }
 
+    private fun Division.isDrawn(admitted: AdmittedRequest, mode: VersionMode.Divided): Boolean =
+        admitted.draw(rule) < shareOf(admitted.route.key, mode.share)
+
     private fun Division.mayExpose(mode: VersionMode.Divided, place: NodePlace): Boolean =
         exposed + 1 <= requests * mode.exposedShare + mode.exposedExtra * USED_EXTRA / place.nodeCount
 
--- a/core/src/test/kotlin/gypsumcart/core/dispatch/DispatchTest.kt
+++ b/core/src/test/kotlin/gypsumcart/core/dispatch/DispatchTest.kt
@@ -2,11 +2,13 @@
 
 import gypsumcart.core.AdmittedRequest
 import gypsumcart.core.AttemptNumber
+import gypsumcart.core.BackEndVersion
 import gypsumcart.core.CallFailure
 import gypsumcart.core.CallKind
 import gypsumcart.core.MonotonicTime
 import gypsumcart.core.Outcome
 import gypsumcart.core.RequestDurations
+import gypsumcart.core.StreamOrigin
 import gypsumcart.core.admitted
 import gypsumcart.core.at
 import gypsumcart.core.backEnd
@@ -96,6 +98,38 @@
         expectThat(call).isA<DispatchEffect.Call>().get { resumeAfter }.isEqualTo("7")
     }
 
+    private fun assignVersion(admitted: AdmittedRequest, attempt: Int, version: String): AdmittedRequest {
+        val backEnd = backEnd("back-end-$attempt").copy(version = BackEndVersion(version))
+        val assigned = DispatchEvent.Assigned(admitted, AttemptNumber(attempt), backEnd)
+        return (dispatch.decide(assigned, MonotonicTime(0)).single() as DispatchEffect.Call).admitted
+    }
+
+    // Guards against a second version in one response (ORDER).
+    @Test
+    fun `the first events that reach the client bind the further calls to the version that wrote them`() {
+        val request = admitted(resumable, maxAttempts = 5)
+        assignVersion(request, 1, "v1")
+        val unwritten = fail(request, CallFailure.Truncated).last()
+        expectThat(unwritten).isA<DispatchEffect.Retry>().get { admitted.origin }.isEqualTo(StreamOrigin.Unwritten)
+        assignVersion(request, 2, "v2")
+        val written = fail(request, CallFailure.Truncated, DeliveryProgress.Started("7"), attempt = 2).last()
+        val origin = StreamOrigin.WrittenBy(BackEndVersion("v2"))
+        expectThat(written).isA<DispatchEffect.Retry>().get { admitted.origin }.isEqualTo(origin)
+        expectThat(assignVersion(request, 3, "v2").origin).isEqualTo(origin)
+        val withheld = fail(request, CallFailure.Withheld, DeliveryProgress.Started("7"), attempt = 3).last()
+        expectThat(withheld).isA<DispatchEffect.Reassign>().get { admitted.origin }.isEqualTo(origin)
+    }
+
+    // Guards against a take-up that is bound anew to the version of whatever back end answered (ORDER).
+    @Test
+    fun `the origin that a request was admitted with is never replaced`() {
+        val origin = StreamOrigin.WrittenBy(BackEndVersion("v1"))
+        val request = admitted(resumable, maxAttempts = 5).copy(origin = origin)
+        assignVersion(request, 1, "v2")
+        val next = fail(request, CallFailure.Truncated, DeliveryProgress.Started("7")).last()
+        expectThat(next).isA<DispatchEffect.Retry>().get { admitted.origin }.isEqualTo(origin)
+    }
+
     @Test
     fun `a started stream that is not resumable ends when its call fails`() {
         val request = admitted(CallKind.Streamed(resumable = false, maxPause = 600.milliseconds))
--- a/core/src/test/kotlin/gypsumcart/core/rollout/VersionSplitTest.kt
+++ b/core/src/test/kotlin/gypsumcart/core/rollout/VersionSplitTest.kt
@@ -2,10 +2,12 @@
 
 import gypsumcart.core.AttemptNumber
 import gypsumcart.core.BackEnd
+import gypsumcart.core.BackEndVersion
 import gypsumcart.core.CallKind
 import gypsumcart.core.LEDGER
 import gypsumcart.core.OrderNumber
 import gypsumcart.core.Outcome
+import gypsumcart.core.StreamOrigin
 import gypsumcart.core.admitted
 import gypsumcart.core.at
 import gypsumcart.core.backEnd
@@ -18,6 +20,7 @@
 import org.junit.jupiter.api.Test
 import strikt.api.expectThat
 import strikt.assertions.all
+import strikt.assertions.containsExactly
 import strikt.assertions.isEqualTo
 import strikt.assertions.isGreaterThan
 import strikt.assertions.isLessThanOrEqualTo
@@ -104,4 +107,57 @@
         routing.decide(RoutingEvent.BackEndsListed(listOf(old[0], old[1].copy(version = V3))), at(1.seconds))
         expectThat((51L..60).map { assign(it).version }).all { isEqualTo(V3) }
     }
+
+    /** Resumes a stream that [origin] began, and returns the version of the call or null if there is none. */
+    private fun resume(number: Long, origin: BackEndVersion): BackEndVersion? {
+        val request = admitted(CallKind.Idempotent, number).copy(origin = StreamOrigin.WrittenBy(origin))
+        val event = RoutingEvent.RetryRequested(request, AttemptNumber(2), emptySet(), Outcome.NotRun.STOPPING)
+        val effects = routing.decide(event, at(1.seconds))
+        val chosen = effects.filterIsInstance<RoutingEffect.Assign>().singleOrNull()?.backEnd ?: return null
+        routing.decide(RoutingEvent.CallReleased(request.ticket, chosen.key, HealthSignal.HEALTHY), at(1.seconds))
+        return chosen.version
+    }
+
+    // Guards against streams that a roll-out's draw, or a failure at the new version, sends to the other one (ORDER).
+    @Test
+    fun `while requests are divided a stream goes on at its version, whatever the draw`() {
+        rule(VersionMode.Divided(share = 0.5, exposedShare = 1.0, exposedExtra = 1_000))
+        for (version in listOf(V1, V2)) {
+            expectThat((1L..100).map { resume(it, version) }).all { isEqualTo(version) }
+        }
+    }
+
+    // Guards against resumed streams that exceed what may be exposed to the new version (EXPOSURE).
+    @Test
+    fun `streams that go on at the new version count against what may be exposed`() {
+        rule(VersionMode.Divided(share = 0.5, exposedShare = 0.1, exposedExtra = 20))
+        val resumed = (1L..100).mapNotNull { resume(it, V2) }
+        expectThat(resumed.size).isGreaterThan(5).isLessThanOrEqualTo(10)
+    }
+
+    // Guards against streams that go on at a version that gets nothing, or at another one instead (ROUTE, ORDER).
+    @Test
+    fun `where a mode leaves one version, the streams of the other one break off`() {
+        for ((mode, left) in listOf(VersionMode.Old to V1, VersionMode.New to V2)) {
+            for (isSettled in listOf(false, true)) {
+                val rule = VersionRule(LEDGER, OrderNumber(1), V2, mode, isSettled = isSettled)
+                routing.decide(RoutingEvent.BackEndsListed(old + new), at(1.seconds))
+                routing.decide(RoutingEvent.VersionsRuled(listOf(rule), 1), at(1.seconds))
+                val resumed = listOf(V1, V2).associateWith { resume(1, it) }
+                expectThat(resumed.values.filterNotNull()).containsExactly(left)
+                expectThat(resumed[left]).isEqualTo(left)
+            }
+        }
+    }
+
+    // Guards against streams that go on at a version that was given up (ROUTE).
+    @Test
+    fun `a stream does not go on at a barred version`() {
+        val mode = VersionMode.Divided(share = 0.5, exposedShare = 1.0, exposedExtra = 100)
+        val rule = VersionRule(LEDGER, OrderNumber(1), V2, mode, barred = setOf(V3))
+        val barred = backEnd("barred").copy(version = V3)
+        routing.decide(RoutingEvent.BackEndsListed(old + new + barred), at(1.seconds))
+        routing.decide(RoutingEvent.VersionsRuled(listOf(rule), 1), at(1.seconds))
+        expectThat(listOf(V1, V2, V3).map { resume(1, it) }).containsExactly(V1, V2, null)
+    }
 }
