Refuse at once a take-up whose version no back end serves

A client that takes a stream up whose version has left waited for back ends of that version, and was then told to return for lack of back ends or places that have nothing to do with its stream; another report describes take-ups after a restart of all nodes that were answered by the other version.

Cause: room, limits and pauses were those of all back ends of the service, and nothing told a version that is full or paused from one that is gone.

If none of them accepts requests, the request ends at once with OriginGone and without a time to return, also when it was declined or its call withheld; a full, paused, limited or ejected version is waited for or refused like any request. Before the first listing a take-up waits, as nothing is known.

The property test now sends take-ups as well; it held before, too.

--- a/core/src/main/kotlin/gypsumcart/core/routing/PacedRefusals.kt
+++ b/core/src/main/kotlin/gypsumcart/core/routing/PacedRefusals.kt
@@ -26,7 +26,11 @@
         return Outcome.NotRun(reason, returnTimes.next(admitted.service, nextCallAt, rate, now))
     }
 
-    /** Returns the refusal instead of [outcome] if back ends declined the request and none of [candidates] is open. */
+    /**
+     * Returns the refusal instead of [outcome] if back ends declined the request and none of [candidates] is open.
+     *
+     * The [candidates] are those that may serve the request.
+     */
     fun refine(
         outcome: Outcome,
         admitted: AdmittedRequest,
@@ -35,8 +39,12 @@
         now: MonotonicTime,
     ): Outcome {
         val wasDeclined = outcome is Outcome.NotRun && outcome.reason == RefusalReason.Declined
-        val isBlocked = wasDeclined && candidates.limiters().areUsedUp(place, now)
-        return if (isBlocked) outcomeOf(admitted, candidates, place, now) else outcome
+        return when {
+            !wasDeclined -> outcome
+            candidates.areGoneFor(admitted.origin) -> ORIGIN_GONE
+            candidates.limiters().areUsedUp(place, now) -> outcomeOf(admitted, candidates, place, now)
+            else -> outcome
+        }
     }
 
     /** Returns the requests a second that keep this node's share of the batch slots busy for a target latency each. */
--- a/core/src/main/kotlin/gypsumcart/core/routing/Routing.kt
+++ b/core/src/main/kotlin/gypsumcart/core/routing/Routing.kt
@@ -97,6 +97,9 @@
 
     private fun assignOrWait(admitted: AdmittedRequest, now: MonotonicTime): List<RoutingEffect> {
         retryBudgets.countRequest(admitted.service, now)
+        if (versions.isOriginGone(admitted, candidatesByService)) {
+            return listOf(RoutingEffect.Conclude(admitted, ORIGIN_GONE))
+        }
         return when (val verdict = quarantine.verdictOn(admitted.submission.prompt, runsTrials, now)) {
             QuarantineVerdict.Allowed -> assignOrEnqueue(admitted, isTrial = false, now)
             QuarantineVerdict.Trial -> assignOrEnqueue(admitted, isTrial = true, now)
@@ -113,7 +116,7 @@
         now: MonotonicTime,
         excluded: Set<InstanceKey> = emptySet(),
     ): List<RoutingEffect> {
-        val ofService = candidatesByService[admitted.service].orEmpty()
+        val ofService = versions.backEndsFor(admitted, candidatesByService)
         val limiters = ofService.limiters()
         // Requests that wait for a limit go before new ones.
         val earlier = if (waiting.isEmpty() || limiters.none { it.isLimited }) emptyList() else assignWaiting(now)
@@ -148,10 +151,12 @@
         val admitted = request.admitted
         val nextCallAt = limiters.nextCallAtOrNull(place, now)
         val ahead = waiting.count(admitted.service)
-        val expectedAt = nextCallAt?.let { it + (ahead / limiters.rateOf(place)).seconds }
+        // Those ahead may go to any back end of the service.
+        val rate = candidatesByService[admitted.service].orEmpty().limiters().rateOf(place)
+        val expectedAt = nextCallAt?.let { it + (ahead / rate).seconds }
         if (nextCallAt == null || expectedAt == null || expectedAt >= request.deadline) {
-            val ofService = candidatesByService[admitted.service].orEmpty()
-            return listOf(RoutingEffect.Conclude(admitted, refusals.outcomeOf(admitted, ofService, place, now)))
+            val outcome = refusals.outcomeOf(admitted, versions.backEndsFor(admitted, candidatesByService), place, now)
+            return listOf(RoutingEffect.Conclude(admitted, outcome))
         }
         waiting.add(request, costOf(admitted))
         return listOf(RoutingEffect.SweepAt(nextCallAt), RoutingEffect.SweepAt(request.deadline))
@@ -160,8 +165,8 @@
     private fun retryOrConclude(event: RoutingEvent.RetryRequested, now: MonotonicTime): RoutingEffect {
         val admitted = event.admitted
         val outcome = finalOutcomeOrNull(event, now)
-        val ofService = candidatesByService[admitted.service].orEmpty()
         if (outcome != null) {
+            val ofService = versions.backEndsFor(admitted, candidatesByService)
             return RoutingEffect.Conclude(admitted, refusals.refine(outcome, admitted, ofService, place, now))
         }
         return assignOrNull(admitted, event.attempt, event.excluded, now)
@@ -172,12 +177,13 @@
     private fun reassign(event: RoutingEvent.ReassignmentRequested, now: MonotonicTime): List<RoutingEffect> {
         val admitted = event.admitted
         val isInTime = now < admitted.deadline
-        if (isInTime && event.attempt == AttemptNumber.FIRST) {
+        val isGone = versions.isOriginGone(admitted, candidatesByService)
+        if (isInTime && event.attempt == AttemptNumber.FIRST && !isGone) {
             return assignOrEnqueue(admitted, isTrial = false, now, event.excluded)
         }
         val assigned = if (isInTime) assignOrNull(admitted, event.attempt, event.excluded, now) else null
         if (assigned != null) return listOf(assigned)
-        val ofService = candidatesByService[admitted.service].orEmpty()
+        val ofService = versions.backEndsFor(admitted, candidatesByService)
         val outcome = refusals.refine(event.fallbackOutcome, admitted, ofService, place, now)
         return listOf(RoutingEffect.Conclude(admitted, outcome))
     }
@@ -345,7 +351,7 @@
     }
 
     private fun expiryOutcomeOf(admitted: AdmittedRequest, now: MonotonicTime): Outcome {
-        val ofService = candidatesByService[admitted.service].orEmpty()
+        val ofService = versions.backEndsFor(admitted, candidatesByService)
         return when {
             ofService.limiters().areUsedUp(place, now) -> refusals.outcomeOf(admitted, ofService, place, now)
             places.areFull(admitted, ofService, place, now) ->
--- a/core/src/test/kotlin/gypsumcart/core/routing/StreamVersionsPropertyTest.kt
+++ b/core/src/test/kotlin/gypsumcart/core/routing/StreamVersionsPropertyTest.kt
@@ -39,7 +39,7 @@
         val lost = ArrayList<Long>()
 
         private fun create(incarnation: Long): BackEnd {
-            val version = listOf(null, "v1", "v1.1", "v2")[random.nextInt(4)]
+            val version = VERSIONS.random(random)?.text
             return versioned(
                 "e${random.nextInt(20)}-$incarnation",
                 version,
@@ -62,7 +62,15 @@
 
         private fun send() {
             val request = stream(++lastNumber)
-            loop.send(request)
+            if (random.nextInt(3) > 0) {
+                loop.send(request)
+            } else {
+                val version = VERSIONS.random(random)
+                writers[lastNumber] = version
+                loop.send(request.copy(origin = StreamOrigin.WrittenBy(version)))
+                val mayGoOn = listed.any { !it.draining && it.version == version }
+                if (mayGoOn != (lastNumber in loop.calls)) lost += lastNumber
+            }
             observe(lastNumber)
         }
 
@@ -136,6 +144,8 @@
     }
 
     private companion object {
+        val VERSIONS: List<BackEndVersion?> = listOf(null) + listOf("v1", "v1.1", "v2").map(::BackEndVersion)
+
         @JvmStatic
         fun seeds(): LongRange = 1L..50L
     }
