Refuse a waiting take-up when its version has left or pauses

Cause: waiting requests were looked at as if any back end of the service could serve them.

A pause is judged by the back ends that may serve each request, once for each origin.

--- a/core/src/main/kotlin/gypsumcart/core/routing/Routing.kt
+++ b/core/src/main/kotlin/gypsumcart/core/routing/Routing.kt
@@ -296,17 +296,9 @@
     /** Pauses calls, and refuses the waiting requests for which none is possible before their waiting time ends. */
     private fun pauseCalls(event: RoutingEvent.PauseStated, now: MonotonicTime): List<RoutingEffect> {
         val paused = candidates[event.instance]?.takeIf { it.limiter.pauseUntil(event.until) } ?: return emptyList()
-        val ofService = candidatesByService[paused.backEnd.service].orEmpty()
-        val limiters = ofService.limiters()
-        if (!limiters.areUsedUp(place, now)) return emptyList()
-        val nextCallAt = limiters.nextCallAtOrNull(place, now)
-        val blocked =
-            waiting.values
-                .filter { it.admitted.service == paused.backEnd.service }
-                .filter { nextCallAt == null || nextCallAt >= it.deadline }
-        blocked.forEach { waiting -= it.admitted.ticket }
-        return blocked.map {
-            RoutingEffect.Conclude(it.admitted, refusals.outcomeOf(it.admitted, ofService, place, now))
+        val backEndsOf = { admitted: AdmittedRequest -> versions.backEndsFor(admitted, candidatesByService) }
+        return waiting.removeBlocked(paused.backEnd.service, place, now, backEndsOf).map { (admitted) ->
+            RoutingEffect.Conclude(admitted, refusals.outcomeOf(admitted, backEndsOf(admitted), place, now))
         }
     }
 
@@ -360,13 +352,14 @@
         }
     }
 
-    /** Assigns back ends to waiting requests, in the order that is due. */
+    /** Assigns back ends to waiting requests, in the order that is due, and refuses those that none can go on with. */
     private fun assignWaiting(now: MonotonicTime): List<RoutingEffect> {
         if (waiting.isEmpty()) return emptyList()
+        val gone = waiting.removeAll { versions.isOriginGone(it.admitted, candidatesByService) }
         val assigned =
             waiting.inOrder().mapNotNull { assignOrNull(it.admitted, AttemptNumber.FIRST, it.excluded, now) }
         assigned.filterIsInstance<RoutingEffect.Assign>().forEach { waiting.removeAssigned(it.admitted.ticket) }
-        return assigned
+        return gone.map { RoutingEffect.Conclude(it.admitted, ORIGIN_GONE) } + assigned
     }
 
     private companion object {
--- a/core/src/main/kotlin/gypsumcart/core/routing/WaitingRequests.kt
+++ b/core/src/main/kotlin/gypsumcart/core/routing/WaitingRequests.kt
@@ -93,6 +93,13 @@
         entries -= ticket
     }
 
+    /** Removes and returns the requests for which [predicate] holds. */
+    fun removeAll(predicate: (WaitingRequest) -> Boolean): List<WaitingRequest> {
+        val removed = values.filter(predicate)
+        removed.forEach { entries -= it.admitted.ticket }
+        return removed
+    }
+
     fun clear(): Unit = entries.clear()
 
     /** Returns the requests in the order in which to assign them back ends. */
@@ -124,3 +131,27 @@
                 ofTeam.sortedBy { it.request.deadline }.zip(tags) { entry, tag -> Entry(entry.request, tag) }
             }
 }
+
+/**
+ * Removes and returns the requests for [service] for which limits and pauses allow no call in time.
+ *
+ * @param backEndsOf returns the back ends that may serve a request, the same ones for all requests with one origin
+ */
+internal fun WaitingRequests.removeBlocked(
+    service: ServiceName,
+    place: NodePlace,
+    now: MonotonicTime,
+    backEndsOf: (AdmittedRequest) -> List<Candidate>,
+): List<WaitingRequest> {
+    val ofService = values.map { it.admitted }.filter { it.service == service }
+    val limitersByOrigin =
+        ofService
+            .distinctBy { it.origin }
+            .associate { it.origin to backEndsOf(it).limiters() }
+            .filterValues { it.areUsedUp(place, now) }
+    val nextCalls = limitersByOrigin.mapValues { it.value.nextCallAtOrNull(place, now) }
+    return removeAll { (admitted, _, deadline) ->
+        val isBlocked = admitted.service == service && admitted.origin in nextCalls
+        isBlocked && (nextCalls[admitted.origin]?.let { it >= deadline } ?: true)
+    }
+}
--- a/core/src/test/kotlin/gypsumcart/core/routing/TakeUpRoutingTest.kt
+++ b/core/src/test/kotlin/gypsumcart/core/routing/TakeUpRoutingTest.kt
@@ -139,4 +139,40 @@
         loop.breakOff(2, lastEventId = null, CallFailure.Withheld)
         expectThat((1L..2).map { loop.outcomes[it] }).all { isEqualTo(gone) }
     }
+
+    /** Fills the only back end of v1, so that the take-up with number 2 waits for it. */
+    private fun awaitVersion() {
+        loop.list(versioned("a", "v1", slots = 2), versioned("b", "v2", slots = 20))
+        loop.send(takeUp(1, "v1", ownPrompt()))
+        loop.send(takeUp(2, "v1", ownPrompt()))
+        expectThat(loop.calls.keys).containsExactly(1)
+        expectThat(loop.outcomes).isEmpty()
+    }
+
+    // Guards against take-ups that wait to the end of their time although their version has left.
+    @Test
+    fun `a take-up that waits is refused as soon as the last back end of its version leaves`() {
+        awaitVersion()
+        loop.list(versioned("a", "v1", draining = true, slots = 2), versioned("b", "v2", slots = 20))
+        expectThat(loop.outcomes[2]).isEqualTo(gone)
+    }
+
+    // Guards against take-ups that wait for a version that gets nothing any more.
+    @Test
+    fun `a take-up that waits is refused as soon as the rules of a roll-out leave nothing to its version`() {
+        awaitVersion()
+        rule(VersionMode.New)
+        expectThat(loop.outcomes[2]).isEqualTo(gone)
+    }
+
+    // Guards against take-ups that wait in vain for paused back ends because those of other versions are open.
+    @Test
+    fun `a take-up that waits is refused with a time to return when all back ends of its version pause`() {
+        awaitVersion()
+        loop.route(RoutingEvent.PauseStated(versioned("a", "v1").key, at(9.seconds)))
+        expectThat(loop.outcomes[2]).isA<Outcome.NotRun>().and {
+            get { reason }.isEqualTo(RefusalReason.BackEndsPaused)
+            get { retryAfter }.isNotNull()
+        }
+    }
 }
