Decide which version began a stream that a client takes up

Cause: a request with the id of the last event is routed like a new one; nothing knows which version wrote the events that the client has.

It is not wired up yet.

--- /dev/null
+++ b/core/src/main/kotlin/gypsumcart/core/streams/StreamEvents.kt
@@ -0,0 +1,130 @@
+package gypsumcart.core.streams
+
+import gypsumcart.core.AdmittedRequest
+import gypsumcart.core.BackEnd
+import gypsumcart.core.BackEndVersion
+import gypsumcart.core.CallKind
+import gypsumcart.core.MonotonicTime
+import gypsumcart.core.Outcome
+import gypsumcart.core.RequestId
+import gypsumcart.core.ServiceName
+import gypsumcart.core.Ticket
+
+/** Whether the request asks for the rest of a stream that another back end can continue. */
+public val AdmittedRequest.takesUpStream: Boolean
+    get() = submission.takeUp != null && route.kind.isResumable
+
+/** Whether a stream of this kind can be taken up. */
+public val CallKind.isResumable: Boolean
+    get() =
+        when (this) {
+            CallKind.Idempotent, CallKind.AtMostOnce -> false
+            is CallKind.Streamed -> resumable
+        }
+
+/**
+ * States which version of a service's software began a stream.
+ *
+ * @property beganAs the request whose response brought the first event
+ * @property version the version of the back end that wrote it, or null if the back end states none
+ */
+public data class StreamRecord(
+    public val beganAs: RequestId,
+    public val service: ServiceName,
+    public val version: BackEndVersion?,
+)
+
+/** Describes the result of a read of a stored [StreamRecord]. */
+public sealed class RecordReadResult {
+    /** The store holds [record], possibly of another stream. */
+    public data class Found(public val record: StreamRecord) : RecordReadResult()
+
+    /** The store holds no record. */
+    public data object Absent : RecordReadResult()
+
+    /** The store did not respond. */
+    public data object Failed : RecordReadResult()
+}
+
+/** Represents an input of the [StreamOrigins] decider. */
+public sealed class StreamEvent {
+    /** The registry lists [backEnds]. */
+    public data class BackEndsListed(public val backEnds: List<BackEnd>) : StreamEvent()
+
+    /** The registry stopped to respond, or responds again. */
+    public data class RegistryChanged(public val isAvailable: Boolean) : StreamEvent()
+
+    /**
+     * The stored [versions] of services were read.
+     *
+     * @property isComplete whether these are all that are stored
+     */
+    public data class VersionsRead(
+        public val versions: Map<ServiceName, Set<BackEndVersion?>>,
+        public val isComplete: Boolean,
+    ) : StreamEvent()
+
+    /** The write of the [versions] of [service] ended. */
+    public data class VersionsWritten(
+        public val service: ServiceName,
+        public val versions: Set<BackEndVersion?>,
+        public val succeeded: Boolean,
+    ) : StreamEvent()
+
+    /** A request passed admission that asks for the rest of a stream. */
+    public data class TakenUp(public val admitted: AdmittedRequest) : StreamEvent()
+
+    /** The first event of a stream arrived, which its client has not received yet. */
+    public data class StreamBegan(public val record: StreamRecord) : StreamEvent()
+
+    /** The client has the whole of the stream whose first event came in response to [beganAs]. */
+    public data class StreamEnded(public val beganAs: RequestId) : StreamEvent()
+
+    /** The read of a record for the request with [ticket] ended with [result]. */
+    public data class RecordRead(public val ticket: Ticket, public val result: RecordReadResult) : StreamEvent()
+
+    /** The write of records ended. */
+    public data class RecordsWritten(public val succeeded: Boolean) : StreamEvent()
+
+    /** The number of live nodes changed, or the [rank] of this one, which is the number of those with a lower id. */
+    public data class RankUpdated(public val nodeCount: Int, public val rank: Int) : StreamEvent()
+
+    /** A timer tick. */
+    public data object Tick : StreamEvent()
+}
+
+/** Describes how the version that began a stream became known. */
+public sealed class OriginSource {
+    /** Only one version of the service was in use while the stream can have begun. */
+    public data object History : OriginSource()
+
+    /** This node forwarded the first event. */
+    public data object Memory : OriginSource()
+
+    /** The node that forwarded the first event stored a record. */
+    public data object Store : OriginSource()
+}
+
+/** Represents an output of the [StreamOrigins] decider. */
+public sealed class StreamEffect {
+    /** Passes on a request whose origin is known by [source]. */
+    public data class Route(public val admitted: AdmittedRequest, public val source: OriginSource) : StreamEffect()
+
+    /** Ends a request without a call. */
+    public data class Refuse(public val admitted: AdmittedRequest, public val outcome: Outcome.NotRun) : StreamEffect()
+
+    /** Reads the record of the stream that began with [beganAs], for the request with [ticket]. */
+    public data class ReadRecord(public val ticket: Ticket, public val beganAs: RequestId) : StreamEffect()
+
+    /** Writes [records] together. */
+    public data class WriteRecords(public val records: List<StreamRecord>) : StreamEffect()
+
+    /** Writes the [versions] of [service] that are in use. */
+    public data class WriteVersions(
+        public val service: ServiceName,
+        public val versions: Set<BackEndVersion?>,
+    ) : StreamEffect()
+
+    /** Requests a [StreamEvent.Tick] at [time]. */
+    public data class WakeAt(public val time: MonotonicTime) : StreamEffect()
+}
--- /dev/null
+++ b/core/src/main/kotlin/gypsumcart/core/streams/StreamMemory.kt
@@ -0,0 +1,96 @@
+package gypsumcart.core.streams
+
+import gypsumcart.core.MonotonicTime
+import gypsumcart.core.RequestId
+import gypsumcart.core.ServiceName
+
+/** Holds the records of the streams that began at this node, and those of them that are to be stored. */
+internal class StreamMemory {
+    private class KnownStream(val record: StreamRecord, val beganAt: MonotonicTime) {
+        /** Whether the client has the whole stream, or the store has the record. */
+        var needsNoRecord = false
+    }
+
+    /** The streams in the order in which they began; the eldest yield. */
+    private val streams =
+        object : LinkedHashMap<RequestId, KnownStream>() {
+            override fun removeEldestEntry(eldest: Map.Entry<RequestId, KnownStream>): Boolean = size > MAX_STREAMS
+        }
+
+    /** The records to store, in the order in which the streams began; the eldest yield. */
+    private var queue = newQueue()
+
+    private var batch: List<StreamRecord> = emptyList()
+
+    /** Whether records wait to be stored and none are being stored. */
+    val isWriteDue: Boolean get() = queue.isNotEmpty() && batch.isEmpty()
+
+    fun recordOrNull(beganAs: RequestId): StreamRecord? = streams[beganAs]?.record
+
+    /** Adds the record of a new stream; the first one of a request stays. */
+    fun add(record: StreamRecord, isToBeStored: Boolean, now: MonotonicTime) {
+        if (streams.putIfAbsent(record.beganAs, KnownStream(record, now)) != null) return
+        if (isToBeStored) queue[record.beganAs] = record
+    }
+
+    /** Marks the stream as one that its client has received; it stays known, as the client may have lost the end. */
+    fun end(beganAs: RequestId) {
+        streams[beganAs]?.needsNoRecord = true
+        queue -= beganAs
+    }
+
+    /** Has the records of all streams of [service] stored that are not stored yet. */
+    fun storeAll(service: ServiceName) {
+        for (stream in streams.values) {
+            val isMissing = !stream.needsNoRecord && stream.record !in batch
+            if (isMissing && stream.record.service == service) queue[stream.record.beganAs] = stream.record
+        }
+    }
+
+    /** Returns the next records to store; [endBatch] must be called before the next ones can be taken. */
+    fun takeBatch(): List<StreamRecord> {
+        batch = queue.values.take(MAX_BATCH)
+        batch.forEach { queue -= it.beganAs }
+        return batch
+    }
+
+    /** Ends the write of the current batch; if it failed, its records are to be stored again. */
+    fun endBatch(succeeded: Boolean) {
+        val records = batch
+        batch = emptyList()
+        if (succeeded) {
+            records.forEach { streams[it.beganAs]?.needsNoRecord = true }
+            return
+        }
+        val later = queue
+        queue = newQueue()
+        val missing = records.filterNot { streams[it.beganAs]?.needsNoRecord ?: true }
+        (missing + later.values).forEach { queue[it.beganAs] = it }
+    }
+
+    /** Removes the streams whose clients no longer wait. */
+    fun expire(now: MonotonicTime) {
+        val eldest = streams.values.iterator()
+        while (eldest.hasNext()) {
+            val stream = eldest.next()
+            if (now - stream.beganAt < VersionHistory.RETENTION) return
+            eldest.remove()
+            queue -= stream.record.beganAs
+        }
+    }
+
+    private fun newQueue() =
+        object : LinkedHashMap<RequestId, StreamRecord>() {
+            override fun removeEldestEntry(eldest: Map.Entry<RequestId, StreamRecord>): Boolean = size > MAX_QUEUED
+        }
+
+    private companion object {
+        /** More than a node begins in the retention time at its share of the peak. */
+        const val MAX_STREAMS = 8_192
+
+        const val MAX_QUEUED = 1_000
+
+        /** The number of rows that the store accepts in one transaction. */
+        const val MAX_BATCH = 100
+    }
+}
