Send the rest of a stream to the service that began it

A route may divide its requests among services by a hash of their ids. A client that takes a stream up sends a new id, so that the rest could come from another service. The id of the request that began it is used instead.

AdmissionTest passes; the new test fails without the change.

--- a/core/src/main/kotlin/gypsumcart/core/admission/Admission.kt
+++ b/core/src/main/kotlin/gypsumcart/core/admission/Admission.kt
@@ -161,11 +161,14 @@
     /**
      * Returns the service for the request, chosen by a hash of its id.
      *
+     * A request for the rest of a stream goes to the service that the request went to with which the stream began.
+     *
      * The services of the route receive requests in proportion to their weights.
      */
     private fun serviceOf(submission: Submission, route: Route): ServiceName {
         val total = route.services.sumOf { it.weight }.coerceAtLeast(1)
-        var point = Math.floorMod(submission.requestId.hashCode() * HASH_MULTIPLIER, total)
+        val id = submission.takeUp?.beganAs ?: submission.requestId
+        var point = Math.floorMod(id.hashCode() * HASH_MULTIPLIER, total)
         for (candidate in route.services) {
             point -= candidate.weight
             if (point < 0) return candidate.service
--- a/core/src/test/kotlin/gypsumcart/core/admission/AdmissionTest.kt
+++ b/core/src/test/kotlin/gypsumcart/core/admission/AdmissionTest.kt
@@ -1,12 +1,16 @@
 package gypsumcart.core.admission
 
 import gypsumcart.core.CallKind
+import gypsumcart.core.LEDGER
+import gypsumcart.core.MODEL
 import gypsumcart.core.MonotonicTime
 import gypsumcart.core.Outcome
 import gypsumcart.core.Quota
 import gypsumcart.core.QuotaUnit
 import gypsumcart.core.RefusalReason
+import gypsumcart.core.StreamTakeUp
 import gypsumcart.core.TeamName
+import gypsumcart.core.WeightedService
 import gypsumcart.core.at
 import gypsumcart.core.configuration
 import gypsumcart.core.prompt
@@ -55,6 +59,25 @@
         expectThat(reasonOrNull(effects)).isEqualTo(RefusalReason.NoRoute)
     }
 
+    // Guards against a stream that goes on at another service of its route than the one that began it.
+    @Test
+    fun `a request for the rest of a stream goes to the service of the request that began it`() {
+        val services = listOf(WeightedService(LEDGER, 1), WeightedService(MODEL, 1))
+        val routes = listOf(route(CallKind.Idempotent).copy(services = services))
+        val admission = Admission(BOUNDS)
+        admission.decide(AdmissionEvent.Configured(configuration(routes = routes)), MonotonicTime(0))
+        for (number in 1L..20L) {
+            val first = submission(number)
+            val second = submission(number + 100).copy(takeUp = StreamTakeUp(first.requestId))
+            val chosen =
+                listOf(first, second).map {
+                    val effects = admission.decide(AdmissionEvent.Submitted(it), MonotonicTime(0))
+                    (effects.single() as AdmissionEffect.Route).admitted.service
+                }
+            expectThat(chosen[1]).isEqualTo(chosen[0])
+        }
+    }
+
     @Test
     fun `the deadline of a request is the earlier of the client's and the route's`() {
         val effects = admission().decide(AdmissionEvent.Submitted(submission()), MonotonicTime(0))
