--- a/core/src/main/kotlin/gypsumcart/core/streams/StreamMemory.kt
+++ b/core/src/main/kotlin/gypsumcart/core/streams/StreamMemory.kt
@@ -29,6 +29,7 @@
 
     /** Adds the record of a new stream; the first one of a request stays. */
     fun add(record: StreamRecord, isToBeStored: Boolean, now: MonotonicTime) {
+        if (record.beganAs.text.length > MAX_ID_LENGTH) return
         if (streams.putIfAbsent(record.beganAs, KnownStream(record, now)) != null) return
         if (isToBeStored) queue[record.beganAs] = record
     }
@@ -90,6 +91,9 @@
 
         const val MAX_QUEUED = 1_000
 
+        /** Bounds what clients can make a node keep; far longer than usual ids. */
+        const val MAX_ID_LENGTH = 200
+
         /** The number of rows that the store accepts in one transaction. */
         const val MAX_BATCH = 100
     }
