Let a node find out which version began a stream that a client takes up

Take-ups pass through a duty of their own between admission and routing, which sets their origin or refuses them as not run; all other requests go straight on. The edge reports the first event and the end of resumable streams.

Routing does not yet choose by the origin.

--- a/node/src/main/kotlin/gypsumcart/node/FleetDuties.kt
+++ b/node/src/main/kotlin/gypsumcart/node/FleetDuties.kt
@@ -26,6 +26,7 @@
 import gypsumcart.core.replicas.ScalingPolicy
 import gypsumcart.core.rollout.RolloutEvent
 import gypsumcart.core.routing.RoutingEvent
+import gypsumcart.core.streams.StreamEvent
 import gypsumcart.core.usage.Usage
 import gypsumcart.core.usage.UsageEffect
 import gypsumcart.core.usage.UsageEvent
@@ -86,8 +87,10 @@
             is MembershipEffect.Publish -> scope.launch { publishReport(effect) }
             is MembershipEffect.RemoveReports -> scope.launch { removeReports(effect) }
             is MembershipEffect.UpdateMembers -> updateMembers(effect)
-            is MembershipEffect.UpdateNodeCount ->
+            is MembershipEffect.UpdateNodeCount -> {
                 rings.routing.put(RoutingEvent.NodeCountUpdated(effect.nodeCount, effect.rank))
+                rings.streams.put(StreamEvent.RankUpdated(effect.nodeCount, effect.rank))
+            }
 
             is MembershipEffect.ObserveFindings ->
                 rings.routing.put(RoutingEvent.FindingsReceived(effect.findings, effect.asOf))
--- a/node/src/main/kotlin/gypsumcart/node/FleetListener.kt
+++ b/node/src/main/kotlin/gypsumcart/node/FleetListener.kt
@@ -1,11 +1,14 @@
 package gypsumcart.node
 
+import gypsumcart.core.BackEndVersion
+import gypsumcart.core.ServiceName
 import gypsumcart.core.leases.LeaseEvent
 import gypsumcart.core.membership.MembershipEvent
 import gypsumcart.core.membership.NodeKey
 import gypsumcart.core.membership.key
 import gypsumcart.core.replicas.AutoscalerEvent
 import gypsumcart.core.rollout.RolloutEvent
+import gypsumcart.core.streams.StreamEvent
 import org.slf4j.LoggerFactory
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
@@ -18,8 +21,12 @@
     override fun onSnapshot(rows: List<Row>) {
         if (rows.none { it.key == LEASE_KEY }) rings.lease.put(LeaseEvent.RowObserved(null, wallTime()))
         onChanged(rows, emptyList())
+        rings.streams.put(StreamEvent.VersionsRead(rows.versions(), isComplete = true))
     }
 
+    private fun List<Row>.versions(): Map<ServiceName, Set<BackEndVersion?>> =
+        filter { it.key.isVersions }.mapNotNull { it.toVersionsOrNull() ?: it.logUnreadable() }.toMap()
+
     override fun onChanged(written: List<Row>, removed: List<RowKey>) {
         val reportRows = written.filter { it.key.isNodeReport }
         val reports = reportRows.mapNotNull { row -> row.toReportOrNull() ?: row.logUnreadable() }
@@ -33,6 +40,8 @@
             ),
         )
         written.filterNot { it.key.isNodeReport }.forEach(::forward)
+        val versions = written.versions()
+        if (versions.isNotEmpty()) rings.streams.put(StreamEvent.VersionsRead(versions, isComplete = false))
         confirmRollouts()
     }
 
--- a/node/src/main/kotlin/gypsumcart/node/Metrics.kt
+++ b/node/src/main/kotlin/gypsumcart/node/Metrics.kt
@@ -75,6 +75,14 @@
     fun countLoan(side: String, result: String): Unit =
         registry.counter("gypsumcart.quota.loans", "side", side, "result", result).increment()
 
+    /** Counts a request for the rest of a stream by its [result]; [source] says how its version became known. */
+    fun countTakeUp(source: String, result: String): Unit =
+        registry.counter("gypsumcart.stream.take.ups", "source", source, "result", result).increment()
+
+    /** Counts [count] stored records of streams. */
+    fun countStreamRecords(count: Int): Unit =
+        registry.counter("gypsumcart.stream.records").increment(count.toDouble())
+
     /** Registers a gauge for the number of events that wait in [ring]. */
     fun registerGauges(ring: Ring<*>) {
         registry.gauge("gypsumcart.ring.events", listOf(tag("ring", ring.name)), ring) { it.size.toDouble() }
--- a/node/src/main/kotlin/gypsumcart/node/Node.kt
+++ b/node/src/main/kotlin/gypsumcart/node/Node.kt
@@ -10,6 +10,7 @@
 import gypsumcart.core.addressOrNull
 import gypsumcart.core.admission.AdmissionEvent
 import gypsumcart.core.directory.DirectoryEvent
+import gypsumcart.core.dispatch.CallResult
 import gypsumcart.core.dispatch.DispatchEffect
 import gypsumcart.core.leases.LeaseEvent
 import gypsumcart.core.membership.MembershipEvent
@@ -23,6 +24,7 @@
 import gypsumcart.core.routing.key
 import gypsumcart.core.shutdown.ShutdownEvent
 import gypsumcart.core.shutdown.ShutdownLimits
+import gypsumcart.core.streams.StreamEvent
 import gypsumcart.core.usage.UsageEvent
 import gypsumcart.http.HttpClient
 import gypsumcart.http.HttpServer
@@ -117,7 +119,10 @@
             EdgeRings(rings.admission, rings.routing, rings.dispatch),
             clock,
             metrics,
-        ) { call, result, started -> rollout?.observeEnd(call, result, started) }
+            ::reportCallEnded,
+        )
+    private val streams =
+        StreamDuty(rings, edge, metrics, platform.rowStore, runtime.scope, timers, clock)
     private val peerLink = PeerLink(rings.membership, client, runtime.scope, metrics)
     private val loanLink = QuotaLoanLink(identity.node, rings.admission, client, runtime.scope, clock, metrics)
     private val readPace = FleetReadPace()
@@ -135,7 +140,7 @@
                 identity,
                 settings.bounds,
                 features,
-            ).all + listOfNotNull(rollout?.duty)
+            ).all + listOfNotNull(streams.duty, rollout?.duty)
     private val fleetClock = FleetClock(platform.rowStore)
 
     private val clientServer = createServer("clients", settings.clients, edge, traffic = Traffic.Forwarded)
@@ -226,15 +231,17 @@
     private fun passOn(event: DirectoryEvent) {
         rings.backEnds.put(event)
         when (event) {
-            DirectoryEvent.RegistryAvailable -> rings.orders.offer(AutoscalerEvent.RegistryChanged(isAvailable = true))
-            DirectoryEvent.RegistryUnavailable ->
-                rings.orders.offer(
-                    AutoscalerEvent.RegistryChanged(isAvailable = false),
-                )
+            DirectoryEvent.RegistryAvailable -> reportRegistry(isAvailable = true)
+            DirectoryEvent.RegistryUnavailable -> reportRegistry(isAvailable = false)
             else -> Unit
         }
     }
 
+    private fun reportRegistry(isAvailable: Boolean) {
+        rings.orders.offer(AutoscalerEvent.RegistryChanged(isAvailable))
+        rings.streams.put(StreamEvent.RegistryChanged(isAvailable))
+    }
+
     private fun startTimers() {
         timers.every(SWEEP_PERIOD) { rings.routing.offer(RoutingEvent.Sweep) }
         timers.every(REPORT_PERIOD) { triggerReports() }
@@ -247,6 +254,7 @@
         }
         timers.every(LEASE_TICK_PERIOD) { rings.lease.offer(LeaseEvent.Tick(wallTime())) }
         rings.rollout?.let { ring -> timers.every(ROLLOUT_TICK_PERIOD) { ring.offer(RolloutEvent.Tick) } }
+        timers.every(STREAM_TICK_PERIOD) { rings.streams.offer(StreamEvent.Tick) }
         timers.every(READINESS_CHECK_PERIOD) { checkReadiness() }
         timers.every(EXPIRY_SWEEP_PERIOD) { rings.backEnds.offer(DirectoryEvent.Sweep) }
     }
@@ -265,6 +273,7 @@
 
     /** Reports the start of a response; the latency of a later call says more about the back end that failed before. */
     private fun reportFirstPiece(call: DispatchEffect.Call, at: MonotonicTime) {
+        streams.observeFirstPiece(call)
         rollout?.observeFirstPiece(call, at)
         val admitted = call.admitted
         val fraction = (at - admitted.submission.arrivedAt) / admitted.route.targetLatency
@@ -278,6 +287,11 @@
         )
     }
 
+    private fun reportCallEnded(call: DispatchEffect.Call, result: CallResult, started: Boolean) {
+        streams.observeEnd(call, result)
+        rollout?.observeEnd(call, result, started)
+    }
+
     private var wasReady = false
 
     private fun checkReadiness() {
@@ -342,6 +356,9 @@
         /** As often as messages are exchanged, which carry the evidence. */
         val ROLLOUT_TICK_PERIOD: Duration = 250.milliseconds
 
+        /** Makes up for ticks that found the ring of the streams full, and repeats rows of versions. */
+        val STREAM_TICK_PERIOD: Duration = 1.seconds
+
         val READINESS_CHECK_PERIOD: Duration = 200.milliseconds
 
         /** A tenth of the time within which expired entries of live back ends reappear in the registry. */
--- a/node/src/main/kotlin/gypsumcart/node/Ports.kt
+++ b/node/src/main/kotlin/gypsumcart/node/Ports.kt
@@ -124,6 +124,13 @@
      */
     public suspend fun putTogether(rows: List<TableRow>, expected: RowVersion): Result<RowVersion, StoreFailure>
 
+    /**
+     * Writes [rows] together or not at all, whatever is stored, and returns their new version.
+     *
+     * Of several rows with one key, the last is written. The store limits the number of rows.
+     */
+    public suspend fun putAll(rows: List<TableRow>): Result<RowVersion, StoreFailure>
+
     /**
      * Removes the rows with [keys] and returns the version of the last change.
      *
--- a/node/src/main/kotlin/gypsumcart/node/RequestDuties.kt
+++ b/node/src/main/kotlin/gypsumcart/node/RequestDuties.kt
@@ -25,6 +25,8 @@
 import gypsumcart.core.routing.RoutingEffect
 import gypsumcart.core.routing.RoutingEvent
 import gypsumcart.core.routing.key
+import gypsumcart.core.streams.StreamEvent
+import gypsumcart.core.streams.takesUpStream
 import gypsumcart.pipeline.Duty
 import gypsumcart.pipeline.MonotonicClock
 import gypsumcart.pipeline.Timers
@@ -59,7 +61,12 @@
 
     private fun execute(effect: AdmissionEffect) {
         when (effect) {
-            is AdmissionEffect.Route -> rings.routing.put(RoutingEvent.RequestAdmitted(effect.admitted))
+            is AdmissionEffect.Route ->
+                if (effect.admitted.takesUpStream) {
+                    rings.streams.put(StreamEvent.TakenUp(effect.admitted))
+                } else {
+                    rings.routing.put(RoutingEvent.RequestAdmitted(effect.admitted))
+                }
 
             is AdmissionEffect.Refuse -> {
                 log.info(
@@ -267,6 +274,7 @@
                     effect.backEnds.size,
                     state.drainingBackEnds,
                 )
+                rings.streams.put(StreamEvent.BackEndsListed(effect.backEnds))
                 rings.routing.put(RoutingEvent.BackEndsListed(effect.backEnds))
                 rings.orders.put(AutoscalerEvent.BackEndsListed(effect.backEnds))
                 rings.rollout?.put(RolloutEvent.BackEndsListed(effect.backEnds))
--- a/node/src/main/kotlin/gypsumcart/node/Rings.kt
+++ b/node/src/main/kotlin/gypsumcart/node/Rings.kt
@@ -10,20 +10,24 @@
 import gypsumcart.core.rollout.RolloutEvent
 import gypsumcart.core.routing.RoutingEvent
 import gypsumcart.core.shutdown.ShutdownEvent
+import gypsumcart.core.streams.StreamEvent
 import gypsumcart.core.usage.UsageEvent
 import gypsumcart.pipeline.Ring
 
 /**
  * Holds the rings that connect the duties of a node.
  *
- * A request passes from the edge through admission, routing and dispatch, and back to the edge. Only the edge adds new
- * requests. Events about requests in progress use the reserved capacity of a ring, which suffices because the edge
- * limits the number of requests in progress.
+ * A request passes from the edge through admission, routing and dispatch, and back to the edge; one that takes a stream
+ * up also passes through streams, before routing. Only the edge adds new requests.
+ *
+ * Events about requests in progress use the reserved capacity of a ring, which suffices because the edge limits the
+ * number of requests in progress. The start and end of a stream don't, since the stream does not wait for them.
  *
  * @param hasRollouts whether there is a duty for roll-outs
  */
 internal class Rings(hasRollouts: Boolean = false) {
     val admission = Ring<AdmissionEvent>("admission", REQUEST_CAPACITY)
+    val streams = Ring<StreamEvent>("streams", REQUEST_CAPACITY, reservedCapacity = REQUEST_CAPACITY / 2)
     val routing = Ring<RoutingEvent>("routing", REQUEST_CAPACITY, reservedCapacity = REQUEST_CAPACITY / 2)
     val dispatch = Ring<DispatchEvent>("dispatch", REQUEST_CAPACITY, reservedCapacity = REQUEST_CAPACITY / 2)
     val configuration = Ring<Configuration>("configuration", LOW_RATE_CAPACITY)
@@ -38,8 +42,8 @@
     /** All rings, for the metric of the number of events in each. */
     val all: List<Ring<*>>
         get() =
-            listOf(admission, routing, dispatch, configuration, backEnds, membership, lease, usage, orders, shutdown) +
-                listOfNotNull(rollout)
+            listOf(admission, streams, routing, dispatch, configuration, backEnds, membership, lease, usage, orders) +
+                listOfNotNull(shutdown, rollout)
 
     private companion object {
         /** Four events for each request that may be in progress. */
--- a/node/src/main/kotlin/gypsumcart/node/RowCodecs.kt
+++ b/node/src/main/kotlin/gypsumcart/node/RowCodecs.kt
@@ -74,6 +74,9 @@
 
     /** The final usage reports, one row for each window. */
     val USAGE = TableName("usage")
+
+    /** The versions that began streams, one row for each slot of the hash of their ids. */
+    val STREAMS = TableName("streams")
 }
 
 internal val LEASE_KEY = RowKey("lease")
--- a/node/src/test/kotlin/gypsumcart/node/InitialCountsRowTest.kt
+++ b/node/src/test/kotlin/gypsumcart/node/InitialCountsRowTest.kt
@@ -38,6 +38,9 @@
             expected: RowVersion,
         ): Result<RowVersion, StoreFailure> = Err(StoreFailure.NoAnswer)
 
+        override suspend fun putAll(rows: List<TableRow>): Result<RowVersion, StoreFailure> =
+            Err(StoreFailure.NoAnswer)
+
         override suspend fun remove(table: TableName, keys: List<RowKey>): Result<RowVersion, StoreFailure> =
             Err(StoreFailure.NoAnswer)
 
