Break off a stream at an event whose id does not increase

Cause: events were passed on whatever their ids, though the ids of one response increase by definition.

Change: EventStreamSplitter returns events up to the first one whose numeric id is not above the last one, where a resumed call begins with the id after which it resumes; the call has then failed as invalid, and may be resumed where allowed. One pass over the bytes replaces their decoding to text. Ids that are no numbers are not compared.

--- a/http/src/main/kotlin/gypsumcart/http/EventStreamSplitter.kt
+++ b/http/src/main/kotlin/gypsumcart/http/EventStreamSplitter.kt
@@ -7,11 +7,14 @@
  *
  * @property maxEventBytes the size above which an incomplete event is not collected any further
  * @property reservation holds the memory that events take beyond a small initial buffer
+ * @param resumedAfter the id of the event that came before the first one, or null if there is none
  */
 public class EventStreamSplitter(
     private val maxEventBytes: Int = DEFAULT_MAX_EVENT_BYTES,
     private val reservation: Reservation = MemoryBudget.unlimited().open(Traffic.Forwarded),
+    resumedAfter: String? = null,
 ) {
+    private val ids = EventIds(resumedAfter)
     private var pending = ByteArray(INITIAL_BYTES)
     private var size = 0
 
@@ -23,7 +26,13 @@
     private var isRefused = false
 
     /** The value of the last `id` field in the events returned so far, or null if none had one. */
-    public var lastEventId: String? = null
+    public val lastEventId: String? get() = ids.last
+
+    /**
+     * Whether an event came whose numeric id is not above the last one, such as that of a stream that is repeated or
+     * starts again; the stream is then not to be read any further.
+     */
+    public var isOutOfOrder: Boolean = false
         private set
 
     /**
@@ -38,7 +47,8 @@
     /**
      * Appends the first [length] bytes of [bytes] to the buffer, and removes and returns its complete events.
      *
-     * The returned bytes are those of the stream, unchanged; they are empty if no event is complete. The time is in
+     * The returned bytes are those of the stream, unchanged, up to an event that is out of order; they are empty if no
+     * event is complete. The time is in
      * proportion to [length] and to the number of bytes returned, whatever the size of the buffer. The memory of the
      * returned events counts as held until the next call.
      */
@@ -57,8 +67,9 @@
         pending.copyInto(pending, 0, end, size)
         size -= end
         if (pending.size > MAX_KEPT_BYTES && size <= INITIAL_BYTES) resize(INITIAL_BYTES, 0)
-        complete.lastEventIdOrNull()?.let { lastEventId = it }
-        return complete
+        val increasing = ids.countIncreasing(complete)
+        isOutOfOrder = increasing < end
+        return if (isOutOfOrder) complete.copyOf(increasing) else complete
     }
 
     private fun ensureCapacity(capacity: Int): Boolean {
@@ -109,9 +120,46 @@
     return before == LINE_FEED || before == CARRIAGE_RETURN && lineFeed > 1 && this[lineFeed - 2] == LINE_FEED
 }
 
-private fun ByteArray.lastEventIdOrNull(): String? =
-    decodeToString()
-        .lineSequence()
-        .lastOrNull { it.startsWith("id:") }
-        ?.removePrefix("id:")
-        ?.trim()
+/** Follows the ids of the events of a stream, which increase. */
+private class EventIds(resumedAfter: String?) {
+    private var lastNumber = resumedAfter?.toNumberOrNull()
+
+    /** The last id, or null if no event had one. */
+    var last: String? = null
+        private set
+
+    /** Returns how many of the bytes of [events] come before the first event whose id does not increase. */
+    fun countIncreasing(events: ByteArray): Int {
+        var eventStart = 0
+        var lineStart = 0
+        var id: String? = null
+        for (i in events.indices) {
+            if (events[i] != LINE_FEED) continue
+            if (events.startsId(lineStart)) {
+                id = events.decodeToString(lineStart + ID_FIELD.length, i).trim()
+            } else if (events.endsEmptyLine(i)) {
+                if (id != null && !accepts(id)) return eventStart
+                id = null
+                eventStart = i + 1
+            }
+            lineStart = i + 1
+        }
+        return events.size
+    }
+
+    private fun accepts(id: String): Boolean {
+        val number = id.toNumberOrNull()
+        val before = lastNumber
+        if (number != null && before != null && number <= before) return false
+        lastNumber = number ?: before
+        last = id
+        return true
+    }
+}
+
+private const val ID_FIELD = "id:"
+
+private fun ByteArray.startsId(lineStart: Int): Boolean =
+    lineStart + ID_FIELD.length <= size && ID_FIELD.indices.all { this[lineStart + it] == ID_FIELD[it].code.toByte() }
+
+private fun String.toNumberOrNull(): Long? = takeIf { it.all(Char::isAsciiDigit) }?.toLongOrNull()
--- a/http/src/test/kotlin/gypsumcart/http/EventStreamSplitterTest.kt
+++ b/http/src/test/kotlin/gypsumcart/http/EventStreamSplitterTest.kt
@@ -95,6 +95,36 @@
         expectThat(splitter.lastEventId).isEqualTo("12")
     }
 
+    // Guards against a repeated stream that is passed on behind the first one (MIXED).
+    @Test
+    fun `events are returned up to the first one whose id does not increase`() {
+        for (repeated in listOf("10", "9", "0", " 010")) {
+            val splitter = EventStreamSplitter()
+            expectThat(splitter.append("id: 9\ndata: a\n\nid:10\r\n\r\n\n: note\n\n")).isEqualTo(
+                "id: 9\ndata: a\n\nid:10\r\n\r\n\n: note\n\n",
+            )
+            expectThat(splitter.append("id: 11\n\nid: $repeated\ndata: b\n\nid: 12\n\n")).isEqualTo("id: 11\n\n")
+            expectThat(splitter.isOutOfOrder).isTrue()
+            expectThat(splitter.lastEventId).isEqualTo("11")
+        }
+    }
+
+    @Test
+    fun `the ids of a resumed stream increase from the event after which it is resumed`() {
+        val splitter = EventStreamSplitter(resumedAfter = "7")
+        expectThat(splitter.append("id: 7\n\n")).isEqualTo("")
+        expectThat(splitter.isOutOfOrder).isTrue()
+        expectThat(EventStreamSplitter(resumedAfter = "7").append("id: 8\n\n")).isEqualTo("id: 8\n\n")
+    }
+
+    @Test
+    fun `ids that are no numbers are not compared`() {
+        val splitter = EventStreamSplitter()
+        val events = "id: b\n\nid: a\n\nid: 5\n\nid:\n\nid: 6\n\nid: -1\n\n"
+        expectThat(splitter.append(events)).isEqualTo(events)
+        expectThat(splitter.isOutOfOrder).isFalse()
+    }
+
     private companion object {
         const val MAX_PIECE_LENGTH = 30
     }
--- a/node/src/main/kotlin/gypsumcart/node/BackEndCalls.kt
+++ b/node/src/main/kotlin/gypsumcart/node/BackEndCalls.kt
@@ -195,22 +195,24 @@
         body: ResponseBody,
         response: ForwardedResponse,
     ): CallResult {
-        val events = EventStreamSplitter(responseLimits.maxEventBytes, body.reservation)
+        val events = EventStreamSplitter(responseLimits.maxEventBytes, body.reservation, call.resumeAfter)
         val buffer = ByteArray(EVENT_BUFFER_BYTES)
         var started = false
         while (true) {
             val n = body.read(buffer)
             if (n < 0) break
             val complete = events.append(buffer, n)
-            if (events.isOversized) return CallResult.Failed(CallFailure.InvalidResponse, response.progress)
-            if (complete.isEmpty()) continue
-            if (!started) {
-                reportStart(call)
-                onFirstPiece(call, clock.now())
+            if (complete.isNotEmpty() && !events.isOversized) {
+                if (!started) {
+                    reportStart(call)
+                    onFirstPiece(call, clock.now())
+                }
+                started = true
+                response.startStream(ResponseHead(head.status, head.headers.withoutHopByHop()))
+                response.writeEvents(complete, events.lastEventId)
             }
-            started = true
-            response.startStream(ResponseHead(head.status, head.headers.withoutHopByHop()))
-            response.writeEvents(complete, events.lastEventId)
+            val isUnreadable = events.isOversized || events.isOutOfOrder
+            if (isUnreadable) return CallResult.Failed(CallFailure.InvalidResponse, response.progress)
         }
         val isCut = events.hasIncompleteEvent || !started && body.endsWithConnection
         if (isCut) return CallResult.Failed(CallFailure.Truncated, response.progress)
--- a/standins/src/test/kotlin/gypsumcart/standins/RepeatedResponseTest.kt
+++ b/standins/src/test/kotlin/gypsumcart/standins/RepeatedResponseTest.kt
@@ -25,6 +25,7 @@
             listOf(
                 ConfiguredRoute("/confirms/", "non_idempotent", "bookings", maxAttempts = 1),
                 ConfiguredRoute("/once/", "streaming", "bookings", maxAttempts = 1),
+                ConfiguredRoute("/resumable/", "streaming", "bookings", maxAttempts = 2, resumable = true),
             ),
         )
         repeat(3) {
@@ -133,6 +134,47 @@
         expectThat(response.endsWith(LAST_CHUNK)).isEqualTo(false)
     }
 
+    // Guards against events that a client gets twice, from a copy or from a stream that starts again (MIXED).
+    @ParameterizedTest
+    @ValueSource(strings = ["", "Content-Length: 66\r\n", "Transfer-Encoding: chunked\r\n"])
+    fun `a stream is broken off at an event whose id does not increase`(framing: String) {
+        startWith { request ->
+            val events = listOf(event(9), event(10), event(10), event(11))
+            val isChunked = "chunked" in framing
+            send(head(request.id, framing))
+            events.forEach { sendLate(if (isChunked) "${it.length.toString(16)}\r\n$it\r\n" else it) }
+            if (isChunked) send(LAST_CHUNK)
+            false
+        }
+        val response = node.send("/once/1")
+        expectThat(eventIdsIn(response)).isEqualTo(listOf(9, 10))
+        expectThat(response.endsWith(LAST_CHUNK)).isEqualTo(false)
+    }
+
+    @Test
+    fun `events that come in one piece are passed on up to the one whose id does not increase`() {
+        startWith { request ->
+            send(head(request.id) + event(1) + event(2) + event(1) + event(2) + event(3))
+            false
+        }
+        val response = node.send("/once/1")
+        expectThat(eventIdsIn(response)).isEqualTo(listOf(1, 2))
+        expectThat(response.endsWith(LAST_CHUNK)).isEqualTo(false)
+    }
+
+    @Test
+    fun `a resumed stream that starts again is broken off`() {
+        startWith { request ->
+            send(head(request.id, "Transfer-Encoding: chunked\r\n"))
+            (1..2).forEach { send("${event(it).length.toString(16)}\r\n${event(it)}\r\n") }
+            if (request.lastEventId != null) send(LAST_CHUNK)
+            false
+        }
+        val response = node.send("/resumable/1")
+        expectThat(eventIdsIn(response)).isEqualTo(listOf(1, 2))
+        expectThat(response.endsWith(LAST_CHUNK)).isEqualTo(false)
+    }
+
     private companion object {
         /** Lets the node read what was sent before. */
         const val PAUSE_MILLIS = 20L
