--- a/standins/src/test/kotlin/gypsumcart/standins/StreamVersionsTest.kt
+++ b/standins/src/test/kotlin/gypsumcart/standins/StreamVersionsTest.kt
@@ -22,7 +22,7 @@
 import kotlin.time.TimeSource
 
 /**
- * Breaks off streams while back ends of several software versions serve, and has them resumed by the nodes or the clients.
+ * Breaks off streams while back ends of several software versions serve; the nodes or the clients have them resumed.
  *
  * Each back end writes its version into the data of its events, so that the client sees which versions wrote a stream.
  */
@@ -249,7 +249,7 @@
         expectHalfWhole(streams)
     }
 
-    // Guards against streams of a version that has left going on at the remaining one after all nodes were killed (ORDER).
+    // Guards against streams of a version that has left going on at another one after a kill of all nodes (ORDER).
     @Tag("known-red")
     @Test
     fun `after all nodes were killed a stream whose version has left is rejected at once`() {
