Look at the new version's back ends only for requests drawn for them

Resuming a stream only at its version made VersionSplit ask all back ends of the new version whether they are ready, for each call while a roll-out divides requests. It does so again only for requests that the draw gives to the new version, and for those bound to it. No choice is changed.

--- a/core/src/main/kotlin/gypsumcart/core/rollout/VersionSplit.kt
+++ b/core/src/main/kotlin/gypsumcart/core/rollout/VersionSplit.kt
@@ -106,24 +106,24 @@
             VersionMode.Old, VersionMode.New -> permitted
             is VersionMode.Divided -> {
                 val (new, old) = permitted.partition { it.backEnd.version == division.rule.target }
-                val hasFailed = new.any { it.backEnd.key in excluded }
-                val mayUseNew = division.mayExpose(mode, place)
-                val ready = if (mayUseNew) new.filter { it.isReady(excluded, place, now) } else emptyList()
+                val isReady = { candidate: Candidate -> candidate.isReady(excluded, place, now) }
                 when (admitted.origin) {
                     StreamOrigin.Unwritten -> {
-                        val isDrawn = !hasFailed && division.isDrawn(admitted, mode)
-                        (if (isDrawn) ready.few(mode.share, place) else emptyList()).ifEmpty { old }
+                        val hasFailed = new.any { it.backEnd.key in excluded }
+                        val isDrawn = !hasFailed && division.isDrawn(admitted, mode, place)
+                        (if (isDrawn) new.filter(isReady).few(mode.share, place) else emptyList()).ifEmpty { old }
                     }
 
                     // One of both is empty, as all permitted candidates are of one version.
-                    is StreamOrigin.WrittenBy -> old + if (mayUseNew) ready.ifEmpty { new } else emptyList()
+                    is StreamOrigin.WrittenBy ->
+                        if (division.mayExpose(mode, place)) old + new.filter(isReady).ifEmpty { new } else old
                 }
             }
         }
     }
 
-    private fun Division.isDrawn(admitted: AdmittedRequest, mode: VersionMode.Divided): Boolean =
-        admitted.draw(rule) < shareOf(admitted.route.key, mode.share)
+    private fun Division.isDrawn(admitted: AdmittedRequest, mode: VersionMode.Divided, place: NodePlace): Boolean =
+        admitted.draw(rule) < shareOf(admitted.route.key, mode.share) && mayExpose(mode, place)
 
     private fun Division.mayExpose(mode: VersionMode.Divided, place: NodePlace): Boolean =
         exposed + 1 <= requests * mode.exposedShare + mode.exposedExtra * USED_EXTRA / place.nodeCount
