--- a/standins/src/test/kotlin/gypsumcart/standins/ResetDuringUploadTest.kt
+++ b/standins/src/test/kotlin/gypsumcart/standins/ResetDuringUploadTest.kt
@@ -51,7 +51,8 @@
                 fleet.store.put(
                     "servers",
                     "i-$it",
-                    """{"service":"bookings","address":"$address","zone":"a","batchSlots":6,"state":"ready","born":1}""",
+                    """{"service":"bookings","address":"$address","zone":"a","batchSlots":6,""" +
+                        """"state":"ready","born":1}""",
                 )
             }
             val node = fleet.startNode("node-1")
