--- a/standins/src/test/kotlin/gypsumcart/standins/StreamVersionsTest.kt
+++ b/standins/src/test/kotlin/gypsumcart/standins/StreamVersionsTest.kt
@@ -1,7 +1,6 @@
 package gypsumcart.standins
 
 import org.junit.jupiter.api.AfterEach
-import org.junit.jupiter.api.Tag
 import org.junit.jupiter.api.Test
 import org.junit.jupiter.params.ParameterizedTest
 import org.junit.jupiter.params.provider.ValueSource
@@ -204,7 +203,6 @@
     }
 
     // Guards against a response whose later events come from another software version than its first ones (ORDER).
-    @Tag("known-red")
     @ParameterizedTest
     @ValueSource(ints = [2, 3])
     fun `a stream that breaks off is resumed within its response only at the version that began it`(maxAttempts: Int) {
@@ -215,7 +213,6 @@
     }
 
     // Guards against a client's take-up at any node that goes on at another software version (ORDER, LOST).
-    @Tag("known-red")
     @Test
     fun `a stream that its client takes up at any node goes on only at the version that began it`() {
         start(listOf("v1", "v2"), 20.milliseconds)
@@ -236,7 +233,6 @@
     }
 
     // Guards against take-ups that go on at another software version since the nodes forgot the stream (ORDER, LOST).
-    @Tag("known-red")
     @Test
     fun `after all nodes were killed a stream goes on only at the version that began it`() {
         start(listOf("v1", "v2"), 100.milliseconds)
@@ -250,7 +246,6 @@
     }
 
     // Guards against streams of a version that has left going on at another one after a kill of all nodes (ORDER).
-    @Tag("known-red")
     @Test
     fun `after all nodes were killed a stream whose version has left is rejected at once`() {
         start(listOf("v1", "v2"), 100.milliseconds)
@@ -265,7 +260,6 @@
     }
 
     // Guards against take-ups that are answered by whatever version serves while the store can't be asked (ORDER).
-    @Tag("known-red")
     @Test
     fun `while the store is unavailable a stream goes on only at the version that began it`() {
         start(listOf("v1", "v2"), 20.milliseconds)
