Pass on an empty line in front of an event

Cause: whether a line is empty was asked of the bytes before it, also where there are none. It now follows from where the line starts.

--- a/http/src/main/kotlin/gypsumcart/http/EventStreamSplitter.kt
+++ b/http/src/main/kotlin/gypsumcart/http/EventStreamSplitter.kt
@@ -48,9 +48,8 @@
      * Appends the first [length] bytes of [bytes] to the buffer, and removes and returns its complete events.
      *
      * The returned bytes are those of the stream, unchanged, up to an event that is out of order; they are empty if no
-     * event is complete. The time is in
-     * proportion to [length] and to the number of bytes returned, whatever the size of the buffer. The memory of the
-     * returned events counts as held until the next call.
+     * event is complete. The time is in proportion to [length] and to the number of bytes returned, whatever the size of
+     * the buffer. The memory of the returned events counts as held until the next call.
      */
     public fun append(bytes: ByteArray, length: Int): ByteArray {
         reservation.shrink(returnedReserved)
@@ -137,7 +136,7 @@
             if (events[i] != LINE_FEED) continue
             if (events.startsId(lineStart)) {
                 id = events.decodeToString(lineStart + ID_FIELD.length, i).trim()
-            } else if (events.endsEmptyLine(i)) {
+            } else if (events.isEmptyLine(lineStart, i)) {
                 if (id != null && !accepts(id)) return eventStart
                 id = null
                 eventStart = i + 1
@@ -159,6 +158,10 @@
 
 private const val ID_FIELD = "id:"
 
+/** Returns whether there is nothing from [lineStart] to the end of the line at [lineFeed]. */
+private fun ByteArray.isEmptyLine(lineStart: Int, lineFeed: Int): Boolean =
+    lineFeed == lineStart || lineFeed == lineStart + 1 && this[lineStart] == CARRIAGE_RETURN
+
 private fun ByteArray.startsId(lineStart: Int): Boolean =
     lineStart + ID_FIELD.length <= size && ID_FIELD.indices.all { this[lineStart + it] == ID_FIELD[it].code.toByte() }
 
--- a/http/src/test/kotlin/gypsumcart/http/EventStreamSplitterTest.kt
+++ b/http/src/test/kotlin/gypsumcart/http/EventStreamSplitterTest.kt
@@ -4,6 +4,8 @@
 import net.jqwik.api.Property
 import net.jqwik.api.constraints.Size
 import org.junit.jupiter.api.Test
+import org.junit.jupiter.params.ParameterizedTest
+import org.junit.jupiter.params.provider.ValueSource
 import strikt.api.expectThat
 import strikt.assertions.isEqualTo
 import strikt.assertions.isFalse
@@ -125,6 +127,19 @@
         expectThat(splitter.isOutOfOrder).isFalse()
     }
 
+    // Guards against a stream that fails at an empty line that arrives in front of an event.
+    @ParameterizedTest
+    @ValueSource(strings = ["", "id: 1\n\n", ": ping\r\n\r\n"])
+    fun `an empty line in front of an event is passed on`(first: String) {
+        for (event in listOf("\nid: 2\n\n", "\r\nid: 2\r\n\r\n")) {
+            val splitter = EventStreamSplitter()
+            splitter.append(first.toByteArray(), first.length)
+            val complete = splitter.append(event.toByteArray(), event.length)
+            expectThat(complete.decodeToString()).isEqualTo(event)
+            expectThat(splitter.lastEventId).isEqualTo("2")
+        }
+    }
+
     private companion object {
         const val MAX_PIECE_LENGTH = 30
     }
