Trust a body that ends with its connection only if the request was sent

Cause: the end of the body was taken for good before the writer had learned of the reset, the same class as before: an end that nobody stated.

At the end of such a body the reader now waits until the request is sent, and the body has failed if it could not be. A server that closes its side and goes on to read still answers whole. A connection is also used again only if the request was sent, not if its writer has just ended.

--- a/http/src/main/kotlin/gypsumcart/http/EventStreamSplitter.kt
+++ b/http/src/main/kotlin/gypsumcart/http/EventStreamSplitter.kt
@@ -48,8 +48,8 @@
      * Appends the first [length] bytes of [bytes] to the buffer, and removes and returns its complete events.
      *
      * The returned bytes are those of the stream, unchanged, up to an event that is out of order; they are empty if no
-     * event is complete. The time is in proportion to [length] and to the number of bytes returned, whatever the size of
-     * the buffer. The memory of the returned events counts as held until the next call.
+     * event is complete. The time is in proportion to [length] and to the number of bytes returned, whatever the size
+     * of the buffer. The memory of the returned events counts as held until the next call.
      */
     public fun append(bytes: ByteArray, length: Int): ByteArray {
         reservation.shrink(returnedReserved)
--- a/http/src/main/kotlin/gypsumcart/http/ExchangeTrace.kt
+++ b/http/src/main/kotlin/gypsumcart/http/ExchangeTrace.kt
@@ -10,6 +10,10 @@
 
     var isFirstOnConnection = true
     var sending = Sending.OPEN
+
+    /** Whether the socket has taken the whole request. */
+    val isRequestSent: Boolean get() = sending == Sending.DONE
+
     private var status: Int? = null
     private var body: BodySource? = null
     private var result = "cut"
--- a/http/src/main/kotlin/gypsumcart/http/HttpClient.kt
+++ b/http/src/main/kotlin/gypsumcart/http/HttpClient.kt
@@ -158,8 +158,13 @@
             if (!request.isWanted()) return Err(ExchangeFailure.NotWanted)
             return coroutineScope {
                 val writer = launch { connection.write(endpoint, request, trace) }
-                val result = connection.receive(request.method, reservation, trace, receive)
-                reusable = result.reusable && writer.isCompleted && connection.isOpenAndEmpty
+                val awaitRequestSent =
+                    suspend {
+                        writer.join()
+                        trace.isRequestSent
+                    }
+                val result = connection.receive(request.method, reservation, trace, awaitRequestSent, receive)
+                reusable = result.reusable && trace.isRequestSent && connection.isOpenAndEmpty
                 coroutineContext.cancelChildren()
                 trace.log()
                 result.value
@@ -190,6 +195,7 @@
         method: String,
         reservation: Reservation,
         trace: ExchangeTrace,
+        awaitRequestSent: suspend () -> Boolean,
         receive: suspend (ReceivedResponse) -> T,
     ): Received<T> {
         val isFirst = !isUsed
@@ -201,7 +207,7 @@
                 trace.headFailed(it)
                 return Received(Err(it.toExchangeFailure()), false)
             }
-        val source = input.bodySourceOrNull(head, method)
+        val source = input.bodySourceOrNull(head, method, awaitRequestSent)
         trace.headReceived(head, source)
         if (source == null) return Received(Err(ExchangeFailure.Malformed), false)
         val body = ResponseBody(source, reservation)
--- a/http/src/main/kotlin/gypsumcart/http/ResponseReader.kt
+++ b/http/src/main/kotlin/gypsumcart/http/ResponseReader.kt
@@ -78,26 +78,44 @@
      * A body that ends when the server closes the connection; a reset is a failure and not the end of the body.
      *
      * The body has failed if it holds a status line: a server that repeats a response writes the copy behind it, and
-     * nothing else shows where the body ended.
+     * nothing else shows where the body ended. It has also failed if the request could not be sent, as a server that
+     * ends in the middle may close the connection in order and reset it only when it receives more.
+     *
+     * @property awaitRequestSent waits until the request was sent or failed to be, and returns whether it was sent
      */
-    class UntilClose(private val input: ByteReadChannel) : BodySource() {
+    class UntilClose(
+        private val input: ByteReadChannel,
+        private val awaitRequestSent: suspend () -> Boolean,
+    ) : BodySource() {
         private val statusLine = StatusLineSearch()
 
         override val isConnectionReusable: Boolean get() = false
 
         override suspend fun readSome(buffer: ByteArray, offset: Int, length: Int): Int {
             val n = input.readAvailable(buffer, offset, length)
-            if (n < 0) input.closedCause?.let { throw it }
-            if (if (n < 0) statusLine.isWithin else statusLine.isFoundIn(buffer, offset, n)) {
-                throw MalformedMessageException("the body holds another response")
-            }
+            if (n < 0) checkEnd()
+            val holdsResponse = if (n < 0) statusLine.isWithin else statusLine.isFoundIn(buffer, offset, n)
+            if (holdsResponse) throw MalformedMessageException("the body holds another response")
             return n
         }
+
+        private suspend fun checkEnd() {
+            input.closedCause?.let { throw it }
+            if (!awaitRequestSent()) throw EOFException("connection closed before the request was sent")
+        }
     }
 }
 
-/** Returns a source for the body after [head], or null if the framing is invalid or ambiguous. */
-internal fun ByteReadChannel.bodySourceOrNull(head: ResponseHead, method: String): BodySource? {
+/**
+ * Returns a source for the body after [head], or null if the framing is invalid or ambiguous.
+ *
+ * @param awaitRequestSent waits until the request was sent or failed to be, and returns whether it was sent
+ */
+internal fun ByteReadChannel.bodySourceOrNull(
+    head: ResponseHead,
+    method: String,
+    awaitRequestSent: suspend () -> Boolean = { true },
+): BodySource? {
     val codings = head.headers.getAll("Transfer-Encoding").map { it.trim().lowercase() }
     val lengths =
         head.headers
@@ -108,7 +126,8 @@
         method == "HEAD" || head.status in STATUSES_WITHOUT_BODY -> BodySource.FixedLength(this, 0)
         codings == listOf("chunked") && lengths.isEmpty() -> BodySource.Chunked(this)
         codings.isNotEmpty() || lengths.size > 1 -> null
-        lengths.isEmpty() -> if (head.headers.keepsConnection()) null else BodySource.UntilClose(this)
+        lengths.isEmpty() ->
+            if (head.headers.keepsConnection()) null else BodySource.UntilClose(this, awaitRequestSent)
         else ->
             lengths
                 .single()
--- a/http/src/test/kotlin/gypsumcart/http/ResetDuringUploadTest.kt
+++ b/http/src/test/kotlin/gypsumcart/http/ResetDuringUploadTest.kt
@@ -12,6 +12,7 @@
 import strikt.assertions.isEqualTo
 import java.net.InetAddress
 import java.net.ServerSocket
+import java.net.Socket
 import java.util.concurrent.CountDownLatch
 import kotlin.time.Duration.Companion.seconds
 
@@ -27,41 +28,48 @@
         loop.close()
     }
 
-    /**
-     * Sends [response] to an upload and resets the connection, both while the loop's thread is held, so that reader
-     * and writer find the reset together; returns what the caller is told.
-     */
-    private fun uploadAndReset(response: String): String =
+    /** Uploads, lets [serve] answer on the connection and close it, and returns what the caller is told. */
+    private fun upload(serve: (Socket) -> Unit): String =
         runBlocking {
             val request = OutgoingRequest("POST", "/x", Headers.EMPTY, ByteArray(UPLOAD_BYTES))
+            val endpoint = Endpoint(LoopbackServer.HOST, listener.localPort)
             val result =
                 async {
-                    client.exchange(Endpoint(LoopbackServer.HOST, listener.localPort), request) { (head, body) ->
+                    client.exchange(endpoint, request) { (head, body) ->
                         "${head.status} ${body.readAtMost(MAX_BODY_BYTES)?.decodeToString()}"
                     }
                 }
             yield()
             listener.accept().use { socket ->
                 socket.getInputStream().read()
-                // The writer has filled the buffers of both sockets by then.
-                Thread.sleep(PAUSE_MILLIS)
-                val isHeld = CountDownLatch(1)
-                val release = CountDownLatch(1)
-                loop.execute {
-                    isHeld.countDown()
-                    release.await()
-                }
-                isHeld.await()
-                socket.getOutputStream().write(response.toByteArray())
-                Thread.sleep(PAUSE_MILLIS)
-                socket.setSoLinger(true, 0)
-                socket.close()
-                Thread.sleep(PAUSE_MILLIS)
-                release.countDown()
+                serve(socket)
             }
             result.await().fold({ it }, { it::class.simpleName.orEmpty() })
         }
 
+    /**
+     * Sends [response] to an upload and resets the connection, both while the loop's thread is held, so that reader
+     * and writer find the reset together; returns what the caller is told.
+     */
+    private fun uploadAndReset(response: String): String =
+        upload { socket ->
+            // The writer has filled the buffers of both sockets by then.
+            Thread.sleep(PAUSE_MILLIS)
+            val isHeld = CountDownLatch(1)
+            val release = CountDownLatch(1)
+            loop.execute {
+                isHeld.countDown()
+                release.await()
+            }
+            isHeld.await()
+            socket.getOutputStream().write(response.toByteArray())
+            Thread.sleep(PAUSE_MILLIS)
+            socket.setSoLinger(true, 0)
+            socket.close()
+            Thread.sleep(PAUSE_MILLIS)
+            release.countDown()
+        }
+
     // Guards against a part of a body that is taken for all of it, because only the writer learns of the reset (MIXED).
     @ParameterizedTest
     @ValueSource(strings = ["", "part"])
@@ -74,6 +82,31 @@
         expectThat(uploadAndReset("HTTP/1.1 413 Too Large\r\nContent-Length: 4\r\n\r\nlong")).isEqualTo("413 long")
     }
 
+    // Guards against a part taken for a whole body, whose server closes before it resets the connection (MIXED).
+    @Test
+    fun `a body without framing is lost where the server closes the connection during the upload`() {
+        val results =
+            List(10) {
+                upload { socket ->
+                    socket.getOutputStream().write("HTTP/1.1 200 OK\r\n\r\npart".toByteArray())
+                    socket.shutdownOutput()
+                    Thread.sleep(PAUSE_MILLIS)
+                }
+            }
+        expectThat(results).isEqualTo(List(10) { "ConnectionLost" })
+    }
+
+    @Test
+    fun `a body without framing is whole where the server goes on to read the upload`() {
+        val result =
+            upload { socket ->
+                socket.getOutputStream().write("HTTP/1.1 200 OK\r\n\r\nwhole".toByteArray())
+                socket.shutdownOutput()
+                socket.getInputStream().skipNBytes(UPLOAD_BYTES.toLong())
+            }
+        expectThat(result).isEqualTo("200 whole")
+    }
+
     private companion object {
         /** More than the buffers of both sockets hold. */
         const val UPLOAD_BYTES = 50_000_000
