--- a/http/src/main/kotlin/gypsumcart/http/HeadSyntax.kt
+++ b/http/src/main/kotlin/gypsumcart/http/HeadSyntax.kt
@@ -7,7 +7,7 @@
 
 /** Describes how strictly the first line of a head is checked. */
 internal sealed class StartLine {
-    /** Any line; the parser of requests checks it. Empty lines before it are skipped. */
+    /** A line without control characters; the reader of requests checks the rest. Empty lines before it are skipped. */
     data object Request : StartLine()
 
     /** A status line with the status of a final response. */
@@ -55,23 +55,30 @@
     private fun addByte(byte: Int) {
         when {
             byte == LINE_FEED -> endLine()
-            isAfterReturn && isChecked -> throw MalformedMessageException("a line of the head has a bare CR")
+            isAfterReturn -> throw MalformedMessageException("a line of the head has a bare CR")
             byte == CARRIAGE_RETURN -> isAfterReturn = true
             else -> addText(byte)
         }
     }
 
-    private val isChecked: Boolean get() = part != Part.START_LINE || startLine == StartLine.Status
-
     private fun addText(byte: Int) {
         when (part) {
-            Part.START_LINE -> if (isChecked) checkStatusLine(byte)
+            Part.START_LINE -> checkStartLine(byte)
             Part.NAME -> addNameByte(byte)
             Part.VALUE -> if (!isFieldText(byte)) throw MalformedMessageException("a field has a control character")
         }
         column++
     }
 
+    private fun checkStartLine(byte: Int) {
+        when (startLine) {
+            StartLine.Request ->
+                if (byte < SPACE || byte == DELETE) throw MalformedMessageException("the request line is invalid")
+
+            StartLine.Status -> checkStatusLine(byte)
+        }
+    }
+
     private fun checkStatusLine(byte: Int) {
         val fits =
             when {
@@ -135,6 +142,9 @@
 
 private fun isFieldText(byte: Int): Boolean = byte == TAB || byte >= SPACE && byte != DELETE
 
+/** Returns whether this text is a token by RFC 9110. */
+internal fun String.isToken(): Boolean = isNotEmpty() && all { isTokenCharacter(it.code) }
+
 private fun isTokenCharacter(byte: Int): Boolean = byte < TOKEN_CHARACTERS.size && TOKEN_CHARACTERS[byte]
 
 /** The characters of a `token` by RFC 9110, section 5.6.2, of which names of fields consist. */
--- a/http/src/main/kotlin/gypsumcart/http/RequestReader.kt
+++ b/http/src/main/kotlin/gypsumcart/http/RequestReader.kt
@@ -59,13 +59,16 @@
     val headers = request.headers.toHeaders()
     val size = request.uri.length + headers.fields.sumOf { it.name.length + it.value.length + FIELD_OVERHEAD_BYTES }
     if (size > limits.maxHeaderBytes) return Err(ReadFailure.HeaderTooLarge)
+    val method = request.method.value
     val uri = request.uri.toString()
-    val isHttp1 = request.version.startsWith("HTTP/1.")
-    if (!isHttp1 || headers.getAll("Host").size != 1 || !uri.isOriginForm()) return Err(ReadFailure.Malformed)
+    val isLineValid = method.isToken() && uri.isOriginForm() && HTTP_1.matches(request.version)
+    if (!isLineValid || headers.getAll("Host").size != 1) return Err(ReadFailure.Malformed)
     val isHttp10 = request.version.toString() == "HTTP/1.0"
-    return bodyFraming(headers, isHttp10).map { RequestHead(request.method.value, uri, headers, it) }
+    return bodyFraming(headers, isHttp10).map { RequestHead(method, uri, headers, it) }
 }
 
+private val HTTP_1 = Regex("HTTP/1[.][0-9]")
+
 private fun String.isOriginForm(): Boolean = startsWith('/') && none { it <= ' ' || it >= ASCII_DELETE }
 
 /**
--- a/http/src/test/kotlin/gypsumcart/http/MalformedRequestTest.kt
+++ b/http/src/test/kotlin/gypsumcart/http/MalformedRequestTest.kt
@@ -55,6 +55,24 @@
         expectThat(read("\r\nPOST /x HTTP/1.1\nHost: a\n$field\nContent-Length: 2\n\nab")).isEqualTo("ab")
     }
 
+    // Guards against a request whose line another parser splits elsewhere, or whose method is no token.
+    @Test
+    fun `a request line that HTTP does not define is malformed`() {
+        val accepted =
+            listOf(
+                "POST /x HTTP/1.1\rX: a",
+                "POST /x HTTP/1.1\rContent-Length: 2",
+                "POST /x\r HTTP/1.1",
+                "\rPOST /x HTTP/1.1",
+                "POST /x HTTP/1.1\u0000",
+                "POST /x HTTP/1.123",
+                "POST /x HTTP/1.1 y",
+                "P\u0001ST /x HTTP/1.1",
+                "P(ST /x HTTP/1.1",
+            ).filter { line -> read("$line\r\nHost: a\r\nContent-Length: 2\r\n\r\nab") == "ab" }
+        expectThat(accepted).isEmpty()
+    }
+
     private companion object {
         val NO_FIELDS =
             listOf(
