Break off a stream that starts again where its client takes it up

The ids of events were compared within one response, but not with what the client has.

StreamTakeUp holds the id of the last event, and the first event of a take-up must be above it.

--- a/core/src/main/kotlin/gypsumcart/core/Streams.kt
+++ b/core/src/main/kotlin/gypsumcart/core/Streams.kt
@@ -4,8 +4,9 @@
  * Describes that a request asks for the rest of a stream of which its client has a part.
  *
  * @property beganAs the request whose response brought the first event, or null if the client does not name it
+ * @property lastEventId the id of the last event that the client has
  */
-public data class StreamTakeUp(public val beganAs: RequestId?)
+public data class StreamTakeUp(public val beganAs: RequestId?, public val lastEventId: String)
 
 /** Determines which versions of a service's software may write the next events of a request's response. */
 public sealed class StreamOrigin {
--- a/node/src/main/kotlin/gypsumcart/node/BackEndCalls.kt
+++ b/node/src/main/kotlin/gypsumcart/node/BackEndCalls.kt
@@ -9,6 +9,7 @@
 import gypsumcart.core.dispatch.CallResult
 import gypsumcart.core.dispatch.DispatchEffect
 import gypsumcart.core.routing.key
+import gypsumcart.core.streams.takesUpStream
 import gypsumcart.http.Endpoint
 import gypsumcart.http.EventStreamSplitter
 import gypsumcart.http.ExchangeFailure
@@ -195,7 +196,7 @@
         body: ResponseBody,
         response: ForwardedResponse,
     ): CallResult {
-        val events = EventStreamSplitter(responseLimits.maxEventBytes, body.reservation, call.resumeAfter)
+        val events = EventStreamSplitter(responseLimits.maxEventBytes, body.reservation, call.lastEventId)
         val buffer = ByteArray(EVENT_BUFFER_BYTES)
         var started = false
         while (true) {
@@ -243,6 +244,13 @@
     }
 }
 
+/** The id of the last event that the client has, or null if the response starts with the first one. */
+private val DispatchEffect.Call.lastEventId: String?
+    get() =
+        resumeAfter ?: admitted.submission.takeUp
+            ?.lastEventId
+            .takeIf { admitted.takesUpStream }
+
 /** Identifies this instance of the back end among all that start at the same address. */
 internal val BackEnd.peerId: String get() = "${key.id}/${key.incarnation}"
 
--- a/standins/src/test/kotlin/gypsumcart/standins/RepeatedResponseTest.kt
+++ b/standins/src/test/kotlin/gypsumcart/standins/RepeatedResponseTest.kt
@@ -9,6 +9,7 @@
 import strikt.assertions.isEqualTo
 import strikt.assertions.startsWith
 import java.io.OutputStream
+import java.util.concurrent.CopyOnWriteArrayList
 
 /** Lets back ends write a response and, after some milliseconds, a copy of it or of an earlier one behind it. */
 class RepeatedResponseTest {
@@ -175,6 +176,21 @@
         expectThat(response.endsWith(LAST_CHUNK)).isEqualTo(false)
     }
 
+    // Guards against a stream that a client takes up and gets from its first event again (ORDER).
+    @Test
+    fun `a stream that starts again where its client takes it up is broken off`() {
+        val resumedAfter = CopyOnWriteArrayList<String?>()
+        startWith { request ->
+            resumedAfter += request.lastEventId
+            send(head(request.id) + (1..9).joinToString("", transform = ::event))
+            false
+        }
+        val response = node.send("/resumable/1", extraHeaders = "Last-Event-Id: 7\r\n")
+        expectThat(resumedAfter.toSet()).isEqualTo(setOf("7"))
+        expectThat(eventIdsIn(response)).isEqualTo(emptyList())
+        expectThat(response.endsWith(LAST_CHUNK)).isEqualTo(false)
+    }
+
     private companion object {
         /** Lets the node read what was sent before. */
         const val PAUSE_MILLIS = 20L
