--- a/node/src/main/kotlin/gypsumcart/node/Ports.kt
+++ b/node/src/main/kotlin/gypsumcart/node/Ports.kt
@@ -38,7 +38,11 @@
     override fun toString(): String = text
 }
 
-/** Orders the changes of the store's rows; 0 stands for a row that does not exist. */
+/**
+ * Orders the changes of the store's rows; 0 stands for a row that does not exist.
+ *
+ * A version is never assigned twice, also if the store comes back from an older copy and counts from there again.
+ */
 @JvmInline
 public value class RowVersion(public val number: Long) : Comparable<RowVersion> {
     override fun compareTo(other: RowVersion): Int = number.compareTo(other.number)
@@ -71,6 +75,13 @@
 
 /** Observes the contents of a table and its changes. */
 public interface TableListener {
+    /**
+     * Called before [onSnapshot] when the store has come back from an older copy.
+     *
+     * Changes that it had acknowledged may be missing in the snapshot until they are written again.
+     */
+    public fun onRestored() {}
+
     /** Called when the whole table was read; [rows] are all its rows. */
     public fun onSnapshot(rows: List<Row>)
 
