--- a/core/src/test/kotlin/gypsumcart/core/ConfigurationTest.kt
+++ b/core/src/test/kotlin/gypsumcart/core/ConfigurationTest.kt
@@ -5,7 +5,6 @@
 import org.junit.jupiter.api.Test
 import strikt.api.expectThat
 import strikt.assertions.containsExactly
-import strikt.assertions.isEmpty
 import strikt.assertions.isEqualTo
 import strikt.assertions.isNull
 
@@ -25,7 +24,9 @@
         val adoption = ConfigurationAdoption()
         val second = configuration(version = 2)
         expectThat(adoption.decide(second, MonotonicTime(0))).containsExactly(AdoptionEffect.Adopt(second))
-        expectThat(adoption.decide(configuration(version = 1), MonotonicTime(0))).isEmpty()
-        expectThat(adoption.decide(configuration(version = 2), MonotonicTime(0))).isEmpty()
+        for (number in listOf(1L, 2L)) {
+            expectThat(adoption.decide(configuration(version = number), MonotonicTime(0)))
+                .containsExactly(AdoptionEffect.Ignore(ConfigurationVersion(number), second.version))
+        }
     }
 }
--- a/node/src/main/kotlin/gypsumcart/node/Metrics.kt
+++ b/node/src/main/kotlin/gypsumcart/node/Metrics.kt
@@ -88,6 +88,11 @@
         registry.gauge("gypsumcart.ring.events", listOf(tag("ring", ring.name)), ring) { it.size.toDouble() }
     }
 
+    /** Registers a gauge for the era that [store] has named last. */
+    fun registerStoreEra(store: RowStore) {
+        registry.gauge("gypsumcart.store.era", store) { it.eraOrNull()?.number?.toDouble() ?: Double.NaN }
+    }
+
     /** Registers meters for what messages hold of [memory], and for those that did not fit. */
     fun registerGauges(memory: MemoryBudget) {
         registry.gauge("gypsumcart.memory.held.bytes", memory) { it.heldBytes.toDouble() }
--- a/node/src/main/kotlin/gypsumcart/node/Node.kt
+++ b/node/src/main/kotlin/gypsumcart/node/Node.kt
@@ -189,6 +189,7 @@
         }
         metrics.registerGauges(state, { edge.inProgress }, { statedAvailability.pausedBackEnds })
         metrics.registerGauges(runtime.loop.memory)
+        metrics.registerStoreEra(platform.rowStore)
         rings.all.forEach(metrics::registerGauges)
         timers.start()
         (duties + shutdown.duty).forEach(Duty::start)
--- a/node/src/main/kotlin/gypsumcart/node/Ports.kt
+++ b/node/src/main/kotlin/gypsumcart/node/Ports.kt
@@ -15,6 +15,7 @@
 import gypsumcart.core.dispatch.DispatchEffect
 import gypsumcart.core.leases.CommandResult
 import gypsumcart.core.leases.FencedCommand
+import gypsumcart.core.membership.StoreEra
 import gypsumcart.core.rollout.RolloutOrder
 import gypsumcart.core.rollout.RolloutRow
 import gypsumcart.core.routing.AvailabilityStatement
@@ -158,6 +159,9 @@
 
     /** Returns the latest reading of the store's clock, or null before the first response. */
     public fun clockOrNull(): StoreClock?
+
+    /** Returns the latest era that the store has named, or null if it has named none. */
+    public fun eraOrNull(): StoreEra? = null
 }
 
 /**
--- a/node/src/main/kotlin/gypsumcart/node/RequestDuties.kt
+++ b/node/src/main/kotlin/gypsumcart/node/RequestDuties.kt
@@ -257,6 +257,9 @@
                 rings.orders.put(AutoscalerEvent.Configured(configuration))
                 rings.rollout?.put(RolloutEvent.ServicesConfigured(configuration.services.keys))
             }
+
+            is AdoptionEffect.Ignore ->
+                log.info("event=configuration_ignored version={} in_force={}", effect.version, effect.inForce)
         }
     }
 
