--- a/standins/src/main/kotlin/gypsumcart/standins/StandInStore.kt
+++ b/standins/src/main/kotlin/gypsumcart/standins/StandInStore.kt
@@ -1,5 +1,6 @@
 package gypsumcart.standins
 
+import gypsumcart.http.HeaderField
 import gypsumcart.http.Headers
 import gypsumcart.http.HttpRequest
 import gypsumcart.http.RequestHandler
@@ -43,20 +44,23 @@
     public data object LoseResponses : StoreFault()
 }
 
+internal class StoredRow(
+    val table: String,
+    val key: String,
+    val value: String,
+    val version: Long,
+    val deleted: Boolean,
+)
+
+/** Holds the rows of a [StandInStore] as they were at one moment. */
+public class StoreCopy internal constructor(internal val rows: Map<String, StoredRow>)
+
 /**
  * Simulates the platform's table store in memory, as a test double.
  *
- * Supports paged reads, transactions with preconditions on row versions, and change feeds.
+ * Supports paged reads, transactions with preconditions on row versions, change feeds, and a return from a copy.
  */
 public class StandInStore : RequestHandler {
-    private class StoredRow(
-        val table: String,
-        val key: String,
-        val value: String,
-        val version: Long,
-        val deleted: Boolean,
-    )
-
     private val rows = TreeMap<String, StoredRow>()
     private val storeVersion = MutableStateFlow(1L)
     private val start = TimeSource.Monotonic.markNow()
@@ -64,6 +68,11 @@
     /** The latest version whose change was discarded; feeds from earlier versions get status 410. */
     private var discardedUpTo = 0L
 
+    /** How often the store has come back from a copy, counted from 1; all responses name it. */
+    @Volatile
+    public var era: Long = 1
+        private set
+
     /** The fault that applies to each call that is received while this is set. */
     @Volatile
     public var fault: StoreFault = StoreFault.None
@@ -102,17 +111,35 @@
         discardedUpTo = latestVersion()
     }
 
+    /** Copies all rows as they are now. */
+    @Synchronized
+    public fun copy(): StoreCopy = StoreCopy(HashMap(rows))
+
+    /**
+     * Comes back from [copy]: what was written since is lost, and its versions are assigned again, in a new era.
+     *
+     * Feeds that wait go on waiting. One whose version the store does not have gets status 410.
+     */
+    @Synchronized
+    public fun restore(copy: StoreCopy) {
+        rows.clear()
+        rows.putAll(copy.rows)
+        discardedUpTo = minOf(discardedUpTo, latestVersion())
+        era++
+        storeVersion.value = latestVersion()
+    }
+
     override suspend fun handle(request: HttpRequest, response: ResponseWriter) {
         when (fault) {
             StoreFault.None -> respond(request, response)
 
-            StoreFault.Unavailable -> response.send(ResponseHead(SERVICE_UNAVAILABLE, Headers.EMPTY), ByteArray(0))
+            StoreFault.Unavailable -> response.send(head(SERVICE_UNAVAILABLE), ByteArray(0))
 
             StoreFault.LaterPagesUnavailable ->
                 if (request.query()["source"].isNullOrEmpty()) {
                     respond(request, response)
                 } else {
-                    response.send(ResponseHead(SERVICE_UNAVAILABLE, Headers.EMPTY), ByteArray(0))
+                    response.send(head(SERVICE_UNAVAILABLE), ByteArray(0))
                 }
 
             StoreFault.Hang -> awaitCancellation()
@@ -125,16 +152,22 @@
     }
 
     private suspend fun respond(request: HttpRequest, response: ResponseWriter) {
-        val (status, body) =
-            when (request.path) {
-                "/rows-tx" -> transact(request)
-                "/rows-get" -> read(request)
-                "/rows-feed" -> feed(request)
-                else -> NOT_FOUND to JsonObject(emptyMap())
-            }
-        response.send(ResponseHead(status, Headers.EMPTY), body.toString().toByteArray())
+        when (request.path) {
+            "/rows-tx" -> transact(request)
+            "/rows-get" -> read(request)
+            "/rows-feed" -> feed(request)
+            else -> Reply(NOT_FOUND, era)
+        }.send(response)
     }
 
+    /** A response as of one moment, and the era of that moment. */
+    private class Reply(val status: Int, val era: Long, val body: JsonObject = JsonObject(emptyMap())) {
+        suspend fun send(response: ResponseWriter): Unit =
+            response.send(ResponseHead(status, eraHeader(era)), body.toString().toByteArray())
+    }
+
+    private fun head(status: Int) = ResponseHead(status, eraHeader(era))
+
     private fun latestVersion(): Long = rows.values.maxOfOrNull { it.version } ?: 1
 
     private fun putRow(
@@ -148,7 +181,7 @@
     }
 
     @Synchronized
-    private fun transact(request: HttpRequest): Pair<Int, JsonObject> {
+    private fun transact(request: HttpRequest): Reply {
         val body = Json.parseToJsonElement(request.body.decodeToString()).jsonObject
         val failed =
             body.objects("precondition").filter {
@@ -156,8 +189,8 @@
                     it.getValue("rowVersion").jsonPrimitive.long
             }
         if (failed.isNotEmpty()) {
-            return PRECONDITION_FAILED to
-                rowsJson(failed.mapNotNull { rows[it.rowId()]?.takeUnless { row -> row.deleted } })
+            val current = failed.mapNotNull { rows[it.rowId()]?.takeUnless { row -> row.deleted } }
+            return Reply(PRECONDITION_FAILED, era, rowsJson(current))
         }
         val nextVersion = latestVersion() + 1
         for (row in body.objects("write")) {
@@ -165,30 +198,37 @@
         }
         for (row in body.objects("remove")) putRow(row.string("tableName"), row.string("key"), "", true, nextVersion)
         storeVersion.value = latestVersion()
-        return OK to rowsJson(emptyList())
+        return Reply(OK, era, rowsJson(emptyList()))
     }
 
     private fun currentVersion(row: JsonObject): Long = rows[row.rowId()]?.takeUnless { it.deleted }?.version ?: 0
 
     @Synchronized
-    private fun read(request: HttpRequest): Pair<Int, JsonObject> {
+    private fun read(request: HttpRequest): Reply {
         val query = request.query()
         val from = query["source"].orEmpty()
         val limit = query["maxItems"]?.toInt() ?: pageSize
         val matching = rows.values.filter { it.table == query["tableName"] && !it.deleted && it.key >= from }
-        return OK to rowsJson(matching.take(limit), hasMore = matching.size > limit)
+        return Reply(OK, era, rowsJson(matching.take(limit), hasMore = matching.size > limit))
     }
 
-    private suspend fun feed(request: HttpRequest): Pair<Int, JsonObject> {
+    private suspend fun feed(request: HttpRequest): Reply {
         val query = request.query()
         val after = query["after"]?.toLong() ?: 0
-        if (after < discardedUpTo) return GONE to JsonObject(emptyMap())
         val table = query["tableName"].orEmpty()
         val wait = (query["waitMs"]?.toLong() ?: 0).milliseconds
-        withTimeoutOrNull(wait) { storeVersion.first { changedSince(table, after).isNotEmpty() } }
-        return OK to rowsJson(changedSince(table, after))
+        if (isKnown(after)) {
+            withTimeoutOrNull(wait) { storeVersion.first { changedSince(table, after).isNotEmpty() } }
+        }
+        return changesReply(table, after)
     }
 
+    private fun isKnown(version: Long): Boolean = version in discardedUpTo..storeVersion.value
+
+    @Synchronized
+    private fun changesReply(table: String, after: Long): Reply =
+        if (isKnown(after)) Reply(OK, era, rowsJson(changedSince(table, after))) else Reply(GONE, era)
+
     @Synchronized
     private fun changedSince(table: String, after: Long): List<StoredRow> =
         rows.values.filter { it.table == table && it.version > after }.sortedBy { it.version }
@@ -220,6 +260,8 @@
     private fun JsonObject.rowId(): String = "${string("tableName")} ${string("key")}"
 
     private companion object {
+        fun eraHeader(era: Long) = Headers(listOf(HeaderField("Store-Era", era.toString())))
+
         const val OK = 200
         const val NOT_FOUND = 404
         const val GONE = 410
