Start no term of the lease by a write from before a suspension

Found by reading, while the lease was examined for stores that come back from a copy. After a jump of the clocks the decider forgot the write in progress and sent another one; the end of the first then counted as the end of the second and started a term from the second one's time, for a version that the store might not have given. A write is now marked void instead, and the next one waits for its end.

LeaseTest 'a write that a suspension of the host interrupted ends before the next one starts' failed before (a second WriteRow while the first was in progress), 1 of 9; all 9 pass.

--- a/core/src/main/kotlin/gypsumcart/core/leases/Lease.kt
+++ b/core/src/main/kotlin/gypsumcart/core/leases/Lease.kt
@@ -121,10 +121,13 @@
     private val term: Duration,
     private val maxClockJump: Duration,
 ) : Decider<LeaseEvent, LeaseEffect> {
+    /** @property isVoid whether what the write was based on has ceased to hold, so that its success starts no term */
+    private class PendingWrite(val sentAt: MonotonicTime, val token: FencingToken?, var isVoid: Boolean = false)
+
     private var row: LeaseRow? = null
     private var isRowKnown = false
     private var rowChangedAt = MonotonicTime(0)
-    private var writeSentAt: MonotonicTime? = null
+    private var pendingWrite: PendingWrite? = null
     private var isReading = false
     private var heldUntil: MonotonicTime? = null
 
@@ -140,7 +143,7 @@
         if (detectClockJump(event.wallTime, now)) {
             heldUntil = null
             rowChangedAt = now
-            writeSentAt = null
+            pendingWrite?.isVoid = true
             if (!isReading) effects += readRow()
         }
         effects += handle(event, now)
@@ -182,15 +185,15 @@
     }
 
     private fun endWrite(result: LeaseWriteResult, now: MonotonicTime): List<LeaseEffect> {
-        val sentAt = writeSentAt ?: return listOf(readRow())
-        writeSentAt = null
+        val write = pendingWrite ?: return listOf(readRow())
+        pendingWrite = null
+        if (write.isVoid) return listOf(readRow())
         when (result) {
             is LeaseWriteResult.Written -> {
-                val renewed = row?.takeIf(::isHeldByThisNode)
-                val written = LeaseRow(node, incarnation, result.version, renewed?.fencingToken)
+                val written = LeaseRow(node, incarnation, result.version, write.token)
                 row = written
                 rowChangedAt = now
-                heldUntil = sentAt + term
+                heldUntil = write.sentAt + term
                 return listOf(LeaseEffect.RowWritten(written))
             }
 
@@ -217,7 +220,7 @@
 
     private fun tick(now: MonotonicTime): List<LeaseEffect> {
         if (!isRowKnown) return if (isReading) emptyList() else listOf(readRow())
-        if (stopping || writeSentAt != null || isReading) return emptyList()
+        if (stopping || pendingWrite != null || isReading) return emptyList()
         val row = this.row
         return when {
             row == null -> writeRow(now, expectedVersion = 0, fencingToken = null)
@@ -237,7 +240,7 @@
     }
 
     private fun writeRow(now: MonotonicTime, expectedVersion: Long, fencingToken: FencingToken?): List<LeaseEffect> {
-        writeSentAt = now
+        pendingWrite = PendingWrite(now, fencingToken)
         return listOf(LeaseEffect.WriteRow(expectedVersion, fencingToken))
     }
 
--- a/core/src/test/kotlin/gypsumcart/core/leases/LeaseTest.kt
+++ b/core/src/test/kotlin/gypsumcart/core/leases/LeaseTest.kt
@@ -115,4 +115,17 @@
         expectThat(request(200)).isEmpty()
         expectThat(previous.fencingToken).isEqualTo(FencingToken(3))
     }
+
+    /** Guards against a term that ends after the write that it is counted from, if two are in progress. */
+    @Test
+    fun `a write that a suspension of the host interrupted ends before the next one starts`() {
+        observe(0, null)
+        tick(100)
+        wallClockOffset += 5_000
+        tick(350)
+        observe(360, null)
+        expectThat(tick(600)).isEmpty()
+        expectThat(endWrite(700, LeaseWriteResult.Written(7))).contains(LeaseEffect.ReadRow)
+        expectThat(request(800)).none { isA<LeaseEffect.Execute>() }
+    }
 }
