Acquire the lease anew when the store comes back from an older copy

A store that comes back from a copy shows the lease row of some seconds ago, or none. The decider compared versions only: a missing row was ignored for good, so that the holder renewed with a condition that can't hold and no node ever acted again; an earlier holder that the copy names renewed at once and acted while the one that had taken over held the lease, with a token below one that the platform had seen; and a node whose own row it was went on to renew a superseded token for ever (usage is not reported).

LeaseEvent.StoreRestored, from TableListener.onRestored of the fleet table, marks the row as outdated. A node whose term runs acquires the lease anew at once, with a higher token, whatever the row says; all others, one that the row names included, wait for longer than a term. The held token is kept apart from the row. A row that is missing is read once more and then counts as lost. A superseded token in this node's own row is treated the same way.

--- a/core/src/main/kotlin/gypsumcart/core/leases/Lease.kt
+++ b/core/src/main/kotlin/gypsumcart/core/leases/Lease.kt
@@ -56,6 +56,9 @@
         override val wallTime: UnixMillis,
     ) : LeaseEvent()
 
+    /** The store came back from an older copy, which may lack writes of the lease row that it had acknowledged. */
+    public data class StoreRestored(override val wallTime: UnixMillis) : LeaseEvent()
+
     /** Reading the lease row failed. */
     public data class ReadFailed(override val wallTime: UnixMillis) : LeaseEvent()
 
@@ -111,6 +114,9 @@
  * A term starts before its write is sent, so that a slow write does not extend it. The monotonic clock stops while a
  * host is suspended and the wall clock does not, so the current term ends when the two clocks diverge.
  *
+ * A store that comes back from an older copy may show an earlier holder, or none. Its row is not evidence then: a node
+ * whose term runs acquires the lease anew, with a higher token, and all others wait as long as a term may still run.
+ *
  * @property term how long a holder may act after a renewal
  * @property maxClockJump the divergence of the wall clock from the monotonic clock between two events above which the
  * current term counts as lost
@@ -121,6 +127,8 @@
     private val term: Duration,
     private val maxClockJump: Duration,
 ) : Decider<LeaseEvent, LeaseEffect> {
+    private class Held(val token: FencingToken, val until: MonotonicTime)
+
     /** @property isVoid whether what the write was based on has ceased to hold, so that its success starts no term */
     private class PendingWrite(val sentAt: MonotonicTime, val token: FencingToken?, var isVoid: Boolean = false)
 
@@ -129,11 +137,16 @@
     private var rowChangedAt = MonotonicTime(0)
     private var pendingWrite: PendingWrite? = null
     private var isReading = false
-    private var heldUntil: MonotonicTime? = null
+    private var held: Held? = null
+
+    /** Whether the row may be older than what the store had acknowledged. */
+    private var isRowOutdated = false
+
+    /** Whether the row was missing in the last observation and is being read again. */
+    private var isAbsenceDoubtful = false
 
     /** The token in the last [LeaseEffect.HoldingChanged]. */
     private var announcedToken: FencingToken? = null
-    private var supersededToken: FencingToken? = null
     private var stopping = false
     private var lastWallTime: UnixMillis? = null
     private var lastMonotonicTime = MonotonicTime(0)
@@ -141,10 +154,10 @@
     override fun decide(event: LeaseEvent, now: MonotonicTime): List<LeaseEffect> {
         val effects = ArrayList<LeaseEffect>()
         if (detectClockJump(event.wallTime, now)) {
-            heldUntil = null
+            held = null
             rowChangedAt = now
             pendingWrite?.isVoid = true
-            if (!isReading) effects += readRow()
+            effects += readRow()
         }
         effects += handle(event, now)
         effects += announceHolding(now)
@@ -166,101 +179,130 @@
         when (event) {
             is LeaseEvent.RowObserved -> observeRow(event.row, now)
             is LeaseEvent.WriteEnded -> endWrite(event.result, now)
+            is LeaseEvent.StoreRestored -> restore(now)
             is LeaseEvent.ReadFailed -> emptyList<LeaseEffect>().also { isReading = false }
             is LeaseEvent.CommandRequested -> execute(event, now)
-            is LeaseEvent.TokenSuperseded -> abandonToken(event.token)
+            is LeaseEvent.TokenSuperseded -> abandonToken(event.token, now)
             is LeaseEvent.Tick -> tick(now)
             is LeaseEvent.Stopping -> emptyList<LeaseEffect>().also { stopping = true }
         }
 
     private fun observeRow(row: LeaseRow?, now: MonotonicTime): List<LeaseEffect> {
         isReading = false
-        if (!isRowKnown || row?.version != this.row?.version) {
-            if (isRowKnown && (row?.version ?: 0) < (this.row?.version ?: 0)) return emptyList()
-            isRowKnown = true
-            this.row = row
-            rowChangedAt = now
+        val known = this.row
+        if (row == null && known != null && isRowKnown) return observeAbsence(now)
+        isAbsenceDoubtful = false
+        if (isRowKnown && (row?.version ?: 0) <= (known?.version ?: 0)) return emptyList()
+        isRowKnown = true
+        this.row = row
+        rowChangedAt = now
+        if (row?.supersedes(held) == true) held = null
+        return emptyList()
+    }
+
+    /** The observation may be older than the known row; nobody removes the row, so a missing one has been lost. */
+    private fun observeAbsence(now: MonotonicTime): List<LeaseEffect> {
+        if (!isAbsenceDoubtful) {
+            isAbsenceDoubtful = true
+            return readRow()
         }
+        isAbsenceDoubtful = false
+        row = null
+        rowChangedAt = now
+        isRowOutdated = true
         return emptyList()
     }
 
+    private fun restore(now: MonotonicTime): List<LeaseEffect> {
+        isRowOutdated = true
+        isRowKnown = false
+        rowChangedAt = now
+        pendingWrite?.isVoid = true
+        return readRow()
+    }
+
     private fun endWrite(result: LeaseWriteResult, now: MonotonicTime): List<LeaseEffect> {
-        val write = pendingWrite ?: return listOf(readRow())
+        val write = pendingWrite ?: return readRow()
         pendingWrite = null
-        if (write.isVoid) return listOf(readRow())
-        when (result) {
+        if (write.isVoid) return readRow()
+        return when (result) {
             is LeaseWriteResult.Written -> {
                 val written = LeaseRow(node, incarnation, result.version, write.token)
                 row = written
                 rowChangedAt = now
-                heldUntil = write.sentAt + term
-                return listOf(LeaseEffect.RowWritten(written))
+                isRowOutdated = false
+                held = Held(written.fencingToken, write.sentAt + term)
+                listOf(LeaseEffect.RowWritten(written))
             }
 
             is LeaseWriteResult.Outdated -> observeRow(result.current, now)
 
-            LeaseWriteResult.Unknown -> return listOf(readRow())
+            LeaseWriteResult.Unknown -> readRow()
         }
-        return emptyList()
     }
 
     private fun execute(event: LeaseEvent.CommandRequested, now: MonotonicTime): List<LeaseEffect> {
-        val token = heldTokenOrNull(now) ?: return emptyList()
-        val end = heldUntil ?: return emptyList()
-        return listOf(
-            LeaseEffect.Execute(event.command, token, CommandPermit(end, now, event.wallTime, maxClockJump)),
-        )
+        val term = heldOrNull(now) ?: return emptyList()
+        val permit = CommandPermit(term.until, now, event.wallTime, maxClockJump)
+        return listOf(LeaseEffect.Execute(event.command, term.token, permit))
     }
 
     /** Stops using [token] for good and reads the row, which shows the holder that has a higher one. */
-    private fun abandonToken(token: FencingToken): List<LeaseEffect> {
-        supersededToken = token
-        return if (isReading) emptyList() else listOf(readRow())
+    private fun abandonToken(token: FencingToken, now: MonotonicTime): List<LeaseEffect> {
+        if (held?.token == token) held = null
+        if (row?.takeIf(::isHeldByThisNode)?.fencingToken == token) {
+            isRowOutdated = true
+            rowChangedAt = now
+            pendingWrite?.isVoid = true
+        }
+        return readRow()
     }
 
     private fun tick(now: MonotonicTime): List<LeaseEffect> {
-        if (!isRowKnown) return if (isReading) emptyList() else listOf(readRow())
+        if (!isRowKnown) return readRow()
         if (stopping || pendingWrite != null || isReading) return emptyList()
         val row = this.row
         return when {
-            row == null -> writeRow(now, expectedVersion = 0, fencingToken = null)
+            isRowOutdated && heldOrNull(now) != null -> writeRow(now, fencingToken = null)
+
+            row == null && !isRowOutdated -> writeRow(now, fencingToken = null)
 
-            isHeldByThisNode(row) ->
-                if (isRenewalDue(now)) writeRow(now, row.version, row.fencingToken) else emptyList()
+            row != null && isHeldByThisNode(row) && !isRowOutdated ->
+                if (isRenewalDue(now)) writeRow(now, row.fencingToken) else emptyList()
 
-            now - rowChangedAt > term + TAKEOVER_MARGIN -> writeRow(now, row.version, fencingToken = null)
+            now - rowChangedAt > term + TAKEOVER_MARGIN -> writeRow(now, fencingToken = null)
 
             else -> emptyList()
         }
     }
 
     private fun isRenewalDue(now: MonotonicTime): Boolean {
-        val end = heldUntil ?: return true
+        val end = held?.until ?: return true
         return now >= end - term * (1 - RENEWAL_FRACTION)
     }
 
-    private fun writeRow(now: MonotonicTime, expectedVersion: Long, fencingToken: FencingToken?): List<LeaseEffect> {
+    private fun writeRow(now: MonotonicTime, fencingToken: FencingToken?): List<LeaseEffect> {
         pendingWrite = PendingWrite(now, fencingToken)
-        return listOf(LeaseEffect.WriteRow(expectedVersion, fencingToken))
+        return listOf(LeaseEffect.WriteRow(row?.version ?: 0, fencingToken))
     }
 
-    private fun readRow(): LeaseEffect {
+    private fun readRow(): List<LeaseEffect> {
+        if (isReading) return emptyList()
         isReading = true
-        return LeaseEffect.ReadRow
+        return listOf(LeaseEffect.ReadRow)
     }
 
     private fun announceHolding(now: MonotonicTime): List<LeaseEffect> {
-        val token = heldTokenOrNull(now)
+        val token = heldOrNull(now)?.token
         if (token == announcedToken) return emptyList()
         announcedToken = token
         return listOf(LeaseEffect.HoldingChanged(token))
     }
 
-    private fun heldTokenOrNull(now: MonotonicTime): FencingToken? {
-        val row = this.row?.takeIf(::isHeldByThisNode) ?: return null
-        val end = heldUntil ?: return null
-        return row.fencingToken.takeIf { now < end && it != supersededToken }
-    }
+    private fun heldOrNull(now: MonotonicTime): Held? = held?.takeIf { now < it.until }
+
+    private fun LeaseRow.supersedes(held: Held?): Boolean =
+        held != null && !isHeldByThisNode(this) && fencingToken > held.token
 
     private fun isHeldByThisNode(row: LeaseRow): Boolean = row.holder == node && row.incarnation == incarnation
 
--- a/core/src/test/kotlin/gypsumcart/core/leases/LeaseTest.kt
+++ b/core/src/test/kotlin/gypsumcart/core/leases/LeaseTest.kt
@@ -116,6 +116,101 @@
         expectThat(previous.fencingToken).isEqualTo(FencingToken(3))
     }
 
+    private fun restore(millis: Int) =
+        lease.decide(LeaseEvent.StoreRestored(wallTime(millis)), at(millis.milliseconds))
+
+    private fun acquireAnew(millis: Int) {
+        expectThat(tick(millis)).contains(LeaseEffect.WriteRow(COPIED, null))
+        expectThat(endWrite(millis + 10, LeaseWriteResult.Written(COPIED + 1)))
+            .contains(LeaseEffect.HoldingChanged(FencingToken(COPIED + 1)))
+    }
+
+    /** Guards against a fencing token of an earlier era that is renewed, below one that the platform has seen. */
+    @Test
+    fun `the holder acquires the lease anew when the store has come back from an older copy`() {
+        acquire()
+        tick(1_400)
+        endWrite(1_410, LeaseWriteResult.Written(9))
+        expectThat(restore(2_000)).none { isA<LeaseEffect.HoldingChanged>() }
+        observe(2_010, LeaseRow(node, Incarnation(1), COPIED, FencingToken(7)))
+        acquireAnew(2_100)
+        expectThat(request(2_200)).any { isA<LeaseEffect.Execute>() }
+    }
+
+    /** Guards against a lease that is lost for good because nobody accepts that its row is gone. */
+    @Test
+    fun `the holder acquires the lease anew when the copy lacks the row`() {
+        acquire()
+        restore(2_000)
+        observe(2_010, null)
+        expectThat(tick(2_100)).contains(LeaseEffect.WriteRow(0, null))
+        expectThat(endWrite(2_110, LeaseWriteResult.Written(COPIED)))
+            .contains(LeaseEffect.HoldingChanged(FencingToken(COPIED)))
+    }
+
+    /** Guards against two holders: the copy shows a holder from before a take-over that it lacks. */
+    @Test
+    fun `an earlier holder that the copy shows waits for longer than a term`() {
+        acquire()
+        observe(4_000, LeaseRow(NodeId("node-2"), Incarnation(1), 20, null))
+        restore(5_000)
+        observe(5_010, LeaseRow(node, Incarnation(1), COPIED, FencingToken(7)))
+        expectThat(tick(8_400)).isEmpty()
+        expectThat(request(8_400)).none { isA<LeaseEffect.Execute>() }
+        acquireAnew(8_600)
+    }
+
+    /** Guards against two holders: the copy shows the holder that this node has taken the lease over from. */
+    @Test
+    fun `a holder that the copy does not know yet acquires the lease anew within its term`() {
+        observe(0, LeaseRow(NodeId("node-2"), Incarnation(1), 5, FencingToken(3)))
+        tick(3_600)
+        endWrite(3_610, LeaseWriteResult.Written(7))
+        restore(4_000)
+        observe(4_010, LeaseRow(NodeId("node-2"), Incarnation(1), COPIED, FencingToken(3)))
+        expectThat(request(4_050)).any { isA<LeaseEffect.Execute>() }
+        acquireAnew(4_100)
+    }
+
+    /** Guards against a take-over while the term of a holder runs whose renewals the copy lacks. */
+    @Test
+    fun `other nodes wait for longer than a term after the store has come back, also if the row is gone`() {
+        observe(0, LeaseRow(NodeId("node-2"), Incarnation(1), 5, FencingToken(3)))
+        restore(3_000)
+        observe(3_010, null)
+        expectThat(tick(6_400)).isEmpty()
+        expectThat(tick(6_600)).contains(LeaseEffect.WriteRow(0, null))
+    }
+
+    /** Guards against a term that a write of an earlier era starts: its condition may have held by coincidence. */
+    @Test
+    fun `a write that was in progress when the store came back starts no term`() {
+        observe(0, null)
+        tick(100)
+        restore(150)
+        expectThat(endWrite(200, LeaseWriteResult.Written(7))).none { isA<LeaseEffect.HoldingChanged>() }
+        expectThat(request(300)).none { isA<LeaseEffect.Execute>() }
+    }
+
+    @Test
+    fun `a row that is missing once is read again before it counts as lost`() {
+        acquire()
+        expectThat(observe(200, null)).contains(LeaseEffect.ReadRow)
+        expectThat(request(210)).any { isA<LeaseEffect.Execute>() }
+        observe(220, null)
+        expectThat(tick(300)).contains(LeaseEffect.WriteRow(0, null))
+    }
+
+    /** Guards against a node that renews a lease for good whose token the platform refuses. */
+    @Test
+    fun `a node that the row names although its token is superseded acquires the lease anew after a term`() {
+        acquire()
+        lease.decide(LeaseEvent.TokenSuperseded(FencingToken(7), wallTime(200)), at(200.milliseconds))
+        observe(210, LeaseRow(node, Incarnation(1), 7, null))
+        expectThat(tick(3_600)).isEmpty()
+        expectThat(tick(3_800)).contains(LeaseEffect.WriteRow(7, null))
+    }
+
     /** Guards against a term that ends after the write that it is counted from, if two are in progress. */
     @Test
     fun `a write that a suspension of the host interrupted ends before the next one starts`() {
@@ -128,4 +223,9 @@
         expectThat(endWrite(700, LeaseWriteResult.Written(7))).contains(LeaseEffect.ReadRow)
         expectThat(request(800)).none { isA<LeaseEffect.Execute>() }
     }
+
+    private companion object {
+        /** The version of the row in an older copy, which is above all earlier ones. */
+        const val COPIED = 1_000L
+    }
 }
--- a/node/src/main/kotlin/gypsumcart/node/FleetListener.kt
+++ b/node/src/main/kotlin/gypsumcart/node/FleetListener.kt
@@ -18,6 +18,10 @@
     private val rings: Rings,
     private val storeClock: () -> StoreClock?,
 ) : TableListener {
+    override fun onRestored() {
+        rings.lease.put(LeaseEvent.StoreRestored(wallTime()))
+    }
+
     override fun onSnapshot(rows: List<Row>) {
         if (rows.none { it.key == LEASE_KEY }) rings.lease.put(LeaseEvent.RowObserved(null, wallTime()))
         onChanged(rows, emptyList())
