Keep the back ends that an older copy of the registry lacks

A node dropped them at once: the outage is shorter than the one in which entries expire, or most of the service remain.

BackEndDirectoryTest 'an entry that an older copy of the registry lacks is kept for the grace period' failed before (x and y listed, z dropped); all 19 pass.

--- a/core/src/main/kotlin/gypsumcart/core/directory/BackEndDirectory.kt
+++ b/core/src/main/kotlin/gypsumcart/core/directory/BackEndDirectory.kt
@@ -12,6 +12,13 @@
 
 /** Represents an input of the [BackEndDirectory] decider. */
 public sealed class DirectoryEvent {
+    /**
+     * The registry has come back from an older copy, which the next [Snapshot] shows.
+     *
+     * It may lack entries that had been written, and list ones that had been removed, until they are written again.
+     */
+    public data object Restored : DirectoryEvent()
+
     /** The registry was read in full; [backEnds] are all of its entries. */
     public data class Snapshot(public val backEnds: List<BackEnd>) : DirectoryEvent()
 
@@ -48,6 +55,8 @@
  * its back end was draining. No back end can renew its entry in an outage, so if most of a service remain, only this
  * node was cut off and the others have left. An entry that disappears at any other time is dropped at once.
  *
+ * Entries that a registry lacks which has come back from an older copy are kept for the same period.
+ *
  * A back end that states in a response that it is about to stop is listed as draining from then on, whatever the
  * registry says of that incarnation or earlier ones.
  */
@@ -68,6 +77,9 @@
     private var unavailableSince: MonotonicTime? = null
     private var graceUntil: MonotonicTime? = null
 
+    /** Whether the next snapshot shows an older copy of the registry. */
+    private var isRestored = false
+
     override fun decide(event: DirectoryEvent, now: MonotonicTime): List<DirectoryEffect> =
         when (event) {
             is DirectoryEvent.Snapshot -> applySnapshot(event.backEnds, now)
@@ -83,23 +95,51 @@
 
             DirectoryEvent.RegistryAvailable -> startGracePeriod(now)
 
+            DirectoryEvent.Restored -> {
+                isRestored = true
+                graceUntil = now + expiryGracePeriod
+                emptyList()
+            }
+
             DirectoryEvent.Sweep -> sweep(now)
         }
 
     private fun applySnapshot(backEnds: List<BackEnd>, now: MonotonicTime): List<DirectoryEffect> {
         val ids = backEnds.mapTo(HashSet()) { it.id }
-        return applyChange(DirectoryEvent.Changed(backEnds, listed.keys.filter { it !in ids }), now)
+        val missing = listed.keys.filter { it !in ids }
+        val keptServices =
+            when {
+                isRestored -> listed.values.mapTo(HashSet()) { it.service }
+                mayHaveExpired(now) -> servicesWithoutMost(missing.mapNotNull { listed[it] })
+                else -> emptySet()
+            }
+        isRestored = false
+        return apply(backEnds, missing, keptServices, now)
     }
 
     private fun applyChange(event: DirectoryEvent.Changed, now: MonotonicTime): List<DirectoryEffect> {
         val removed = event.removed.mapNotNull { listed[it] }
-        val expiredServices = if (mayHaveExpired(now)) servicesWithoutMost(removed) else emptySet()
-        for (backEnd in removed) {
+        return apply(
+            event.listed,
+            event.removed,
+            if (mayHaveExpired(now)) servicesWithoutMost(removed) else emptySet(),
+            now,
+        )
+    }
+
+    /** Drops the entries of [removed], but keeps those of [keptServices] for the grace period unless they drain. */
+    private fun apply(
+        updated: List<BackEnd>,
+        removed: Collection<BackEndId>,
+        keptServices: Set<ServiceName>,
+        now: MonotonicTime,
+    ): List<DirectoryEffect> {
+        for (backEnd in removed.mapNotNull { listed[it] }) {
             listed -= backEnd.id
             lastKnown[backEnd.id] = LastKnown(backEnd, now)
-            if (backEnd.service in expiredServices && !backEnd.draining) expired[backEnd.id] = backEnd
+            if (backEnd.service in keptServices && !backEnd.draining) expired[backEnd.id] = backEnd
         }
-        for (backEnd in event.listed) update(backEnd, now)
+        for (backEnd in updated) update(backEnd, now)
         return publish()
     }
 
--- a/core/src/test/kotlin/gypsumcart/core/directory/BackEndDirectoryTest.kt
+++ b/core/src/test/kotlin/gypsumcart/core/directory/BackEndDirectoryTest.kt
@@ -163,4 +163,45 @@
         val listed = directory.decide(DirectoryEvent.Changed(listOf(next), emptyList()), at(3.seconds))
         expectThat(listed).isEqualTo(listOf(DirectoryEffect.Publish(listOf(next))))
     }
+
+    private fun restore(second: Int) = directory.decide(DirectoryEvent.Restored, at(second.seconds))
+
+    private fun list(id: String, second: Int) =
+        directory.decide(DirectoryEvent.Changed(listOf(backEnd(id)), emptyList()), at(second.seconds))
+
+    /** Guards against requests that find no back end because a copy of the registry lacks the entries. */
+    @Test
+    fun `an entry that an older copy of the registry lacks is kept for the grace period`() {
+        snapshot("x", "y", "z")
+        restore(10)
+        expectThat(publishedIds(snapshot("x", "y", second = 10))).containsExactly("x", "y", "z")
+        expectThat(directory.decide(DirectoryEvent.Sweep, at(11.seconds))).isEmpty()
+        expectThat(publishedIds(directory.decide(DirectoryEvent.Sweep, at(13.seconds)))).containsExactly("x", "y")
+    }
+
+    @Test
+    fun `an entry that an older copy of the registry lacks stays listed if it is written again`() {
+        snapshot("x", "y")
+        restore(10)
+        snapshot("x", second = 10)
+        expectThat(publishedIds(list("y", second = 11))).containsExactly("x", "y")
+        expectThat(directory.decide(DirectoryEvent.Sweep, at(13.seconds))).isEmpty()
+    }
+
+    @Test
+    fun `a draining back end that an older copy of the registry lacks is dropped at once`() {
+        directory.decide(DirectoryEvent.Snapshot(listOf(backEnd("x", draining = true), backEnd("y"))), at(0.seconds))
+        restore(10)
+        expectThat(publishedIds(snapshot("y", second = 10))).containsExactly("y")
+    }
+
+    /** Guards against requests to a back end that had said that it leaves, of which a copy knows nothing. */
+    @Test
+    fun `a back end that was draining stays so when an older copy of the registry lists it as ready`() {
+        directory.decide(DirectoryEvent.Snapshot(listOf(backEnd("x", draining = true), backEnd("y"))), at(0.seconds))
+        restore(10)
+        val published = snapshot("x", "y", second = 10)
+        val expected = listOf(backEnd("x", draining = true), backEnd("y"))
+        expectThat(published).isEqualTo(listOf(DirectoryEffect.Publish(expected)))
+    }
 }
