Don't use removed back ends that an older copy of the registry lists

An instance that this node knew and whose entry had been removed is now withheld until its entry is written again; a later start is used at once.

--- a/core/src/main/kotlin/gypsumcart/core/directory/BackEndDirectory.kt
+++ b/core/src/main/kotlin/gypsumcart/core/directory/BackEndDirectory.kt
@@ -55,7 +55,8 @@
  * its back end was draining. No back end can renew its entry in an outage, so if most of a service remain, only this
  * node was cut off and the others have left. An entry that disappears at any other time is dropped at once.
  *
- * Entries that a registry lacks which has come back from an older copy are kept for the same period.
+ * A registry that has come back from an older copy may lack entries and list removed ones. Those that it lacks are kept
+ * for the same period, and removed ones are not used before their entries are written again.
  *
  * A back end that states in a response that it is about to stop is listed as draining from then on, whatever the
  * registry says of that incarnation or earlier ones.
@@ -80,6 +81,9 @@
     /** Whether the next snapshot shows an older copy of the registry. */
     private var isRestored = false
 
+    /** The removed back ends that an older copy lists, which are not used before their entries are written again. */
+    private val withheld = HashMap<BackEndId, Incarnation>()
+
     override fun decide(event: DirectoryEvent, now: MonotonicTime): List<DirectoryEffect> =
         when (event) {
             is DirectoryEvent.Snapshot -> applySnapshot(event.backEnds, now)
@@ -107,6 +111,9 @@
     private fun applySnapshot(backEnds: List<BackEnd>, now: MonotonicTime): List<DirectoryEffect> {
         val ids = backEnds.mapTo(HashSet()) { it.id }
         val missing = listed.keys.filter { it !in ids }
+        if (isRestored) backEnds.filter { it.hadBeenRemoved }.forEach { withheld[it.id] = it.incarnation }
+        withheld.keys.retainAll(ids)
+        val usable = backEnds.filterNot { backEnd -> withheld[backEnd.id]?.let { backEnd.incarnation <= it } == true }
         val keptServices =
             when {
                 isRestored -> listed.values.mapTo(HashSet()) { it.service }
@@ -114,11 +121,16 @@
                 else -> emptySet()
             }
         isRestored = false
-        return apply(backEnds, missing, keptServices, now)
+        return apply(usable, missing, keptServices, now)
     }
 
+    /** Whether this instance was known and its entry is no longer listed. */
+    private val BackEnd.hadBeenRemoved: Boolean
+        get() = id !in listed && id !in expired && lastKnown[id]?.let { it.backEnd.incarnation >= incarnation } == true
+
     private fun applyChange(event: DirectoryEvent.Changed, now: MonotonicTime): List<DirectoryEffect> {
         val removed = event.removed.mapNotNull { listed[it] }
+        event.listed.forEach { withheld -= it.id }
         return apply(
             event.listed,
             event.removed,
--- a/core/src/test/kotlin/gypsumcart/core/directory/BackEndDirectoryTest.kt
+++ b/core/src/test/kotlin/gypsumcart/core/directory/BackEndDirectoryTest.kt
@@ -195,6 +195,35 @@
         expectThat(publishedIds(snapshot("y", second = 10))).containsExactly("y")
     }
 
+    /** Guards against requests to a back end that has left, whose removal a copy of the registry lacks. */
+    @Test
+    fun `an entry that was removed is not used when an older copy of the registry lists it`() {
+        snapshot("x", "y")
+        remove("x", 8)
+        restore(10)
+        expectThat(publishedIds(snapshot("x", "y", second = 10))).containsExactly("y")
+        expectThat(publishedIds(snapshot("x", "y", second = 11))).containsExactly("y")
+    }
+
+    @Test
+    fun `an entry that was removed is used when it is written again after the registry has come back`() {
+        snapshot("x", "y")
+        remove("x", 8)
+        restore(10)
+        snapshot("x", "y", second = 10)
+        expectThat(publishedIds(list("x", second = 11))).containsExactly("y", "x")
+    }
+
+    @Test
+    fun `an entry that was removed does not keep a later start of its back end from being used`() {
+        snapshot("x", "y")
+        remove("x", 8)
+        restore(10)
+        val backEnds = listOf(backEnd("x", incarnation = 2), backEnd("y"))
+        val published = directory.decide(DirectoryEvent.Snapshot(backEnds), at(10.seconds))
+        expectThat(publishedIds(published)).containsExactly("y", "x")
+    }
+
     /** Guards against requests to a back end that had said that it leaves, of which a copy knows nothing. */
     @Test
     fun `a back end that was draining stays so when an older copy of the registry lists it as ready`() {
