Report no window twice when the store comes back from an older copy

A usage report is stored, on condition that there is none, before it is sent.

On UsageEvent.StoreRestored every node stores again what it knows the store had acknowledged, whether it holds the lease or not. A holder sums up a window that ended before it took over only if the store has not come back since that end; otherwise it looks for a report that another node stores again, until it would be late. If the store holds other counts than it had acknowledged, neither are sent.

--- a/core/src/main/kotlin/gypsumcart/core/usage/Usage.kt
+++ b/core/src/main/kotlin/gypsumcart/core/usage/Usage.kt
@@ -26,13 +26,23 @@
     /** This node acquired or lost the lease under which one node acts for the fleet. */
     public data class HoldingChanged(public val holding: Boolean) : UsageEvent()
 
+    /** The store came back from an older copy, which may lack reports that it had acknowledged. */
+    public data object StoreRestored : UsageEvent()
+
+    /**
+     * The store was asked since when it holds all that it has acknowledged.
+     *
+     * @property intactSince a time after which it has not come back from an older copy, or null if it never has
+     */
+    public data class StoreHistoryRead(public val intactSince: MonotonicTime?) : UsageEvent()
+
     /** The store holds [counts] as the final report for [window]; another node may have stored it. */
     public data class ReportStored(
         public val window: WindowNumber,
         public val counts: Map<TeamName, Int>,
     ) : UsageEvent()
 
-    /** Storing the report for [window] failed, or its outcome is unknown. */
+    /** Storing the report for [window] failed, or its outcome is unknown, or the store was read and holds none. */
     public data class StoreReportFailed(public val window: WindowNumber) : UsageEvent()
 
     /** An attempt to send the report for [window] ended with [result]. */
@@ -56,6 +66,12 @@
         public val counts: Map<TeamName, Int>,
     ) : UsageEffect()
 
+    /** Reads the report that the store holds for [window]. */
+    public data class ReadReport(public val window: WindowNumber) : UsageEffect()
+
+    /** Asks since when the store holds all that it has acknowledged. */
+    public data object ReadStoreHistory : UsageEffect()
+
     /** Sends a report that the store holds. */
     public data class SendReport(public val command: FencedCommand.ReportUsage) : UsageEffect()
 }
@@ -76,7 +92,10 @@
 /**
  * Counts the requests that started to run and, on the lease holder, reports the sum over all nodes for each window.
  *
- * A report is stored before it is sent, so that a retry, also by another lease holder, sends exactly the same.
+ * A report is stored before it is sent, so that a retry, also by another lease holder, sends exactly the same. If the
+ * store comes back from an older copy, all nodes store again what they know it had acknowledged. A report that is
+ * missing there may have been sent, so a window that ended before is summed up only by a node that has held the lease
+ * since.
  */
 public class Usage(private val settings: UsageSettings) : Decider<UsageEvent, UsageEffect> {
     private class PendingReport(var storedCounts: Map<TeamName, Int>?, var attemptedAt: MonotonicTime)
@@ -86,7 +105,10 @@
     private val pending = HashMap<WindowNumber, PendingReport>()
     private var reports: List<NodeReport> = emptyList()
     private var clockReference: UsageEvent.TimeSynchronized? = null
-    private var holding = false
+    private var heldSince: MonotonicTime? = null
+    private val stored = StoredReports()
+    private var history: UsageEvent.StoreHistoryRead? = null
+    private var historyReadAt: MonotonicTime? = null
     private val finished = HashSet<WindowNumber>()
 
     override fun decide(event: UsageEvent, now: MonotonicTime): List<UsageEffect> =
@@ -94,7 +116,9 @@
             is UsageEvent.RequestStarted -> noEffects { count(event) }
             is UsageEvent.TimeSynchronized -> noEffects { clockReference = event }
             is UsageEvent.ReportsUpdated -> noEffects { reports = event.reports }
-            is UsageEvent.HoldingChanged -> noEffects { changeHolding(event.holding) }
+            is UsageEvent.HoldingChanged -> changeHolding(event.holding, now)
+            is UsageEvent.StoreRestored -> restore(now)
+            is UsageEvent.StoreHistoryRead -> noEffects { history = event }
             is UsageEvent.ReportStored -> sendReport(event, now)
             is UsageEvent.StoreReportFailed -> noEffects { pending[event.window]?.storedCounts = null }
             is UsageEvent.SendCompleted -> noEffects { if (event.result == CommandResult.DONE) finish(event.window) }
@@ -111,9 +135,26 @@
         counts.getOrPut(windowOf(at), ::HashMap).merge(event.team, 1, Int::plus)
     }
 
-    private fun changeHolding(holding: Boolean) {
-        this.holding = holding
-        if (!holding) pending.clear()
+    private fun changeHolding(holding: Boolean, now: MonotonicTime): List<UsageEffect> {
+        if (!holding) {
+            heldSince = null
+            pending.clear()
+            return emptyList()
+        }
+        if (heldSince != null) return emptyList()
+        heldSince = now
+        return readHistory(now)
+    }
+
+    private fun restore(now: MonotonicTime): List<UsageEffect> {
+        stored.doubt()
+        return stored.dueAgain(now, RETRY_PERIOD) + if (heldSince != null) readHistory(now) else emptyList()
+    }
+
+    private fun readHistory(now: MonotonicTime): List<UsageEffect> {
+        history = null
+        historyReadAt = now
+        return listOf(UsageEffect.ReadStoreHistory)
     }
 
     private fun tick(now: MonotonicTime): List<UsageEffect> {
@@ -121,31 +162,55 @@
         val current = windowOf(time)
         counts.keys.removeIf { it.number < current.number - KEPT_WINDOWS }
         finished.removeIf { it.number < current.number - KEPT_WINDOWS }
+        stored.forgetBefore(WindowNumber(current.number - KEPT_WINDOWS))
         val publish = UsageEffect.Publish(counts.mapValues { it.value.toMap() }, time)
-        return listOf(publish) + if (holding) reportDueWindows(current, time, now) else emptyList()
+        val storedAgain = stored.dueAgain(now, RETRY_PERIOD)
+        return listOf(publish) + storedAgain + if (heldSince != null) reportAll(current, time, now) else emptyList()
     }
 
-    private fun reportDueWindows(current: WindowNumber, time: UnixMillis, now: MonotonicTime): List<UsageEffect> {
-        return (current.number - REPORTED_WINDOWS until current.number)
-            .map(::WindowNumber)
-            .filter { it !in finished && isReadyToReport(it, time) }
-            .mapNotNull { reportWindow(it, now) }
+    private fun reportAll(current: WindowNumber, time: UnixMillis, now: MonotonicTime): List<UsageEffect> {
+        val isHistoryDue = history == null && historyReadAt?.let { now - it >= RETRY_PERIOD } ?: true
+        val historyRead = if (isHistoryDue) readHistory(now) else emptyList()
+        return historyRead +
+            (current.number - REPORTED_WINDOWS until current.number)
+                .map(::WindowNumber)
+                .filter { it !in finished && isReadyToReport(it, time) }
+                .mapNotNull { reportWindow(it, time, now) }
     }
 
-    private fun reportWindow(window: WindowNumber, now: MonotonicTime): UsageEffect? {
+    private fun reportWindow(window: WindowNumber, time: UnixMillis, now: MonotonicTime): UsageEffect? {
         val previous = pending[window]
         if (previous != null && now - previous.attemptedAt < RETRY_PERIOD) return null
-        val stored = previous?.storedCounts
-        pending[window] = PendingReport(stored, now)
-        if (stored != null) return UsageEffect.SendReport(FencedCommand.ReportUsage(window, stored))
-        val sum = sumOf(window)
-        if (sum.isEmpty()) {
-            finished += window
-            return null
+        val known = previous?.storedCounts ?: stored.countsOrNull(window)
+        pending[window] = PendingReport(known, now)
+        return when {
+            known != null -> UsageEffect.SendReport(FencedCommand.ReportUsage(window, known))
+            heldSince.isBeforeEndOf(window) -> storeOrNull(window)
+            else -> history?.let { if (it.isIntactFor(window)) storeOrNull(window) else readOrNull(window, time) }
         }
-        return UsageEffect.StoreReport(window, sum)
     }
 
+    private fun storeOrNull(window: WindowNumber): UsageEffect? {
+        val sum = sumOf(window)
+        if (sum.isNotEmpty()) return UsageEffect.StoreReport(window, sum)
+        finished += window
+        return null
+    }
+
+    /** Looks for a report that another node stores again, as long as it would not be late. */
+    private fun readOrNull(window: WindowNumber, time: UnixMillis): UsageEffect? {
+        val isLate = time.millis > endOf(window) + settings.lateAfter.inWholeMilliseconds
+        if (!isLate && sumOf(window).isNotEmpty()) return UsageEffect.ReadReport(window)
+        finished += window
+        return null
+    }
+
+    private fun UsageEvent.StoreHistoryRead.isIntactFor(window: WindowNumber): Boolean =
+        intactSince == null || intactSince.isBeforeEndOf(window)
+
+    private fun MonotonicTime?.isBeforeEndOf(window: WindowNumber): Boolean =
+        this?.let(::unixTimeOrNull)?.let { it.millis <= endOf(window) } ?: false
+
     /** Returns whether all nodes have counted the window to its end, or waiting longer could make the report late. */
     private fun isReadyToReport(window: WindowNumber, time: UnixMillis): Boolean {
         val end = endOf(window)
@@ -162,7 +227,14 @@
     }
 
     private fun sendReport(event: UsageEvent.ReportStored, now: MonotonicTime): List<UsageEffect> {
-        if (!holding) return emptyList()
+        val agrees = stored.record(event.window, event.counts)
+        if (event.window in finished) return emptyList()
+        if (!agrees) {
+            // Either counts may have been sent.
+            finish(event.window)
+            return emptyList()
+        }
+        if (heldSince == null) return emptyList()
         pending[event.window] = PendingReport(event.counts, now)
         return listOf(UsageEffect.SendReport(FencedCommand.ReportUsage(event.window, event.counts)))
     }
--- a/core/src/test/kotlin/gypsumcart/core/usage/UsageTest.kt
+++ b/core/src/test/kotlin/gypsumcart/core/usage/UsageTest.kt
@@ -48,6 +48,7 @@
     private fun acquireLease(vararg reports: NodeReport) {
         synchronizeTime()
         usage.decide(UsageEvent.HoldingChanged(true), at(1.seconds))
+        usage.decide(UsageEvent.StoreHistoryRead(intactSince = null), at(1.seconds))
         usage.decide(UsageEvent.ReportsUpdated(reports.toList()), at(1.seconds))
     }
 
@@ -99,4 +100,80 @@
         usage.decide(UsageEvent.HoldingChanged(false), at(2.seconds))
         expectThat(reportEffects(8.0)).isEmpty()
     }
+
+    private fun takeOverAt8(intactSince: Double?) {
+        synchronizeTime()
+        usage.decide(UsageEvent.ReportsUpdated(listOf(report("n1", 3, until = 108_000))), at(7.seconds))
+        usage.decide(UsageEvent.HoldingChanged(true), at(8.seconds))
+        usage.decide(UsageEvent.StoreHistoryRead(intactSince?.let { at(it.seconds) }), at(8.seconds))
+    }
+
+    private fun report(counts: Map<TeamName, Int>) = UsageEffect.SendReport(FencedCommand.ReportUsage(first, counts))
+
+    /** Guards against a report that a later holder sums up anew, with other counts, since the store has lost it. */
+    @Test
+    fun `reports that the store had acknowledged are stored again when it comes back from an older copy`() {
+        acquireLease(report("n1", 3, until = 108_000))
+        reportEffects(8.0)
+        val counts = mapOf(team to 3)
+        usage.decide(UsageEvent.ReportStored(first, counts), at(8.1.seconds))
+        usage.decide(UsageEvent.SendCompleted(first, CommandResult.DONE), at(8.2.seconds))
+        usage.decide(UsageEvent.HoldingChanged(false), at(8.3.seconds))
+        val again = UsageEffect.StoreReport(first, counts)
+        expectThat(usage.decide(UsageEvent.StoreRestored, at(9.seconds))).containsExactly(again)
+        usage.decide(UsageEvent.StoreReportFailed(first), at(9.5.seconds))
+        expectThat(reportEffects(10.0)).containsExactly(again)
+        expectThat(usage.decide(UsageEvent.ReportStored(first, counts), at(10.1.seconds))).isEmpty()
+        expectThat(reportEffects(12.0)).isEmpty()
+    }
+
+    /** Guards against two reports for one window: the store has lost the first one, which was sent. */
+    @Test
+    fun `a window that ended before the store came back from an older copy is not summed up by a later holder`() {
+        takeOverAt8(intactSince = 7.5)
+        expectThat(reportEffects(8.5)).containsExactly(UsageEffect.ReadReport(first))
+        usage.decide(UsageEvent.StoreReportFailed(first), at(8.6.seconds))
+        expectThat(reportEffects(9.6)).containsExactly(UsageEffect.ReadReport(first))
+        val counts = mapOf(team to 2)
+        expectThat(usage.decide(UsageEvent.ReportStored(first, counts), at(9.7.seconds)))
+            .containsExactly(report(counts))
+    }
+
+    @Test
+    fun `a window that ended after the store came back from an older copy is summed up by a later holder`() {
+        takeOverAt8(intactSince = 4.5)
+        expectThat(reportEffects(8.5)).containsExactly(UsageEffect.StoreReport(first, mapOf(team to 3)))
+    }
+
+    @Test
+    fun `a holder sums up no window that ended before it took over until it knows what the store has lost`() {
+        synchronizeTime()
+        usage.decide(UsageEvent.ReportsUpdated(listOf(report("n1", 3, until = 108_000))), at(7.seconds))
+        expectThat(usage.decide(UsageEvent.HoldingChanged(true), at(8.seconds)))
+            .containsExactly(UsageEffect.ReadStoreHistory)
+        expectThat(reportEffects(8.5)).isEmpty()
+        expectThat(reportEffects(9.1)).containsExactly(UsageEffect.ReadStoreHistory)
+    }
+
+    @Test
+    fun `a holder sums up what ended while it held the lease, also after the store came back from an older copy`() {
+        acquireLease(report("n1", 3, until = 104_000))
+        usage.decide(UsageEvent.StoreRestored, at(7.seconds))
+        usage.decide(UsageEvent.StoreHistoryRead(at(7.seconds)), at(7.1.seconds))
+        usage.decide(UsageEvent.HoldingChanged(true), at(7.2.seconds))
+        usage.decide(UsageEvent.ReportsUpdated(listOf(report("n1", 3, until = 108_000))), at(8.seconds))
+        expectThat(reportEffects(8.0)).containsExactly(UsageEffect.StoreReport(first, mapOf(team to 3)))
+    }
+
+    @Test
+    fun `a report is not sent if the store holds other counts than those that it had acknowledged`() {
+        acquireLease(report("n1", 3, until = 108_000))
+        reportEffects(8.0)
+        usage.decide(UsageEvent.ReportStored(first, mapOf(team to 3)), at(8.1.seconds))
+        usage.decide(UsageEvent.SendCompleted(first, CommandResult.UNKNOWN), at(8.2.seconds))
+        usage.decide(UsageEvent.StoreRestored, at(8.3.seconds))
+        usage.decide(UsageEvent.StoreHistoryRead(at(8.3.seconds)), at(8.3.seconds))
+        expectThat(usage.decide(UsageEvent.ReportStored(first, mapOf(team to 2)), at(8.4.seconds))).isEmpty()
+        expectThat(reportEffects(12.0)).isEmpty()
+    }
 }
--- a/node/src/main/kotlin/gypsumcart/node/FleetDuties.kt
+++ b/node/src/main/kotlin/gypsumcart/node/FleetDuties.kt
@@ -1,6 +1,7 @@
 package gypsumcart.node
 
 import com.github.michaelbull.result.fold
+import com.github.michaelbull.result.get
 import com.github.michaelbull.result.mapBoth
 import com.github.michaelbull.result.mapError
 import gypsumcart.core.Features
@@ -74,6 +75,8 @@
             ),
         )
 
+    private val storeHistory = StoreHistory(rows)
+
     val all: List<Duty> =
         listOf(
             deciderDuty(rings.membership, Membership(identity), clock, ::execute),
@@ -260,6 +263,8 @@
             // The next tick repeats what does not fit into the ring.
             is UsageEffect.Publish -> rings.membership.offer(MembershipEvent.UsageCounted(effect.usage, effect.until))
             is UsageEffect.StoreReport -> scope.launch { rings.usage.put(storeReport(effect)) }
+            is UsageEffect.ReadReport -> scope.launch { rings.usage.put(readReport(effect)) }
+            UsageEffect.ReadStoreHistory -> scope.launch { storeHistory.readOrNull()?.let { rings.usage.put(it) } }
             is UsageEffect.SendReport -> rings.lease.put(LeaseEvent.CommandRequested(effect.command, wallTime()))
         }
     }
@@ -277,6 +282,12 @@
             },
         )
 
+    private suspend fun readReport(effect: UsageEffect.ReadReport): UsageEvent {
+        val row = rows.get(Tables.USAGE, effect.window.toRowKey()).get()
+        val stored = row?.toUsageCountsOrNull() ?: return UsageEvent.StoreReportFailed(effect.window)
+        return UsageEvent.ReportStored(effect.window, stored)
+    }
+
     private fun execute(effect: AutoscalerEffect) {
         when (effect) {
             is AutoscalerEffect.Order -> placeOrder(effect)
--- a/node/src/main/kotlin/gypsumcart/node/FleetListener.kt
+++ b/node/src/main/kotlin/gypsumcart/node/FleetListener.kt
@@ -9,6 +9,7 @@
 import gypsumcart.core.replicas.AutoscalerEvent
 import gypsumcart.core.rollout.RolloutEvent
 import gypsumcart.core.streams.StreamEvent
+import gypsumcart.core.usage.UsageEvent
 import org.slf4j.LoggerFactory
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
@@ -20,6 +21,7 @@
 ) : TableListener {
     override fun onRestored() {
         rings.lease.put(LeaseEvent.StoreRestored(wallTime()))
+        rings.usage.put(UsageEvent.StoreRestored)
     }
 
     override fun onSnapshot(rows: List<Row>) {
