Don't take up again the reports of nodes that an older copy of the store shows

A copy of the store shows the reports of some seconds ago. Reports of known nodes are ordered by heartbeats and incarnations, so an earlier one changes nothing, and a missing one removes no node. A report that had been removed was taken for a new one, though, and its node for one that runs if the age is unknown; it was named to clients again. The last heartbeat of a removed entry is kept. A node writes its report at once after a restore instead of within 5 s, as nodes that start refuse the messages of nodes that no row names.

MembershipTest: 'a report that was removed does not count when an older copy of the store shows it' failed before (n1, n2), as did the one on the report at once; all 12 pass. 'an older copy of the store neither removes a node nor takes back what it reported' passed before.

--- a/core/src/main/kotlin/gypsumcart/core/membership/Membership.kt
+++ b/core/src/main/kotlin/gypsumcart/core/membership/Membership.kt
@@ -35,6 +35,10 @@
         when (event) {
             is MembershipEvent.ReportsReceived -> receiveReports(event, now)
             MembershipEvent.StoreAnswered -> noEffects { liveness.recordStoreAnswer(isRead = false, now) }
+            MembershipEvent.StoreRestored -> {
+                own.renew(now)
+                listOf(publish(now))
+            }
             is MembershipEvent.AcceptingChanged -> changeAccepting(event.accepting, now)
             is MembershipEvent.QuotaUseMeasured -> noEffects { own.update { it.copy(quotaUse = event.use) } }
             is MembershipEvent.ArrivalsMeasured -> noEffects { own.update { it.copy(arrivals = event.arrivals) } }
--- a/core/src/main/kotlin/gypsumcart/core/membership/MembershipEvents.kt
+++ b/core/src/main/kotlin/gypsumcart/core/membership/MembershipEvents.kt
@@ -32,6 +32,9 @@
         public val heard: Map<NodeKey, Duration> = emptyMap(),
     ) : MembershipEvent()
 
+    /** The store came back from an older copy, which may lack reports and show those of nodes that have ended. */
+    public data object StoreRestored : MembershipEvent()
+
     /** The store responded without any new report. */
     public data object StoreAnswered : MembershipEvent()
 
--- a/core/src/main/kotlin/gypsumcart/core/membership/PeerTable.kt
+++ b/core/src/main/kotlin/gypsumcart/core/membership/PeerTable.kt
@@ -55,6 +55,12 @@
     private val entriesByPosition = TreeMap<TablePosition, Entry>()
     private val latestIncarnations = hashMapOf(self.node to self.incarnation)
 
+    /** The last heartbeats of removed entries, which the store may show again; the eldest yield. */
+    private val removedHeartbeats =
+        object : LinkedHashMap<NodeKey, Long>() {
+            override fun removeEldestEntry(eldest: Map.Entry<NodeKey, Long>): Boolean = size > MAX_REMOVED
+        }
+
     /** The position of the last change. */
     var position = TablePosition.START
         private set
@@ -107,7 +113,9 @@
 
     fun remove(key: NodeKey) {
         if (key == self) return
-        entries.remove(key)?.let { entriesByPosition -= it.position }
+        val removed = entries.remove(key) ?: return
+        entriesByPosition -= removed.position
+        removedHeartbeats[key] = removed.report.heartbeat
     }
 
     /** Returns the time since each node of [zone] sent a report over the link, if it did in the time of [span]. */
@@ -124,7 +132,7 @@
         latestIncarnations[report.node]?.let { report.incarnation < it } ?: false
 
     private fun isNews(report: NodeReport): Boolean =
-        entries[report.key]?.let { report.heartbeat > it.report.heartbeat } ?: true
+        report.heartbeat > (entries[report.key]?.report?.heartbeat ?: removedHeartbeats[report.key] ?: Long.MIN_VALUE)
 
     private fun put(
         report: NodeReport,
@@ -152,6 +160,9 @@
         /** Every so many reports all windows go along, for a recipient that missed a change: every four seconds. */
         const val FULL_USAGE_HEARTBEATS = 8
 
+        /** More than the processes that end while a copy of the store grows old. */
+        const val MAX_REMOVED = 4_096
+
         /** More windows than a node counts; what others keep of earlier ones is dropped. */
         const val KEPT_WINDOWS = 8
 
--- a/core/src/test/kotlin/gypsumcart/core/membership/MembershipTest.kt
+++ b/core/src/test/kotlin/gypsumcart/core/membership/MembershipTest.kt
@@ -14,6 +14,7 @@
 import strikt.api.expectThat
 import strikt.assertions.containsExactly
 import strikt.assertions.containsExactlyInAnyOrder
+import strikt.assertions.hasSize
 import strikt.assertions.isEqualTo
 import kotlin.time.Duration.Companion.seconds
 
@@ -144,4 +145,32 @@
         expectThat(spent(receive(4.0, report("n1", incarnation = 2)))).isEqualTo(50.0 + 50.0 / 2)
         expectThat(spent(receive(8.0, report("n1", incarnation = 2, heartbeat = 2)))).isEqualTo(50.0)
     }
+
+    @Test
+    fun `a node writes its report at once when the store has come back from an older copy`() {
+        tick(1.0)
+        val effects = membership.decide(MembershipEvent.StoreRestored, at(1.2.seconds))
+        expectThat(effects.filterIsInstance<MembershipEffect.Publish>()).hasSize(1)
+    }
+
+    /** Guards against a node that has ended and is named to clients again because a copy shows its report. */
+    @Test
+    fun `a report that was removed does not count when an older copy of the store shows it`() {
+        receive(1.0, report("n1", heartbeat = 5), report("n2"))
+        val removed = MembershipEvent.ReportsReceived(emptyList(), listOf(report("n1").key))
+        membership.decide(removed, at(1.5.seconds))
+        membership.decide(MembershipEvent.StoreRestored, at(2.seconds))
+        expectThat(members(receive(2.0, report("n1", heartbeat = 5), report("n2")))).containsExactly("n2")
+        val alive = receive(2.5, report("n1", heartbeat = 6))
+        expectThat(members(alive)).containsExactlyInAnyOrder("n1", "n2")
+    }
+
+    /** Guards against nodes that are dropped because a copy of the store lacks their reports or shows earlier ones. */
+    @Test
+    fun `an older copy of the store neither removes a node nor takes back what it reported`() {
+        receive(1.0, report("n1", heartbeat = 5, accepting = false), report("n2"))
+        membership.decide(MembershipEvent.StoreRestored, at(2.seconds))
+        val copied = receive(2.0, report("n1", heartbeat = 4))
+        expectThat(members(copied)).containsExactly("n2")
+    }
 }
--- a/node/src/main/kotlin/gypsumcart/node/FleetListener.kt
+++ b/node/src/main/kotlin/gypsumcart/node/FleetListener.kt
@@ -22,6 +22,7 @@
     override fun onRestored() {
         rings.lease.put(LeaseEvent.StoreRestored(wallTime()))
         rings.usage.put(UsageEvent.StoreRestored)
+        rings.membership.put(MembershipEvent.StoreRestored)
     }
 
     override fun onSnapshot(rows: List<Row>) {
