Store records of streams again when the store comes back from an older copy

A copy of the store may lack the records of streams that began in its last seconds, and the entries of back ends of a new version. A take-up at another node then found no record and went on at the only version that this node knew, or was refused for good (ORDER, LOST). On StreamEvent.StoreRestored, from the fleet table and the registry, a node stores the records of its streams again, also those that were being stored. For 2.5 s, in which back ends are back within about two, an absent record proves nothing, and refusals are not final.

StreamOriginsTest: 3 of 36 failed before (nothing stored again, twice; routed to v1 instead of waiting); all pass. 'versions that a copy of the store lacks stay in use and are written again' passed before.

--- a/core/src/main/kotlin/gypsumcart/core/streams/StreamEvents.kt
+++ b/core/src/main/kotlin/gypsumcart/core/streams/StreamEvents.kt
@@ -71,6 +71,9 @@
         public val succeeded: Boolean,
     ) : StreamEvent()
 
+    /** The store came back from an older copy, which may lack records, versions and back ends that were stored. */
+    public data object StoreRestored : StreamEvent()
+
     /** A request passed admission that asks for the rest of a stream. */
     public data class TakenUp(public val admitted: AdmittedRequest) : StreamEvent()
 
--- a/core/src/main/kotlin/gypsumcart/core/streams/StreamMemory.kt
+++ b/core/src/main/kotlin/gypsumcart/core/streams/StreamMemory.kt
@@ -7,8 +7,13 @@
 /** Holds the records of the streams that began at this node, and those of them that are to be stored. */
 internal class StreamMemory {
     private class KnownStream(val record: StreamRecord, val beganAt: MonotonicTime) {
-        /** Whether the client has the whole stream, or the store has the record. */
-        var needsNoRecord = false
+        /** Whether the client has the whole stream. */
+        var isEnded = false
+
+        /** Whether the store has the record. */
+        var isStored = false
+
+        val needsNoRecord: Boolean get() = isEnded || isStored
     }
 
     /** The streams in the order in which they began; the eldest yield. */
@@ -22,6 +27,9 @@
 
     private var batch: List<StreamRecord> = emptyList()
 
+    /** Whether the store may lose the batch although it acknowledges it. */
+    private var isBatchDoubtful = false
+
     /** Whether records wait to be stored and none are being stored. */
     val isWriteDue: Boolean get() = queue.isNotEmpty() && batch.isEmpty()
 
@@ -36,7 +44,7 @@
 
     /** Marks the stream as one that its client has received; it stays known, as the client may have lost the end. */
     fun end(beganAs: RequestId) {
-        streams[beganAs]?.needsNoRecord = true
+        streams[beganAs]?.isEnded = true
         queue -= beganAs
     }
 
@@ -48,6 +56,13 @@
         }
     }
 
+    /** Has the records of all streams of [services] stored again, as the store may have lost them. */
+    fun storeAgain(services: Set<ServiceName>) {
+        streams.values.forEach { it.isStored = false }
+        isBatchDoubtful = batch.isNotEmpty()
+        services.forEach(::storeAll)
+    }
+
     /** Returns the next records to store; [endBatch] must be called before the next ones can be taken. */
     fun takeBatch(): List<StreamRecord> {
         batch = queue.values.take(MAX_BATCH)
@@ -58,9 +73,11 @@
     /** Ends the write of the current batch; if it failed, its records are to be stored again. */
     fun endBatch(succeeded: Boolean) {
         val records = batch
+        val isStored = succeeded && !isBatchDoubtful
         batch = emptyList()
-        if (succeeded) {
-            records.forEach { streams[it.beganAs]?.needsNoRecord = true }
+        isBatchDoubtful = false
+        if (isStored) {
+            records.forEach { streams[it.beganAs]?.isStored = true }
             return
         }
         val later = queue
--- a/core/src/main/kotlin/gypsumcart/core/streams/StreamOrigins.kt
+++ b/core/src/main/kotlin/gypsumcart/core/streams/StreamOrigins.kt
@@ -49,6 +49,9 @@
     /** When the changes that the registry has made while it did not respond will have been listed. */
     private var upToDateFrom: MonotonicTime? = null
 
+    /** When what a copy of the store lacked will have been written again. */
+    private var restoredUntil: MonotonicTime? = null
+
     private var writePause = MIN_WRITE_PAUSE
     private var nextWriteAt: MonotonicTime? = null
 
@@ -74,6 +77,13 @@
                     upToDateFrom = now + SETTLING_TIME
                 }
 
+            StreamEvent.StoreRestored ->
+                noEffects {
+                    memory.expire(now)
+                    memory.storeAgain(inUse.filterValues { it.isSeveral }.keys)
+                    restoredUntil = now + RESTORE_TIME
+                }
+
             is StreamEvent.VersionsRead -> readVersions(event, now)
 
             is StreamEvent.VersionsWritten -> {
@@ -149,7 +159,7 @@
         return when {
             own != null -> route(admitted, own, OriginSource.Memory)
             admitted.deadline <= now -> refuse(admitted, RefusalReason.OriginUnknown, retryAfter = null)
-            beganAs == null -> routeByHistoryOrNull(admitted, now) ?: refuseUnknown(admitted, isAbsent = true)
+            beganAs == null -> routeByHistoryOrNull(admitted, now) ?: refuseUnknown(admitted, isAbsent = true, now)
             lookups.size >= MAX_LOOKUPS ->
                 routeByHistoryOrNull(admitted, now)
                     ?: refuse(admitted, RefusalReason.Overloaded("streams"), RETRY_AFTER)
@@ -170,7 +180,9 @@
 
     /** Returns whether no version can be in use that this node has not heard of. */
     private fun knowsAllVersions(now: MonotonicTime): Boolean =
-        rows.isRead && isListed && isRegistryAvailable && upToDateFrom?.let { it > now } != true
+        rows.isRead && isListed && isRegistryAvailable && !isRestoring(now) && upToDateFrom?.let { it > now } != true
+
+    private fun isRestoring(now: MonotonicTime): Boolean = restoredUntil?.let { it > now } ?: false
 
     private fun route(admitted: AdmittedRequest, record: StreamRecord, source: OriginSource): StreamEffect =
         if (record.service == admitted.service) {
@@ -199,25 +211,25 @@
         val readAgainAt = now + WRITE_DELAY
         return when {
             routed != null -> routed.also { lookups -= event.ticket }
-            wait.isLast || readAgainAt >= lookup.giveUpAt -> giveUp(lookup, isAbsent)
+            wait.isLast || readAgainAt >= lookup.giveUpAt -> giveUp(lookup, isAbsent, now)
             else -> null.also { lookup.wait = Wait.ForWrite(readAgainAt) }
         }
     }
 
     private fun continueLookup(lookup: Lookup, now: MonotonicTime): StreamEffect {
-        if (lookup.giveUpAt <= now) return giveUp(lookup, isAbsent = false)
+        if (lookup.giveUpAt <= now) return giveUp(lookup, isAbsent = false, now)
         lookup.wait = Wait.ForRecord(isLast = true)
         return StreamEffect.ReadRecord(lookup.admitted.ticket, lookup.beganAs)
     }
 
-    private fun giveUp(lookup: Lookup, isAbsent: Boolean): StreamEffect {
+    private fun giveUp(lookup: Lookup, isAbsent: Boolean, now: MonotonicTime): StreamEffect {
         lookups -= lookup.admitted.ticket
-        return refuseUnknown(lookup.admitted, isAbsent)
+        return refuseUnknown(lookup.admitted, isAbsent, now)
     }
 
     /** Refuses the request, for good if there is no record although one would have been stored. */
-    private fun refuseUnknown(admitted: AdmittedRequest, isAbsent: Boolean): StreamEffect {
-        val isFinal = isAbsent && inUse[admitted.service].isSeveral
+    private fun refuseUnknown(admitted: AdmittedRequest, isAbsent: Boolean, now: MonotonicTime): StreamEffect {
+        val isFinal = isAbsent && inUse[admitted.service].isSeveral && !isRestoring(now)
         return refuse(admitted, RefusalReason.OriginUnknown, RETRY_AFTER.takeUnless { isFinal })
     }
 
@@ -255,6 +267,9 @@
          */
         val SETTLING_TIME: Duration = 1.5.seconds
 
+        /** Within this time back ends and nodes have written again what a copy of the store lacked. */
+        val RESTORE_TIME: Duration = 2.5.seconds
+
         /** Less than clients wait for a first event. */
         val MAX_LOOKUP: Duration = 1.seconds
 
--- a/core/src/test/kotlin/gypsumcart/core/streams/StreamOriginsTest.kt
+++ b/core/src/test/kotlin/gypsumcart/core/streams/StreamOriginsTest.kt
@@ -390,6 +390,55 @@
 
     private fun found(id: String, version: BackEndVersion?) = RecordReadResult.Found(record(id, version))
 
+    // Guards against take-ups that are refused, or joined with another version, since the store has lost the records.
+    @Test
+    fun `records that the store had acknowledged are stored again when it comes back from an older copy`() {
+        start(setOf(V1, V2), setOf(V1, V2))
+        expectThat(decide(StreamEvent.StreamBegan(record("a", V1))).writtenIds()).containsExactly("a")
+        decide(StreamEvent.RecordsWritten(succeeded = true))
+        decide(StreamEvent.StreamBegan(record("ended", V1)))
+        decide(StreamEvent.StreamEnded(RequestId("ended")))
+        now += 1.seconds
+        expectThat(decide(StreamEvent.StoreRestored).writtenIds()).containsExactly("a")
+    }
+
+    @Test
+    fun `records that were being stored when the store came back from an older copy are stored again`() {
+        start(setOf(V1, V2), setOf(V1, V2))
+        expectThat(decide(StreamEvent.StreamBegan(record("a", V1))).writtenIds()).containsExactly("a")
+        decide(StreamEvent.StoreRestored)
+        now += 1.seconds
+        expectThat(decide(StreamEvent.RecordsWritten(succeeded = true)).writtenIds()).containsExactly("a")
+    }
+
+    // Guards against a stream that goes on at another version: a copy of the store may lack its record and its version.
+    @Test
+    fun `an absent record proves nothing until what a copy of the store lacks has been written again`() {
+        start(setOf(V1), setOf(V1))
+        decide(StreamEvent.StoreRestored)
+        arrive("a")
+        endRead(RecordReadResult.Absent)
+        expectThat(elapse(200.milliseconds).reads()).containsExactly("a")
+        expectThat(endRead(RecordReadResult.Absent).outcomes()).containsExactly(UNKNOWN_FOR_NOW)
+        now += 3.seconds
+        arrive("b", number = 2)
+        expectThat(endRead(RecordReadResult.Absent, number = 2).routedVersions()).containsExactly(V1)
+    }
+
+    // Guards against versions that are forgotten, or not written again, since a copy of the store lacks them.
+    @Test
+    fun `versions that a copy of the store lacks stay in use and are written again`() {
+        start(setOf(V1, V2), setOf(V1, V2))
+        decide(StreamEvent.RankUpdated(nodeCount = 2, rank = 0))
+        decide(StreamEvent.VersionsWritten(LEDGER, setOf(V1, V2), succeeded = true))
+        now += 2.seconds
+        decide(StreamEvent.StoreRestored)
+        expectThat(decide(stored(setOf(V1))).writtenVersions()).isEqualTo(listOf(setOf(V1, V2)))
+        now += 3.seconds
+        arrive("a")
+        expectThat(endRead(RecordReadResult.Absent).routedVersions()).isEmpty()
+    }
+
     private companion object {
         val UNKNOWN = Outcome.NotRun(RefusalReason.OriginUnknown, null)
         val UNKNOWN_FOR_NOW = Outcome.NotRun(RefusalReason.OriginUnknown, 300.milliseconds)
--- a/node/src/main/kotlin/gypsumcart/node/FleetListener.kt
+++ b/node/src/main/kotlin/gypsumcart/node/FleetListener.kt
@@ -23,6 +23,7 @@
         rings.lease.put(LeaseEvent.StoreRestored(wallTime()))
         rings.usage.put(UsageEvent.StoreRestored)
         rings.membership.put(MembershipEvent.StoreRestored)
+        rings.streams.put(StreamEvent.StoreRestored)
     }
 
     override fun onSnapshot(rows: List<Row>) {
--- a/node/src/main/kotlin/gypsumcart/node/Node.kt
+++ b/node/src/main/kotlin/gypsumcart/node/Node.kt
@@ -234,6 +234,7 @@
         when (event) {
             DirectoryEvent.RegistryAvailable -> reportRegistry(isAvailable = true)
             DirectoryEvent.RegistryUnavailable -> reportRegistry(isAvailable = false)
+            DirectoryEvent.Restored -> rings.streams.put(StreamEvent.StoreRestored)
             else -> Unit
         }
     }
