Store the fleet clock's origin again when a copy of the store lacks it

A process that started after a restore found no origin and proposed one from its own wall clock, so that its usage windows differed from those of all others. Nodes store the origin on which they had agreed again, unless the store holds one.

--- a/node/src/main/kotlin/gypsumcart/node/FleetListener.kt
+++ b/node/src/main/kotlin/gypsumcart/node/FleetListener.kt
@@ -17,6 +17,7 @@
 /** Passes the rows of [Tables.FLEET] on to the duties that process them. */
 internal class FleetListener(
     private val rings: Rings,
+    private val onStoreRestored: () -> Unit = {},
     private val storeClock: () -> StoreClock?,
 ) : TableListener {
     override fun onRestored() {
@@ -24,6 +25,7 @@
         rings.usage.put(UsageEvent.StoreRestored)
         rings.membership.put(MembershipEvent.StoreRestored)
         rings.streams.put(StreamEvent.StoreRestored)
+        onStoreRestored()
     }
 
     override fun onSnapshot(rows: List<Row>) {
--- a/node/src/main/kotlin/gypsumcart/node/Node.kt
+++ b/node/src/main/kotlin/gypsumcart/node/Node.kt
@@ -225,7 +225,8 @@
         }
         runtime.scope.launch { platform.followBackEnds(::passOn) }
         runtime.scope.launch {
-            platform.rowStore.follow(Tables.FLEET, readPace, FleetListener(rings, platform.rowStore::clockOrNull))
+            val listener = FleetListener(rings, fleetClock::doubt, platform.rowStore::clockOrNull)
+            platform.rowStore.follow(Tables.FLEET, readPace, listener)
         }
     }
 
