Store the initial counts again when a copy of the store lacks them

By load, the initial numbers of back ends were stored once; a copy that lacks them makes a process that starts later count the scaled fleet as the initial one. By demand, a node took the row that it had read for what the store still holds. After a restore the holder stores the numbers again until the table shows them.

AutoscalerTest 'the initial counts are stored again until the store shows them when it comes back from an older copy' failed before (nothing stored); all 14 pass.

--- a/core/src/main/kotlin/gypsumcart/core/replicas/Autoscaler.kt
+++ b/core/src/main/kotlin/gypsumcart/core/replicas/Autoscaler.kt
@@ -70,6 +70,7 @@
             }
             is AutoscalerEvent.LoadMeasured -> noEffects { addLoads(event, now) }
             is AutoscalerEvent.InitialCountsRead -> noEffects { initialCounts.read(event.counts, now) }
+            AutoscalerEvent.StoreRestored -> noEffects { initialCounts.doubt() }
             is AutoscalerEvent.HoldingChanged -> noEffects { changeHolding(event.holding) }
             is AutoscalerEvent.RegistryChanged -> noEffects { changeRegistry(event.isAvailable) }
             is AutoscalerEvent.OrderEnded -> noEffects { orders.end(event.order, event.result) }
--- a/core/src/main/kotlin/gypsumcart/core/replicas/AutoscalerEvents.kt
+++ b/core/src/main/kotlin/gypsumcart/core/replicas/AutoscalerEvents.kt
@@ -37,6 +37,9 @@
     /** The store contains [counts], the number of back ends that each service had when the fleet began to scale it. */
     public data class InitialCountsRead(public val counts: Map<ServiceName, Int>) : AutoscalerEvent()
 
+    /** The store came back from an older copy, which may lack the initial counts. */
+    public data object StoreRestored : AutoscalerEvent()
+
     /**
      * The registry of back ends began or ceased to respond; while it does not, the list of back ends may be outdated.
      */
--- a/core/src/main/kotlin/gypsumcart/core/replicas/InitialCounts.kt
+++ b/core/src/main/kotlin/gypsumcart/core/replicas/InitialCounts.kt
@@ -13,6 +13,10 @@
     class CountedOnce : InitialCounts() {
         var firstListedAt: MonotonicTime? = null
         var listed: List<BackEnd> = emptyList()
+
+        /** Whether the store may have lost the numbers. */
+        var isDoubtful = false
+        var storedAt: MonotonicTime? = null
     }
 
     /** Counts when no further back ends have registered for some time, and upward when more come before traffic. */
@@ -33,7 +37,10 @@
     /** Records what the store contains. */
     fun read(stored: Map<ServiceName, Int>, now: MonotonicTime): Unit =
         when (this) {
-            is CountedOnce -> counts.putAll(stored)
+            is CountedOnce -> {
+                counts.putAll(stored)
+                isDoubtful = isDoubtful && stored != counts
+            }
             is CountedWhenSettled -> {
                 stored.forEach { (service, count) ->
                     this.stored[service] = count
@@ -43,6 +50,19 @@
             }
         }
 
+    /** Records that the store may have lost the numbers, so that they are to be stored again. */
+    fun doubt(): Unit =
+        when (this) {
+            is CountedOnce -> {
+                isDoubtful = counts.isNotEmpty()
+                storedAt = null
+            }
+            is CountedWhenSettled -> {
+                stored.clear()
+                storedAt = null
+            }
+        }
+
     /** Records that the directory lists [backEnds]. */
     fun list(backEnds: List<BackEnd>, now: MonotonicTime): Unit =
         when (this) {
@@ -73,10 +93,10 @@
                 .filter { (service, count) -> count > (counts[service] ?: -1) }
         counts += higher
         return when (this) {
-            is CountedOnce -> higher.isNotEmpty()
+            is CountedOnce -> higher.isNotEmpty() || isDoubtful && isWriteDue(storedAt, now)
             is CountedWhenSettled -> {
                 val isUnstored = counts.any { (service, count) -> count > (stored[service] ?: -1) }
-                isUnstored && (higher.isNotEmpty() || storedAt?.let { now - it >= WRITE_INTERVAL } ?: true)
+                isUnstored && (higher.isNotEmpty() || isWriteDue(storedAt, now))
             }
         }
     }
@@ -84,10 +104,13 @@
     /** Records that the numbers are being written to the store. */
     fun recordWrite(now: MonotonicTime): Unit =
         when (this) {
-            is CountedOnce -> Unit
+            is CountedOnce -> storedAt = now
             is CountedWhenSettled -> storedAt = now
         }
 
+    private fun isWriteDue(storedAt: MonotonicTime?, now: MonotonicTime): Boolean =
+        storedAt?.let { now - it >= WRITE_INTERVAL } ?: true
+
     private fun counted(service: ServiceName, now: MonotonicTime): Int? =
         when (this) {
             is CountedOnce -> {
--- a/core/src/test/kotlin/gypsumcart/core/replicas/AutoscalerTest.kt
+++ b/core/src/test/kotlin/gypsumcart/core/replicas/AutoscalerTest.kt
@@ -165,4 +165,28 @@
         autoscaler.decide(AutoscalerEvent.LoadMeasured(listOf(mapOf(MODEL to 6 * 14.0))), at(40.seconds))
         expectThat(tick(40).filter { it.spot }.map { it.count }.toSet()).isEqualTo(setOf(4))
     }
+
+    /** Guards against a process that counts scaled back ends as initial ones since a copy lacks the number. */
+    @Test
+    fun `the initial counts are stored again until the store shows them when it comes back from an older copy`() {
+        for (policy in listOf(ScalingPolicy.ByLoad, ScalingPolicy.ByDemand)) {
+            val holder = Autoscaler(policy)
+
+            fun stored(event: AutoscalerEvent, second: Int) =
+                holder.decide(event, at(second.seconds)).filterIsInstance<AutoscalerEffect.StoreInitialCounts>()
+
+            val store = AutoscalerEffect.StoreInitialCounts(mapOf(MODEL to 6))
+            stored(AutoscalerEvent.Configured(configuration(scaling = scaling)), 0)
+            stored(AutoscalerEvent.HoldingChanged(true), 0)
+            stored(AutoscalerEvent.BackEndsListed(onDemand(2)), 0)
+            expectThat(stored(AutoscalerEvent.Tick, 3)).isEqualTo(listOf(store))
+            stored(AutoscalerEvent.InitialCountsRead(store.counts), 4)
+            stored(AutoscalerEvent.StoreRestored, 20)
+            expectThat(stored(AutoscalerEvent.Tick, 21)).isEqualTo(listOf(store))
+            expectThat(stored(AutoscalerEvent.Tick, 22)).isEmpty()
+            expectThat(stored(AutoscalerEvent.Tick, 27)).isEqualTo(listOf(store))
+            stored(AutoscalerEvent.InitialCountsRead(store.counts), 28)
+            expectThat(stored(AutoscalerEvent.Tick, 40)).isEmpty()
+        }
+    }
 }
--- a/node/src/main/kotlin/gypsumcart/node/FleetListener.kt
+++ b/node/src/main/kotlin/gypsumcart/node/FleetListener.kt
@@ -25,6 +25,7 @@
         rings.usage.put(UsageEvent.StoreRestored)
         rings.membership.put(MembershipEvent.StoreRestored)
         rings.streams.put(StreamEvent.StoreRestored)
+        rings.orders.put(AutoscalerEvent.StoreRestored)
         onStoreRestored()
     }
 
