Read a relay's table as a whole when it lacks the changes after a position

FeedProgress has the whole table read from a relay that lacks the changes, at once, and passes over a relay that lacks them again or is in an earlier era than the latest that this node knows.

--- a/core/src/main/kotlin/gypsumcart/core/membership/FeedProgress.kt
+++ b/core/src/main/kotlin/gypsumcart/core/membership/FeedProgress.kt
@@ -14,8 +14,8 @@
     /** [origin] responded with the changes up to [position]. */
     public data class ChangesRead(public val origin: FeedOrigin, public val position: StorePosition) : ProgressEvent()
 
-    /** The store lacks the changes after the position reached; [latestEra] is the latest era that it has named. */
-    public data class HistoryGone(public val latestEra: StoreEra?) : ProgressEvent()
+    /** [origin] lacks the changes after the position reached; [latestEra] is the latest era named by the store. */
+    public data class HistoryGone(public val origin: FeedOrigin, public val latestEra: StoreEra?) : ProgressEvent()
 
     /** What was read could not be processed. */
     public data object ProcessingFailed : ProgressEvent()
@@ -61,26 +61,41 @@
 public class FeedProgress : Decider<ProgressEvent, ProgressEffect> {
     private var reached: StorePosition? = null
     private var isTableDue = true
+    private var latestEra: StoreEra? = null
+
+    /** Whether a relay has responded with the whole table and with no changes since. */
+    private var isTableOfRelay = false
 
     override fun decide(event: ProgressEvent, now: MonotonicTime): List<ProgressEffect> =
         when (event) {
-            is ProgressEvent.ReadDue -> startRead(event.latestEra)
+            is ProgressEvent.ReadDue -> {
+                latestEra = event.latestEra
+                startRead()
+            }
+
             is ProgressEvent.TableRead -> endTable(event)
+
             is ProgressEvent.ChangesRead -> endChanges(event.position)
-            is ProgressEvent.HistoryGone -> endWithoutHistory(event.latestEra)
+
+            is ProgressEvent.HistoryGone -> {
+                latestEra = event.latestEra
+                endWithoutHistory(event.origin)
+            }
+
             ProgressEvent.ProcessingFailed -> restart(RestartCause.FAULT)
         }
 
-    private fun startRead(latestEra: StoreEra?): List<ProgressEffect> {
+    private fun startRead(): List<ProgressEffect> {
         val position = reached.takeUnless { isTableDue } ?: return listOf(ProgressEffect.ReadTable)
-        if (position.isBefore(latestEra)) return restart(RestartCause.NEW_ERA) + ProgressEffect.ReadTable
+        if (position.isOutdated) return restart(RestartCause.NEW_ERA) + ProgressEffect.ReadTable
         return listOf(ProgressEffect.ReadChanges(position))
     }
 
     private fun endTable(event: ProgressEvent.TableRead): List<ProgressEffect> {
         val before = reached
         val position = event.position
-        if (before != null && !event.follows(before)) return listOf(ProgressEffect.Discard)
+        if (position.isOutdated || before != null && !event.follows(before)) return listOf(ProgressEffect.Discard)
+        isTableOfRelay = event.origin is FeedOrigin.Relay
         reached = position
         isTableDue = false
         return listOf(ProgressEffect.Apply(restored = before != null && before.era < position.era))
@@ -96,20 +111,32 @@
     private fun endChanges(position: StorePosition): List<ProgressEffect> {
         val before = reached ?: return listOf(ProgressEffect.Discard)
         return when {
+            position.isOutdated || position.era < before.era -> listOf(ProgressEffect.Discard)
             position.era > before.era -> restart(RestartCause.NEW_ERA) + ProgressEffect.ReadTable
-            position.era < before.era -> listOf(ProgressEffect.Discard)
             else -> {
+                isTableOfRelay = false
                 reached = maxOf(before, position)
                 listOf(ProgressEffect.Apply(restored = false))
             }
         }
     }
 
-    private fun endWithoutHistory(latestEra: StoreEra?): List<ProgressEffect> =
-        if (reached?.isBefore(latestEra) == true) {
-            restart(RestartCause.NEW_ERA) + ProgressEffect.ReadTable
-        } else {
-            restart(RestartCause.HISTORY_GONE)
+    /** A relay can pass its whole view on at once; the store, which may decline again, is asked after a pause. */
+    private fun endWithoutHistory(origin: FeedOrigin): List<ProgressEffect> =
+        when (origin) {
+            FeedOrigin.Store ->
+                if (reached?.isOutdated == true) {
+                    restart(RestartCause.NEW_ERA) + ProgressEffect.ReadTable
+                } else {
+                    restart(RestartCause.HISTORY_GONE)
+                }
+
+            is FeedOrigin.Relay ->
+                if (isTableOfRelay) {
+                    listOf(ProgressEffect.Discard)
+                } else {
+                    restart(RestartCause.HISTORY_GONE) + ProgressEffect.ReadTable
+                }
         }
 
     private fun restart(cause: RestartCause): List<ProgressEffect> {
@@ -117,5 +144,5 @@
         return listOf(ProgressEffect.ReportRestart(cause, reached))
     }
 
-    private fun StorePosition.isBefore(latestEra: StoreEra?): Boolean = latestEra != null && era < latestEra
+    private val StorePosition.isOutdated: Boolean get() = latestEra?.let { era < it } ?: false
 }
--- a/core/src/test/kotlin/gypsumcart/core/membership/FeedProgressTest.kt
+++ b/core/src/test/kotlin/gypsumcart/core/membership/FeedProgressTest.kt
@@ -65,10 +65,10 @@
     fun `a history that is gone is read as a whole at once in a new era, and otherwise at the next read`() {
         readDue(1)
         readTable(1, 7)
-        expectThat(decide(ProgressEvent.HistoryGone(StoreEra(2))))
+        expectThat(decide(ProgressEvent.HistoryGone(store, StoreEra(2))))
             .containsExactly(restart(RestartCause.NEW_ERA, 1, 7), ProgressEffect.ReadTable)
         readTable(2, 5)
-        expectThat(decide(ProgressEvent.HistoryGone(StoreEra(2))))
+        expectThat(decide(ProgressEvent.HistoryGone(store, StoreEra(2))))
             .containsExactly(restart(RestartCause.HISTORY_GONE, 2, 5))
         expectThat(readDue(2)).containsExactly(ProgressEffect.ReadTable)
     }
@@ -83,6 +83,27 @@
         expectThat(readTable(1, 90)).containsExactly(ProgressEffect.Discard)
     }
 
+    // Guards against rows of a relay that has not heard of the return which this node knows of (CONFIG).
+    @Test
+    fun `a relay in an earlier era than the latest is passed over`() {
+        readDue(2)
+        expectThat(readTable(1, 90, relay)).containsExactly(ProgressEffect.Discard)
+        expectThat(readTable(2, 3, relay)).containsExactly(ProgressEffect.Apply(restored = false))
+    }
+
+    // Guards against a node that its relay declines for good, as its position is of an earlier era (CONFIG).
+    @Test
+    fun `a relay that lacks the changes is read as a whole, and passed over if it lacks them again`() {
+        readDue(1)
+        readTable(1, 7)
+        val gone = ProgressEvent.HistoryGone(relay, StoreEra(1))
+        expectThat(decide(gone)).containsExactly(restart(RestartCause.HISTORY_GONE, 1, 7), ProgressEffect.ReadTable)
+        expectThat(readTable(2, 3, relay)).containsExactly(ProgressEffect.Apply(restored = true))
+        expectThat(decide(gone)).containsExactly(ProgressEffect.Discard)
+        readChanges(2, 4, relay)
+        expectThat(decide(gone)).containsExactly(restart(RestartCause.HISTORY_GONE, 2, 4), ProgressEffect.ReadTable)
+    }
+
     @Test
     fun `a fault leads to a read of the whole table, from a relay only if it is as far`() {
         readDue(1)
@@ -97,7 +118,7 @@
     fun `the versions of a store that names no era may go back`() {
         readDue(null)
         readTable(0, 7)
-        decide(ProgressEvent.HistoryGone(null))
+        decide(ProgressEvent.HistoryGone(store, null))
         expectThat(readDue(null)).containsExactly(ProgressEffect.ReadTable)
         expectThat(readTable(0, 3)).containsExactly(ProgressEffect.Apply(restored = false))
     }
--- a/standins/src/test/kotlin/gypsumcart/standins/RelayedFeedsTest.kt
+++ b/standins/src/test/kotlin/gypsumcart/standins/RelayedFeedsTest.kt
@@ -231,6 +231,24 @@
         expectThat(nodes[0].listed).isEqualTo(mapOf("i-1" to true))
     }
 
+    // Guards against a node that its relay declines for good, as its position is of an earlier era (CONFIG).
+    @Test
+    fun `a node that the store turns away follows its relay when the store has come back from a copy`() {
+        startNodes(2)
+        nodes[1].storeMode = Mode.REFUSES
+        // By then a poll that the store served has ended.
+        Thread.sleep(2_500)
+        val copy = store.copy()
+        repeat(5) { putBackEnd("lost-$it", "ready") }
+        awaitCondition { nodes.all { "lost-4" in it.listed } }
+        store.restore(copy)
+        repeat(50) { putBackEnd("new-$it", "ready") }
+        val start = TimeSource.Monotonic.markNow()
+        awaitCondition { nodes.all { "new-49" in it.listed } }
+        expectThat(start.elapsedNow()).isLessThan(DRAIN)
+        expectThat(nodes.flatMap { it.listed.keys }.filter { "lost" in it }).isEmpty()
+    }
+
     @Test
     fun `the tables are unavailable while the store is away for all, and available after its return`() {
         startNodes(3)
