Send no conditional write whose version is of an earlier era of the store

A condition names the version of a row that was read.

Such a write is not sent and fails as EarlierEra, on which the lease and the roll-outs read the row, as after a write without an answer. That there is no row means the same in every era.

--- a/core/src/main/kotlin/gypsumcart/core/membership/StorePosition.kt
+++ b/core/src/main/kotlin/gypsumcart/core/membership/StorePosition.kt
@@ -36,6 +36,13 @@
     /** The version as the store numbers it. */
     public val counter: Long get() = number and MAX_COUNTER
 
+    /**
+     * Whether a condition on a row with this version holds for the same row in [other].
+     *
+     * In another era the version may be that of another change. That there is no row means the same in all eras.
+     */
+    public fun isComparableIn(other: StoreEra): Boolean = number == 0L || era == other
+
     override fun compareTo(other: StorePosition): Int = number.compareTo(other.number)
 
     override fun toString(): String = "$era:$counter"
--- a/node/src/main/kotlin/gypsumcart/node/FleetDuties.kt
+++ b/node/src/main/kotlin/gypsumcart/node/FleetDuties.kt
@@ -214,7 +214,8 @@
             { failure ->
                 when (failure) {
                     is StoreFailure.Conflict -> LeaseWriteResult.Outdated(failure.current?.toLeaseOrNull())
-                    is StoreFailure.Declined, StoreFailure.NoAnswer -> LeaseWriteResult.Unknown
+                    is StoreFailure.Declined, StoreFailure.EarlierEra, StoreFailure.NoAnswer ->
+                        LeaseWriteResult.Unknown
                 }
             },
         )
@@ -329,5 +330,6 @@
     when (this) {
         is StoreFailure.Conflict -> "conflict"
         is StoreFailure.Declined -> "declined_$status"
+        StoreFailure.EarlierEra -> "earlier_era"
         StoreFailure.NoAnswer -> "no_answer"
     }
--- a/node/src/main/kotlin/gypsumcart/node/Ports.kt
+++ b/node/src/main/kotlin/gypsumcart/node/Ports.kt
@@ -70,6 +70,13 @@
     /** The store declined the request with [status] and changed nothing. */
     public data class Declined(public val status: Int) : StoreFailure()
 
+    /**
+     * The store has come back from an older copy since it assigned the expected version.
+     *
+     * Nothing was changed. The version may be that of another change now, so the row has to be read again.
+     */
+    public data object EarlierEra : StoreFailure()
+
     /** No readable response arrived; a change may have been applied, or may still be applied later. */
     public data object NoAnswer : StoreFailure()
 }
--- a/node/src/main/kotlin/gypsumcart/node/RolloutDuty.kt
+++ b/node/src/main/kotlin/gypsumcart/node/RolloutDuty.kt
@@ -162,7 +162,8 @@
                 when (failure) {
                     is StoreFailure.Conflict ->
                         RolloutWriteResult.Outdated(failure.current?.toRolloutRowOrNull(storeMillis()))
-                    is StoreFailure.Declined, StoreFailure.NoAnswer -> RolloutWriteResult.Unknown
+                    is StoreFailure.Declined, StoreFailure.EarlierEra, StoreFailure.NoAnswer ->
+                        RolloutWriteResult.Unknown
                 }
             },
         )
