Confirm that a version is the only one before a stream goes on at it

Reported by other operators: during a release one node was out of step while back ends of a new version joined; streams that had begun there through other nodes were taken up at that node and went on at another version (ORDER).

Cause: a take-up whose record was not written yet went on at the only version that the node knew. A node hears of a version up to 0.4 s after others, and later if its feed is silent, it was cut off or stood still.

Now the registry and the stored versions are read after the take-up has arrived (CheckVersions); one check at a time serves all that wait. Every stream begins after its version is in the registry, so the check names it. Without a check the request is refused for now.

Changed tests: StreamOriginsTest expected a route as soon as a record was absent; it now expects the check, and the route after it. That take- ups beyond the bound of reads go on is checked with the check, too.

--- a/core/src/main/kotlin/gypsumcart/core/streams/StreamEvents.kt
+++ b/core/src/main/kotlin/gypsumcart/core/streams/StreamEvents.kt
@@ -46,6 +46,19 @@
     public data object Failed : RecordReadResult()
 }
 
+/** Describes the result of a check of the versions that are in use. */
+public sealed class VersionCheck {
+    /**
+     * The store responded.
+     *
+     * @property versions those that the registry listed or the stored rows named after the check had been requested
+     */
+    public data class Confirmed(public val versions: Map<ServiceName, Set<BackEndVersion?>>) : VersionCheck()
+
+    /** The store did not respond. */
+    public data object Failed : VersionCheck()
+}
+
 /** Represents an input of the [StreamOrigins] decider. */
 public sealed class StreamEvent {
     /** The registry lists [backEnds]. */
@@ -83,6 +96,9 @@
     /** The read of a record for the request with [ticket] ended with [result]. */
     public data class RecordRead(public val ticket: Ticket, public val result: RecordReadResult) : StreamEvent()
 
+    /** The check of the versions in use ended with [result]. */
+    public data class VersionsChecked(public val result: VersionCheck) : StreamEvent()
+
     /** The write of records ended. */
     public data class RecordsWritten(public val succeeded: Boolean) : StreamEvent()
 
@@ -95,7 +111,7 @@
 
 /** Describes how the version that began a stream became known. */
 public sealed class OriginSource {
-    /** Only one version of the service was in use while the stream can have begun. */
+    /** Only one version of the service was in use until after the take-up arrived. */
     public data object History : OriginSource()
 
     /** This node forwarded the first event. */
@@ -116,6 +132,9 @@
     /** Reads the record of the stream that began with [beganAs], for the request with [ticket]. */
     public data class ReadRecord(public val ticket: Ticket, public val beganAs: RequestId) : StreamEffect()
 
+    /** Reads which versions of [services] are in use now; ends with [StreamEvent.VersionsChecked]. */
+    public data class CheckVersions(public val services: Set<ServiceName>) : StreamEffect()
+
     /** Writes [records] together. */
     public data class WriteRecords(public val records: List<StreamRecord>) : StreamEffect()
 
--- /dev/null
+++ b/core/src/main/kotlin/gypsumcart/core/streams/StreamLookups.kt
@@ -0,0 +1,93 @@
+package gypsumcart.core.streams
+
+import gypsumcart.core.AdmittedRequest
+import gypsumcart.core.MonotonicTime
+import gypsumcart.core.RequestId
+import gypsumcart.core.ServiceName
+import gypsumcart.core.Ticket
+
+/** Describes what a request that takes a stream up waits for. */
+internal sealed class LookupState {
+    /** The record is being read; [isLast] says that it is for the second time. */
+    data class ReadingRecord(val isLast: Boolean) : LookupState()
+
+    /**
+     * There is no record, or none is read, and the versions in use are to be checked.
+     *
+     * @property isRunning whether a check has started since
+     * @property isLast whether the request is refused if they are several
+     */
+    data class CheckingVersions(val isRunning: Boolean, val isLast: Boolean) : LookupState()
+
+    /** The record was not found, and is read once more at [until]. */
+    data class AwaitingWrite(val until: MonotonicTime) : LookupState()
+}
+
+/** Tracks a request whose origin is being determined; it is refused at [giveUpAt]. */
+internal class StreamLookup(
+    val admitted: AdmittedRequest,
+    val giveUpAt: MonotonicTime,
+    var state: LookupState,
+) {
+    val beganAs: RequestId? get() = admitted.submission.takeUp?.beganAs
+
+    /** Whether its record is being read, or may be. */
+    val mayReadRecord: Boolean get() = (state as? LookupState.CheckingVersions)?.isLast != true
+
+    val dueTime: MonotonicTime
+        get() = (state as? LookupState.AwaitingWrite)?.until?.let { minOf(it, giveUpAt) } ?: giveUpAt
+}
+
+/** Holds the requests whose origins are being determined, and the check of versions that they share. */
+internal class StreamLookups {
+    private val lookups = LinkedHashMap<Ticket, StreamLookup>()
+    private var isCheckRunning = false
+
+    /** Whether another request may wait. */
+    val hasRoom: Boolean get() = lookups.size < MAX_LOOKUPS
+
+    /** Whether another request may wait whose record is read. */
+    val hasRoomForRead: Boolean get() = hasRoom && lookups.values.count { it.mayReadRecord } < MAX_READS
+
+    val nextDueTime: MonotonicTime? get() = lookups.values.minOfOrNull { it.dueTime }
+
+    operator fun get(ticket: Ticket): StreamLookup? = lookups[ticket]
+
+    fun add(lookup: StreamLookup) {
+        lookups[lookup.admitted.ticket] = lookup
+    }
+
+    fun remove(lookup: StreamLookup) {
+        lookups -= lookup.admitted.ticket
+    }
+
+    fun dueAt(now: MonotonicTime): List<StreamLookup> = lookups.values.filter { it.dueTime <= now }
+
+    /** Starts a check for all requests that wait for one, unless one runs, which may have read before they came. */
+    fun startCheckOrNull(): StreamEffect.CheckVersions? {
+        if (isCheckRunning) return null
+        val services = HashSet<ServiceName>()
+        for (lookup in lookups.values) {
+            val state = lookup.state as? LookupState.CheckingVersions ?: continue
+            lookup.state = state.copy(isRunning = true)
+            services += lookup.admitted.service
+        }
+        if (services.isEmpty()) return null
+        isCheckRunning = true
+        return StreamEffect.CheckVersions(services)
+    }
+
+    /** Ends the check and returns the requests that it was started for. */
+    fun endCheck(): List<StreamLookup> {
+        isCheckRunning = false
+        return lookups.values.filter { (it.state as? LookupState.CheckingVersions)?.isRunning == true }
+    }
+
+    private companion object {
+        /** Bounds the reads that a node has in progress. */
+        const val MAX_READS = 256
+
+        /** Bounds the requests that wait while one check serves them all. */
+        const val MAX_LOOKUPS = 1_024
+    }
+}
--- a/core/src/main/kotlin/gypsumcart/core/streams/StreamOrigins.kt
+++ b/core/src/main/kotlin/gypsumcart/core/streams/StreamOrigins.kt
@@ -6,10 +6,8 @@
 import gypsumcart.core.MonotonicTime
 import gypsumcart.core.Outcome
 import gypsumcart.core.RefusalReason
-import gypsumcart.core.RequestId
 import gypsumcart.core.ServiceName
 import gypsumcart.core.StreamOrigin
-import gypsumcart.core.Ticket
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
@@ -18,29 +16,16 @@
  * Determines which version began the stream that a client takes up, and keeps the records that other nodes need for it.
  *
  * The streams that began at this node are known. For the others, the version is the one in the stream's record, or the
- * only one that was in use lately if there is no record. The record goes first because another node may have heard of
- * a new version before this one. A request whose origin remains unknown is refused.
+ * only one that was in use lately if there is no record. Another node may have heard of a new version before this one,
+ * and not have stored the record yet; so the only version counts after a check that started after the request had
+ * arrived. A request whose origin remains unknown is refused.
  */
 public class StreamOrigins : Decider<StreamEvent, StreamEffect> {
-    /** Describes what a request waits for. */
-    private sealed class Wait {
-        /** The record is being read; [isLast] says that it is for the second time. */
-        data class ForRecord(val isLast: Boolean) : Wait()
-
-        /** The record was not found, and is read once more at [until]. */
-        data class ForWrite(val until: MonotonicTime) : Wait()
-    }
-
-    private class Lookup(val admitted: AdmittedRequest, val beganAs: RequestId, val giveUpAt: MonotonicTime) {
-        var wait: Wait = Wait.ForRecord(isLast = false)
-
-        val dueTime: MonotonicTime get() = (wait as? Wait.ForWrite)?.until?.let { minOf(it, giveUpAt) } ?: giveUpAt
-    }
+    private val lookups = StreamLookups()
 
     private val history = VersionHistory()
     private val memory = StreamMemory()
     private val rows = VersionRows()
-    private val lookups = LinkedHashMap<Ticket, Lookup>()
     private var inUse: Map<ServiceName, Set<BackEndVersion?>> = emptyMap()
 
     private var isListed = false
@@ -58,7 +43,7 @@
     private var wakeUpAt: MonotonicTime? = null
 
     override fun decide(event: StreamEvent, now: MonotonicTime): List<StreamEffect> =
-        handle(event, now) + listOfNotNull(recordWriteOrNull(now), wakeUpOrNull(now))
+        handle(event, now) + listOfNotNull(lookups.startCheckOrNull(), recordWriteOrNull(now), wakeUpOrNull(now))
 
     private fun handle(event: StreamEvent, now: MonotonicTime): List<StreamEffect> =
         when (event) {
@@ -81,7 +66,7 @@
                 versionWrites(now)
             }
 
-            is StreamEvent.TakenUp -> listOf(takeUp(event.admitted, now))
+            is StreamEvent.TakenUp -> listOfNotNull(takeUp(event.admitted, now))
 
             is StreamEvent.StreamBegan ->
                 noEffects {
@@ -93,6 +78,8 @@
 
             is StreamEvent.RecordRead -> listOfNotNull(endRead(event, now))
 
+            is StreamEvent.VersionsChecked -> lookups.endCheck().mapNotNull { endCheck(it, event.result, now) }
+
             is StreamEvent.RecordsWritten ->
                 noEffects {
                     memory.endBatch(event.succeeded)
@@ -119,8 +106,7 @@
         wakeUpAt = wakeUpAt?.takeIf { it > now }
         memory.expire(now)
         val versionChanges = refreshVersions(now)
-        val due = lookups.values.filter { it.dueTime <= now }
-        return versionChanges + due.map { continueLookup(it, now) }
+        return versionChanges + lookups.dueAt(now).map { continueLookup(it, now) }
     }
 
     private fun readVersions(event: StreamEvent.VersionsRead, now: MonotonicTime): List<StreamEffect> {
@@ -143,32 +129,36 @@
     private fun versionWrites(now: MonotonicTime): List<StreamEffect> =
         if (isLowest) rows.dueWrites(inUse, now) else emptyList()
 
-    private fun takeUp(admitted: AdmittedRequest, now: MonotonicTime): StreamEffect {
+    private fun takeUp(admitted: AdmittedRequest, now: MonotonicTime): StreamEffect? {
         val beganAs = admitted.submission.takeUp?.beganAs
         val own = beganAs?.let(memory::recordOrNull)
         return when {
             own != null -> route(admitted, own, OriginSource.Memory)
+
             admitted.deadline <= now -> refuse(admitted, RefusalReason.OriginUnknown, retryAfter = null)
-            beganAs == null -> routeByHistoryOrNull(admitted, now) ?: refuseUnknown(admitted, isAbsent = true)
-            lookups.size >= MAX_LOOKUPS ->
-                routeByHistoryOrNull(admitted, now)
-                    ?: refuse(admitted, RefusalReason.Overloaded("streams"), RETRY_AFTER)
-
-            else -> {
-                val lookup = Lookup(admitted, beganAs, minOf(admitted.deadline, now + MAX_LOOKUP))
-                lookups[admitted.ticket] = lookup
+
+            beganAs != null && lookups.hasRoomForRead -> {
+                addLookup(admitted, LookupState.ReadingRecord(isLast = false), now)
                 StreamEffect.ReadRecord(admitted.ticket, beganAs)
             }
+
+            knowsOneVersion(admitted.service, now) && lookups.hasRoom ->
+                null.also { addLookup(admitted, LookupState.CheckingVersions(isRunning = false, isLast = true), now) }
+
+            beganAs == null -> refuseUnknown(admitted, isFinal = inUse[admitted.service].isSeveral)
+
+            else -> refuse(admitted, RefusalReason.Overloaded("streams"), RETRY_AFTER)
         }
     }
 
-    private fun routeByHistoryOrNull(admitted: AdmittedRequest, now: MonotonicTime): StreamEffect? {
-        val versions = inUse[admitted.service].orEmpty()
-        if (!knowsAllVersions(now) || versions.size != 1) return null
-        return route(admitted, versions.single(), OriginSource.History)
+    private fun addLookup(admitted: AdmittedRequest, state: LookupState, now: MonotonicTime) {
+        lookups.add(StreamLookup(admitted, minOf(admitted.deadline, now + MAX_LOOKUP), state))
     }
 
-    /** Returns whether no version can be in use that this node has not heard of. */
+    private fun knowsOneVersion(service: ServiceName, now: MonotonicTime): Boolean =
+        knowsAllVersions(now) && inUse[service]?.size == 1
+
+    /** Returns whether no version can be in use that this node would not have heard of if it were in step. */
     private fun knowsAllVersions(now: MonotonicTime): Boolean =
         rows.isRead && isListed && isRegistryAvailable && upToDateFrom?.let { it > now } != true
 
@@ -187,40 +177,63 @@
 
     private fun endRead(event: StreamEvent.RecordRead, now: MonotonicTime): StreamEffect? {
         val lookup = lookups[event.ticket] ?: return null
-        val wait = lookup.wait as? Wait.ForRecord ?: return null
+        val state = lookup.state as? LookupState.ReadingRecord ?: return null
+        val service = lookup.admitted.service
         val record = (event.result as? RecordReadResult.Found)?.record?.takeIf { it.beganAs == lookup.beganAs }
         val isAbsent = record == null && event.result != RecordReadResult.Failed
-        val routed =
-            when {
-                record != null -> route(lookup.admitted, record, OriginSource.Store)
-                isAbsent -> routeByHistoryOrNull(lookup.admitted, now)
-                else -> null
-            }
-        val readAgainAt = now + WRITE_DELAY
         return when {
-            routed != null -> routed.also { lookups -= event.ticket }
-            wait.isLast || readAgainAt >= lookup.giveUpAt -> giveUp(lookup, isAbsent)
-            else -> null.also { lookup.wait = Wait.ForWrite(readAgainAt) }
+            record != null -> route(lookup.admitted, record, OriginSource.Store).also { lookups.remove(lookup) }
+
+            isAbsent && knowsOneVersion(service, now) ->
+                null.also { lookup.state = LookupState.CheckingVersions(isRunning = false, state.isLast) }
+
+            else -> awaitWriteOrGiveUp(lookup, state.isLast, isFinal = isAbsent && inUse[service].isSeveral, now)
         }
     }
 
-    private fun continueLookup(lookup: Lookup, now: MonotonicTime): StreamEffect {
-        if (lookup.giveUpAt <= now) return giveUp(lookup, isAbsent = false)
-        lookup.wait = Wait.ForRecord(isLast = true)
-        return StreamEffect.ReadRecord(lookup.admitted.ticket, lookup.beganAs)
+    private fun endCheck(lookup: StreamLookup, result: VersionCheck, now: MonotonicTime): StreamEffect? {
+        val isLast = (lookup.state as? LookupState.CheckingVersions)?.isLast ?: return null
+        val service = lookup.admitted.service
+        val versions =
+            when (result) {
+                is VersionCheck.Confirmed -> inUse[service].orEmpty() + result.versions[service].orEmpty()
+                VersionCheck.Failed -> emptySet()
+            }
+        if (versions.size != 1 || !knowsAllVersions(now)) {
+            return awaitWriteOrGiveUp(lookup, isLast, isFinal = versions.isSeveral, now)
+        }
+        lookups.remove(lookup)
+        return route(lookup.admitted, versions.single(), OriginSource.History)
     }
 
-    private fun giveUp(lookup: Lookup, isAbsent: Boolean): StreamEffect {
-        lookups -= lookup.admitted.ticket
-        return refuseUnknown(lookup.admitted, isAbsent)
+    private fun awaitWriteOrGiveUp(
+        lookup: StreamLookup,
+        isLast: Boolean,
+        isFinal: Boolean,
+        now: MonotonicTime,
+    ): StreamEffect? {
+        val readAgainAt = now + WRITE_DELAY
+        if (isLast || readAgainAt >= lookup.giveUpAt) return giveUp(lookup, isFinal)
+        lookup.state = LookupState.AwaitingWrite(readAgainAt)
+        return null
+    }
+
+    private fun continueLookup(lookup: StreamLookup, now: MonotonicTime): StreamEffect {
+        val beganAs = lookup.beganAs
+        if (beganAs == null || lookup.giveUpAt <= now) return giveUp(lookup, isFinal = false)
+        lookup.state = LookupState.ReadingRecord(isLast = true)
+        return StreamEffect.ReadRecord(lookup.admitted.ticket, beganAs)
     }
 
-    /** Refuses the request, for good if there is no record although one would have been stored. */
-    private fun refuseUnknown(admitted: AdmittedRequest, isAbsent: Boolean): StreamEffect {
-        val isFinal = isAbsent && inUse[admitted.service].isSeveral
-        return refuse(admitted, RefusalReason.OriginUnknown, RETRY_AFTER.takeUnless { isFinal })
+    private fun giveUp(lookup: StreamLookup, isFinal: Boolean): StreamEffect {
+        lookups.remove(lookup)
+        return refuseUnknown(lookup.admitted, isFinal)
     }
 
+    /** Refuses the request, for good if no record of its stream was stored although several versions are in use. */
+    private fun refuseUnknown(admitted: AdmittedRequest, isFinal: Boolean): StreamEffect =
+        refuse(admitted, RefusalReason.OriginUnknown, RETRY_AFTER.takeUnless { isFinal })
+
     private fun recordWriteOrNull(now: MonotonicTime): StreamEffect? {
         if (!memory.isWriteDue || nextWriteAt?.let { it > now } == true) return null
         nextWriteAt = now + writePause
@@ -230,7 +243,7 @@
     /** Requests a tick for the next due time, unless one has been requested that comes no later. */
     private fun wakeUpOrNull(now: MonotonicTime): StreamEffect? {
         val nextWrite = nextWriteAt?.takeIf { memory.isWriteDue }
-        val next = (lookups.values.map { it.dueTime } + listOfNotNull(nextWrite)).minOrNull() ?: return null
+        val next = listOfNotNull(lookups.nextDueTime, nextWrite).minOrNull() ?: return null
         if (wakeUpAt?.let { it in now..next } == true) return null
         wakeUpAt = next
         return StreamEffect.WakeAt(next)
@@ -258,9 +271,6 @@
         /** Less than clients wait for a first event. */
         val MAX_LOOKUP: Duration = 1.seconds
 
-        /** Bounds the reads that a node has in progress. */
-        const val MAX_LOOKUPS = 256
-
         /** Short, because another node can know the origin. */
         val RETRY_AFTER: Duration = 300.milliseconds
     }
--- a/core/src/test/kotlin/gypsumcart/core/streams/StreamOriginsPropertyTest.kt
+++ b/core/src/test/kotlin/gypsumcart/core/streams/StreamOriginsPropertyTest.kt
@@ -57,6 +57,7 @@
                 is StreamEffect.WakeAt -> schedule(effect.time - now) { decide(StreamEvent.Tick) }
                 is StreamEffect.ReadRecord ->
                     answer(effect) { StreamEvent.RecordRead(effect.ticket, readRecord(effect.beganAs)) }
+                is StreamEffect.CheckVersions -> answer(effect) { StreamEvent.VersionsChecked(checkVersions()) }
                 is StreamEffect.WriteRecords ->
                     answer(
                         effect,
@@ -72,7 +73,7 @@
         /** The store acts on a call even if its caller has been killed, unless the call had not left. */
         private fun answer(effect: StreamEffect, act: () -> StreamEvent) {
             val result = lazy(act)
-            if (effect !is StreamEffect.ReadRecord) result.value
+            if (effect !is StreamEffect.ReadRecord && effect !is StreamEffect.CheckVersions) result.value
             schedule(random.nextInt(2, 15).milliseconds) { decide(result.value) }
         }
     }
@@ -102,6 +103,13 @@
             else -> records[slotOf(beganAs)]?.let(RecordReadResult::Found) ?: RecordReadResult.Absent
         }
 
+    private fun checkVersions(): VersionCheck =
+        if (isStoreAvailable) {
+            VersionCheck.Confirmed(mapOf(LEDGER to listed + storedVersions[LEDGER].orEmpty()))
+        } else {
+            VersionCheck.Failed
+        }
+
     private fun writeRecords(written: List<StreamRecord>): Boolean {
         if (!isStoreAvailable) return false
         written.forEach { records[slotOf(it.beganAs)] = it }
--- a/core/src/test/kotlin/gypsumcart/core/streams/StreamOriginsTest.kt
+++ b/core/src/test/kotlin/gypsumcart/core/streams/StreamOriginsTest.kt
@@ -39,6 +39,9 @@
     private fun endRead(result: RecordReadResult, number: Long = 1): List<StreamEffect> =
         decide(StreamEvent.RecordRead(Ticket(number), result))
 
+    private fun endCheck(versions: Set<BackEndVersion?>): List<StreamEffect> =
+        decide(StreamEvent.VersionsChecked(VersionCheck.Confirmed(mapOf(LEDGER to versions))))
+
     /** Starts a node when [stored] is in the store and [listed] in the registry. */
     private fun start(stored: Set<BackEndVersion?>, listed: Set<BackEndVersion?>) {
         decide(listed(listed))
@@ -49,6 +52,8 @@
 
     private fun List<StreamEffect>.reads() = filterIsInstance<StreamEffect.ReadRecord>().map { it.beganAs.text }
 
+    private fun List<StreamEffect>.checks() = filterIsInstance<StreamEffect.CheckVersions>().map { it.services }
+
     private fun List<StreamEffect>.writtenIds() =
         filterIsInstance<StreamEffect.WriteRecords>().flatMap { write -> write.records.map { it.beganAs.text } }
 
@@ -60,15 +65,18 @@
     fun `a stream goes on at the only version, also if the client does not name it`() {
         start(setOf(V1), setOf(V1))
         arrive("a")
-        expectThat(endRead(RecordReadResult.Absent).routedVersions()).containsExactly(V1)
-        expectThat(arrive(null, number = 2).routedVersions()).containsExactly(V1)
+        expectThat(endRead(RecordReadResult.Absent).checks()).isEqualTo(listOf(setOf(LEDGER)))
+        expectThat(endCheck(setOf(V1)).routedVersions()).containsExactly(V1)
+        expectThat(arrive(null, number = 2).checks()).isEqualTo(listOf(setOf(LEDGER)))
+        expectThat(endCheck(setOf(V1)).routedVersions()).containsExactly(V1)
     }
 
     // Guards against back ends without a version being taken for any version.
     @Test
     fun `back ends that state no version count as one version`() {
         start(emptySet(), setOf(null))
-        expectThat(arrive(null).routedVersions()).containsExactly(null as BackEndVersion?)
+        arrive(null)
+        expectThat(endCheck(setOf(null)).routedVersions()).containsExactly(null as BackEndVersion?)
         decide(listed(setOf(null, V1)))
         expectThat(arrive(null, number = 2).outcomes()).containsExactly(UNKNOWN)
     }
@@ -90,7 +98,8 @@
         expectThat(endRead(RecordReadResult.Absent).routedVersions()).isEmpty()
         elapse(2.seconds)
         arrive("b", number = 2)
-        expectThat(endRead(RecordReadResult.Absent, number = 2).routedVersions()).containsExactly(V2)
+        expectThat(endRead(RecordReadResult.Absent, number = 2).routedVersions()).isEmpty()
+        expectThat(endCheck(setOf(V2)).routedVersions()).containsExactly(V2)
     }
 
     // Guards against joined streams after a restart of one node, which has forgotten the streams that began there.
@@ -109,7 +118,8 @@
         expectThat(arrive("a", number = 2).reads()).containsExactly("a")
         expectThat(endRead(found("a", V1), number = 2).routedVersions()).containsExactly(V1)
         elapse(31.seconds)
-        expectThat(arrive(null, number = 3).routedVersions()).containsExactly(V2)
+        arrive(null, number = 3)
+        expectThat(endCheck(setOf(V2)).routedVersions()).containsExactly(V2)
     }
 
     // Guards against taking the first list after a start for all versions of the last moments.
@@ -121,7 +131,8 @@
         expectThat(endRead(RecordReadResult.Absent, number = 2).routedVersions()).isEmpty()
         decide(stored(setOf(V2)))
         elapse(150.milliseconds)
-        expectThat(endRead(RecordReadResult.Absent, number = 2).routedVersions()).containsExactly(V2)
+        expectThat(endRead(RecordReadResult.Absent, number = 2).routedVersions()).isEmpty()
+        expectThat(endCheck(setOf(V2)).routedVersions()).containsExactly(V2)
     }
 
     // Guards against the stored versions being taken for a list before back ends have been listed.
@@ -161,7 +172,8 @@
         decide(StreamEvent.RegistryChanged(isAvailable = true))
         expectThat(arrive(null, number = 3).outcomes()).containsExactly(UNKNOWN_FOR_NOW)
         elapse(1.5.seconds)
-        expectThat(arrive(null, number = 4).routedVersions()).containsExactly(V1)
+        arrive(null, number = 4)
+        expectThat(endCheck(setOf(V1)).routedVersions()).containsExactly(V1)
     }
 
     // Guards against a lost stream when its node writes the record just after the first read.
@@ -375,7 +387,18 @@
         start(setOf(V1), setOf(V1))
         val effects = (1L..257L).flatMap { arrive("$it", number = it) }
         expectThat(effects.reads()).hasSize(256)
-        expectThat(effects.routedVersions()).containsExactly(V1)
+        expectThat(effects.outcomes()).isEmpty()
+        expectThat(endCheck(setOf(V1)).routedVersions()).containsExactly(V1)
+    }
+
+    // Guards against memory and time that grow with the take-ups that wait while the store does not respond.
+    @Test
+    fun `take-ups beyond the bound of waiting ones are refused for now`() {
+        start(setOf(V1), setOf(V1))
+        val effects = (1L..1_025L).flatMap { arrive("$it", number = it) }
+        expectThat(effects.outcomes()).containsExactly(
+            Outcome.NotRun(RefusalReason.Overloaded("streams"), 300.milliseconds),
+        )
     }
 
     // Guards against the check of requests that no back end can continue.
--- a/node/src/main/kotlin/gypsumcart/node/Node.kt
+++ b/node/src/main/kotlin/gypsumcart/node/Node.kt
@@ -122,7 +122,7 @@
             ::reportCallEnded,
         )
     private val streams =
-        StreamDuty(rings, edge, metrics, platform.rowStore, runtime.scope, timers, clock)
+        StreamDuty(rings, edge, metrics, platform, runtime.scope, timers, clock)
     private val peerLink = PeerLink(rings.membership, client, runtime.scope, metrics)
     private val loanLink = QuotaLoanLink(identity.node, rings.admission, client, runtime.scope, clock, metrics)
     private val readPace = FleetReadPace()
--- a/node/src/main/kotlin/gypsumcart/node/Ports.kt
+++ b/node/src/main/kotlin/gypsumcart/node/Ports.kt
@@ -3,11 +3,13 @@
 import com.github.michaelbull.result.Result
 import gypsumcart.core.Address
 import gypsumcart.core.BackEndId
+import gypsumcart.core.BackEndVersion
 import gypsumcart.core.Configuration
 import gypsumcart.core.FencingToken
 import gypsumcart.core.MonotonicTime
 import gypsumcart.core.Outcome
 import gypsumcart.core.RequestId
+import gypsumcart.core.ServiceName
 import gypsumcart.core.Submission
 import gypsumcart.core.Ticket
 import gypsumcart.core.ZoneName
@@ -268,6 +270,13 @@
     /** Passes the back ends and their changes to [receive], until the coroutine is cancelled. */
     public suspend fun followBackEnds(receive: (DirectoryEvent) -> Unit)
 
+    /**
+     * Reads which versions of each service's software the registry lists, and returns them.
+     *
+     * They are from after the call, while those that [followBackEnds] passes on may be older.
+     */
+    public suspend fun readVersions(): Result<Map<ServiceName, Set<BackEndVersion?>>, StoreFailure>
+
     /** Returns the handler that responds with the nodes' addresses; [addressesFor] is called with the client's zone. */
     public fun directoryHandler(addressesFor: (ZoneName?) -> NodeAddresses): RequestHandler
 
--- a/node/src/main/kotlin/gypsumcart/node/StreamDuty.kt
+++ b/node/src/main/kotlin/gypsumcart/node/StreamDuty.kt
@@ -1,6 +1,7 @@
 package gypsumcart.node
 
 import com.github.michaelbull.result.fold
+import com.github.michaelbull.result.getOrElse
 import com.github.michaelbull.result.onFailure
 import com.github.michaelbull.result.onSuccess
 import gypsumcart.core.AdmittedRequest
@@ -18,6 +19,7 @@
 import gypsumcart.core.streams.StreamEvent
 import gypsumcart.core.streams.StreamOrigins
 import gypsumcart.core.streams.StreamRecord
+import gypsumcart.core.streams.VersionCheck
 import gypsumcart.core.streams.isResumable
 import gypsumcart.pipeline.Duty
 import gypsumcart.pipeline.MonotonicClock
@@ -33,11 +35,12 @@
     private val rings: Rings,
     private val edge: ClientEdge,
     private val metrics: Metrics,
-    private val rows: RowStore,
+    private val platform: Platform,
     private val scope: CoroutineScope,
     private val timers: Timers,
     private val clock: MonotonicClock,
 ) {
+    private val rows: RowStore get() = platform.rowStore
     val duty: Duty = deciderDuty(rings.streams, StreamOrigins(), clock, ::execute)
 
     /**
@@ -79,6 +82,9 @@
             is StreamEffect.ReadRecord ->
                 scope.launch { rings.streams.reply(StreamEvent.RecordRead(effect.ticket, read(effect.beganAs))) }
 
+            is StreamEffect.CheckVersions ->
+                scope.launch { rings.streams.reply(StreamEvent.VersionsChecked(checkVersions(effect.services))) }
+
             is StreamEffect.WriteRecords ->
                 scope.launch { rings.streams.reply(StreamEvent.RecordsWritten(write(effect.records))) }
 
@@ -127,6 +133,18 @@
         return record
     }
 
+    /** Reads the registry, and the stored rows, which still name versions that have left it. */
+    private suspend fun checkVersions(services: Set<ServiceName>): VersionCheck {
+        val versions = HashMap(platform.readVersions().getOrElse { return VersionCheck.Failed })
+        for (service in services) {
+            val row =
+                rows.get(Tables.FLEET, service.toVersionsKey()).getOrElse { return VersionCheck.Failed } ?: continue
+            val stored = row.toVersionsOrNull()?.second ?: continue
+            versions.merge(service, stored) { listed, _ -> listed + stored }
+        }
+        return VersionCheck.Confirmed(versions)
+    }
+
     private suspend fun write(records: List<StreamRecord>): Boolean =
         rows
             .putAll(records.map { it.toRow() })
--- a/standins/src/main/kotlin/gypsumcart/standins/StandInFleet.kt
+++ b/standins/src/main/kotlin/gypsumcart/standins/StandInFleet.kt
@@ -27,6 +27,9 @@
     private val storeAddress = startServer("store", store)
     private val backEndAddresses = LinkedHashMap<String, Address>()
 
+    /** Starts a store other than [store], e.g. one that passes some calls on, and returns its address. */
+    public fun startStore(name: String, handler: RequestHandler): Address = startServer(name, handler)
+
     /** Writes a configuration with [routes] and [version] to the store, as the operator does. */
     public fun configure(version: Long, routes: List<ConfiguredRoute>) {
         val services = routes.map { it.service }.distinct()
@@ -84,12 +87,14 @@
      * @param graceSeconds the time within which the node stops
      * @param memory what its messages may hold
      * @param features what is switched on
+     * @param store the address of the store that the node uses
      */
     public fun startNode(
         name: String,
         graceSeconds: Double = BOUNDS.graceSeconds,
         memory: MemoryBudget = MemoryBudget.ofHeap(),
         features: Features = Features.NONE,
+        store: Address = storeAddress,
     ): RunningNode {
         val settings =
             NodeSettings(
@@ -100,12 +105,12 @@
                 directory = freeAddress(),
                 metrics = freeAddress(),
                 peers = freeAddress(),
-                store = storeAddress.toString(),
+                store = store.toString(),
                 bounds = BOUNDS.copy(graceSeconds = graceSeconds),
             )
         val nodeRuntime = EdgeRuntime(memory)
         val client = HttpClient(nodeRuntime.loop, 1.seconds)
-        val platform = HttpPlatform(name, storeAddress, null, client)
+        val platform = HttpPlatform(name, store, null, client)
         val node = Node(settings, platform, nodeRuntime, client, features)
         node.start()
         return RunningNode(node, settings, nodeRuntime)
