Let calls that began before an ejection not prolong it

The users' rules allow a sound back end to fall silent for a second or so. Where the requests that it kept waiting ran out of time together, each of the failures doubled the ejection, up to 8 s, though the back end was sound again.

A failure of a call that began before the ejection shows nothing that the ejection does not cover; it does not count now. A call that began later and fails doubles the next ejection as before.

--- a/core/src/main/kotlin/gypsumcart/core/routing/Candidates.kt
+++ b/core/src/main/kotlin/gypsumcart/core/routing/Candidates.kt
@@ -53,6 +53,9 @@
     private var consecutiveFailures = 0
     private var ejectedUntil: MonotonicTime? = null
 
+    /** When the current ejection began, or the last one. */
+    private var ejectedAt: MonotonicTime? = null
+
     val limiter = CallLimiter()
 
     /** What is known of the instance's capacity, or null if it is not learned. */
@@ -104,18 +107,25 @@
                 ejectedUntil = null
             }
 
-            HealthSignal.FAILING, HealthSignal.DISCONNECTED -> recordFailure(now)
+            HealthSignal.FAILING, HealthSignal.DISCONNECTED -> if (!beganBeforeEjection(call)) recordFailure(now)
 
             HealthSignal.UNKNOWN -> Unit
         }
         return call
     }
 
+    /** Whether the call can't show anything that the ejection does not cover, as it began before that. */
+    private fun beganBeforeEjection(call: InFlightCall?): Boolean {
+        val startedAt = call?.startedAt ?: return false
+        return ejectedAt?.let { startedAt < it } ?: false
+    }
+
     private fun recordFailure(now: MonotonicTime) {
         consecutiveFailures++
         if (consecutiveFailures < EJECTION_THRESHOLD) return
         val doublings = (consecutiveFailures - EJECTION_THRESHOLD).coerceAtMost(MAX_EJECTION_DOUBLINGS)
         ejectedUntil = now + BASE_EJECTION_TIME * (1 shl doublings)
+        ejectedAt = now
     }
 
     private companion object {
--- a/core/src/test/kotlin/gypsumcart/core/routing/RoutingTest.kt
+++ b/core/src/test/kotlin/gypsumcart/core/routing/RoutingTest.kt
@@ -158,6 +158,44 @@
         expectThat(assign(admitted(CallKind.Idempotent, 9)).id.text).isEqualTo("x")
     }
 
+    // Guards against a back end that was silent for a moment being ejected for long by the calls that waited there.
+    @Test
+    fun `failures of calls that began before an ejection do not prolong it`() {
+        listBackEnds(backEnd("x"))
+        val waiting = List(6) { admitted(CallKind.Idempotent, 100L + it) }
+        waiting.forEach { assign(it) }
+        listBackEnds(backEnd("x"), backEnd("y"))
+        val failedAt = start + 1.seconds
+        for (request in waiting) {
+            routing.decide(
+                RoutingEvent.CallReleased(request.ticket, backEnd("x").key, HealthSignal.FAILING),
+                failedAt,
+            )
+        }
+        val during = List(2) { assign(admitted(CallKind.Idempotent, it.toLong()), failedAt + 900.milliseconds) }
+        expectThat(during.map { it.id.text }.toSet()).isEqualTo(setOf("y"))
+        val later = List(4) { assign(admitted(CallKind.Idempotent, 10L + it), failedAt + 1.seconds) }
+        expectThat(later.map { it.id.text }.toSet()).isEqualTo(setOf("x", "y"))
+    }
+
+    // Guards against a back end that is down being tried as often as one that was silent for a moment.
+    @Test
+    fun `a failure of a call that began after an ejection doubles the next one`() {
+        listBackEnds(backEnd("x"), backEnd("y"))
+        repeat(2) { failAt("x", 100L + it, start) }
+        val second = start + 1.seconds
+        val trial = List(4) { admitted(CallKind.Idempotent, 10L + it) }.first { assign(it, second).id.text == "x" }
+        val failedAt = second + 100.milliseconds
+        failAt("x", trial.ticket.number, failedAt)
+        val during = List(4) { assign(admitted(CallKind.Idempotent, 20L + it), failedAt + 1_900.milliseconds) }
+        expectThat(during.map { it.id.text }.toSet()).isEqualTo(setOf("y"))
+    }
+
+    private fun failAt(id: String, number: Long, now: MonotonicTime) {
+        val ticket = admitted(CallKind.Idempotent, number).ticket
+        routing.decide(RoutingEvent.CallReleased(ticket, backEnd(id).key, HealthSignal.FAILING), now)
+    }
+
     @Test
     fun `a restarted back end does not inherit the ejection of its previous instance`() {
         val first = backEnd("x", incarnation = 1)
--- a/standins/src/main/kotlin/gypsumcart/standins/StandInBackEnd.kt
+++ b/standins/src/main/kotlin/gypsumcart/standins/StandInBackEnd.kt
@@ -77,6 +77,10 @@
     @Volatile
     public var firstTruncation: (requestId: String) -> Int? = { null }
 
+    /** Whether it falls silent: it reads no request and writes nothing, and goes on where it was when this ends. */
+    @Volatile
+    public var isSilent: Boolean = false
+
     private val received = AtomicInteger()
     private val running = AtomicInteger()
 
@@ -101,6 +105,7 @@
     public fun clearFaults(): Unit = faults.clear()
 
     override suspend fun handle(request: HttpRequest, response: ResponseWriter) {
+        awaitSilenceEnd()
         received.incrementAndGet()
         val requestId = request.headers["X-Attempt-Id"].orEmpty()
         val expected = request.headers["X-Expect-Instance"]
@@ -120,6 +125,10 @@
         }
     }
 
+    private suspend fun awaitSilenceEnd() {
+        while (isSilent) delay(SILENCE_CHECK_INTERVAL)
+    }
+
     private suspend fun decline(
         requestId: String,
         response: ResponseWriter,
@@ -180,6 +189,7 @@
         val headers = responseHeaders(requestId) + listOf(HeaderField("Content-Type", "text/event-stream"))
         response.startChunked(ResponseHead(OK, headers))
         for (event in lastEventId + 1..eventCount) {
+            awaitSilenceEnd()
             if (truncateAt != null && event > truncateAt) {
                 // Writes a part of the next event; returning without endChunked closes the connection.
                 response.writeChunk("id: $event\nda".toByteArray())
@@ -212,5 +222,6 @@
         const val SERVICE_UNAVAILABLE = 503
         val EMPTY = ByteArray(0)
         val EVENT_INTERVAL = 5.milliseconds
+        val SILENCE_CHECK_INTERVAL = 5.milliseconds
     }
 }
