Log connections that are not established, and whether a call that timed out had been sent

Callers of a node that reaches no back end got 502 or 503 after about a second. The logs did not tell the hypotheses of docs/incidents/stranded-nodes.md apart: a connection that ran into its limit was not logged at all, a refused one at debug level, and a call that timed out did not say whether it was still waiting for its connection.

connect_failed now names the peer, the back end and the cause; call_timed_out says whether the request had been sent.

--- a/http/src/main/kotlin/gypsumcart/http/HttpClient.kt
+++ b/http/src/main/kotlin/gypsumcart/http/HttpClient.kt
@@ -250,13 +250,29 @@
         return null
     }
 
-    private suspend fun connectOrNull(endpoint: Endpoint): Connection? =
-        try {
-            withTimeoutOrNull(connectTimeout) { Connection(loop.connect(endpoint.host, endpoint.port)) }
-        } catch (e: IOException) {
-            log.debug("event=connect_failed endpoint={}:{} error={}", endpoint.host, endpoint.port, e.message)
-            null
-        }
+    private suspend fun connectOrNull(endpoint: Endpoint): Connection? {
+        val start = TimeSource.Monotonic.markNow()
+        var error = "timeout"
+        val connection =
+            try {
+                withTimeoutOrNull(connectTimeout) { Connection(loop.connect(endpoint.host, endpoint.port)) }
+            } catch (e: IOException) {
+                error = e.message.orEmpty().replace(' ', '_')
+                null
+            }
+        if (connection == null) logUnconnected(endpoint, error, start)
+        return connection
+    }
+
+    private fun logUnconnected(endpoint: Endpoint, error: String, start: TimeMark): Unit =
+        log.info(
+            "event=connect_failed peer={}:{} id={} error={} after_ms={}",
+            endpoint.host,
+            endpoint.port,
+            endpoint.peerId.ifEmpty { null },
+            error,
+            start.elapsedNow().inWholeMilliseconds,
+        )
 
     private fun addIdle(endpoint: Endpoint, connection: Connection) {
         connection.idleSince = TimeSource.Monotonic.markNow()
--- a/node/src/main/kotlin/gypsumcart/node/BackEndCalls.kt
+++ b/node/src/main/kotlin/gypsumcart/node/BackEndCalls.kt
@@ -60,9 +60,10 @@
         if (!availability.acceptsCalls(call.backEnd)) return CallResult.Failed(CallFailure.Withheld, response.progress)
         val headers = codec.callHeaders(request, call, remainingTime)
         val needsNewConnection = refusalsWithoutId.areExpectedFrom(call.backEnd.key)
+        var isSent = false
         val outgoing =
             OutgoingRequest(request.method, request.target, headers, request.body, needsNewConnection) {
-                availability.acceptsCalls(call.backEnd)
+                availability.acceptsCalls(call.backEnd).also { isSent = it }
             }
         val endpoint = Endpoint(call.backEnd.address.host, call.backEnd.address.port, call.backEnd.peerId)
         val exchange =
@@ -70,12 +71,25 @@
                 client.exchange(endpoint, outgoing) { handleResponse(call, it, response) }
             }
         if (exchange == null) {
+            logTimeout(call, isSent, remainingTime)
             client.closeIdle(endpoint)
             return CallResult.Failed(CallFailure.TimedOut, response.progress)
         }
         return exchange.fold({ it }, { CallResult.Failed(it.toCallFailure(), response.progress) })
     }
 
+    /** Logs whether a call that ran out of time was waiting for a connection or for its response. */
+    private fun logTimeout(call: DispatchEffect.Call, isSent: Boolean, elapsed: Duration): Unit =
+        log.info(
+            "event=call_timed_out request={} attempt={} back_end={} incarnation={} sent={} after_ms={}",
+            call.admitted.submission.requestId,
+            call.attempt,
+            call.backEnd.id,
+            call.backEnd.incarnation,
+            isSent,
+            elapsed.inWholeMilliseconds,
+        )
+
     private suspend fun handleResponse(
         call: DispatchEffect.Call,
         received: ReceivedResponse,
