--- a/standins/src/main/kotlin/gypsumcart/standins/StandInFleet.kt
+++ b/standins/src/main/kotlin/gypsumcart/standins/StandInFleet.kt
@@ -24,7 +24,9 @@
 public class StandInFleet(private val runtime: EdgeRuntime = EdgeRuntime()) {
     /** The store of all nodes. */
     public val store: StandInStore = StandInStore()
-    private val storeAddress = startServer("store", store)
+
+    /** The address at which [store] is served. */
+    public val storeAddress: Address = startServer("store", store)
     private val backEndAddresses = LinkedHashMap<String, Address>()
 
     /** Writes a configuration with [routes] and [version] to the store, as the operator does. */
@@ -45,6 +47,9 @@
         register(service, backEnd, "ready", version = version)
     }
 
+    /** Returns the address of the started back end with [id]. */
+    public fun addressOf(id: String): Address = backEndAddresses.getValue(id)
+
     /** Orders a roll-out, as the operator does. */
     public fun orderRollout(service: String, target: String, seconds: Int) {
         store.put("op", "rollout/$service", """{"service":"$service","to":"$target","durationS":$seconds}""")
@@ -84,12 +89,14 @@
      * @param graceSeconds the time within which the node stops
      * @param memory what its messages may hold
      * @param features what is switched on
+     * @param storeAddress the address at which the node reaches the store
      */
     public fun startNode(
         name: String,
         graceSeconds: Double = BOUNDS.graceSeconds,
         memory: MemoryBudget = MemoryBudget.ofHeap(),
         features: Features = Features.NONE,
+        storeAddress: Address = this.storeAddress,
     ): RunningNode {
         val settings =
             NodeSettings(
@@ -111,7 +118,8 @@
         return RunningNode(node, settings, nodeRuntime)
     }
 
-    private fun startServer(name: String, handler: RequestHandler): Address {
+    /** Serves [handler] on a free address and returns that. */
+    public fun startServer(name: String, handler: RequestHandler): Address {
         val address = checkNotNull(addressOrNull(freeAddress()))
         val limits = MessageLimits(MAX_BYTES, MAX_BYTES, 5.seconds, 60.seconds)
         val server =
@@ -121,7 +129,7 @@
     }
 
     /** Returns an address that nothing listens on and that no outgoing connection can take before it is used. */
-    private fun freeAddress(): String {
+    public fun freeAddress(): String {
         val port = generateSequence { nextPort() }.take(LISTENING_PORTS.count()).first(::isFree)
         return "127.0.0.1:$port"
     }
