Let a server carry connections to another server

A node that reaches no back end needs the connections of another node, so that its requests run as on a connection of its own. The server answers CONNECT with 200 and then copies bytes both ways, a piece at a time, so that a slow side holds up the other. What comes back is framed, with a frame for the end, so that a reset or a carrier that ends is not taken for the end of a body without a length.

--- a/http/src/main/kotlin/gypsumcart/http/HttpClient.kt
+++ b/http/src/main/kotlin/gypsumcart/http/HttpClient.kt
@@ -5,8 +5,10 @@
 import com.github.michaelbull.result.Result
 import com.github.michaelbull.result.getOrElse
 import com.github.michaelbull.result.onSuccess
+import com.github.michaelbull.result.toResultOr
 import io.ktor.http.HttpMethod
 import io.ktor.http.cio.RequestResponseBuilder
+import io.ktor.utils.io.ByteReadChannel
 import io.ktor.utils.io.writePacket
 import kotlinx.coroutines.cancelChildren
 import kotlinx.coroutines.coroutineScope
@@ -47,6 +49,34 @@
  */
 public data class Endpoint(public val host: String, public val port: Int, public val peerId: String = "")
 
+/**
+ * Represents a connection that was established and has carried no request yet.
+ *
+ * @property isShareable whether it can carry several exchanges
+ */
+public class OpenedConnection private constructor(
+    internal val socket: TcpConnection,
+    internal val input: ByteReadChannel,
+    internal val isShareable: Boolean,
+) {
+    /** Closes the connection; called on the thread of its loop. */
+    public fun close(): Unit = socket.close()
+
+    internal companion object {
+        fun direct(socket: TcpConnection): OpenedConnection = OpenedConnection(socket, socket.input, isShareable = true)
+
+        /** Returns the connection that a server carries over [socket]. */
+        fun carried(socket: TcpConnection): OpenedConnection =
+            OpenedConnection(socket, FramedInput(socket.input), isShareable = false)
+    }
+}
+
+/** Establishes the connection for an exchange; called on the thread of the client. */
+public fun interface Connector {
+    /** Returns a new connection, or why there is none; nothing was sent then. */
+    public suspend fun connect(): Result<OpenedConnection, ExchangeFailure>
+}
+
 /** Describes why an exchange ended without a complete response. */
 public sealed class ExchangeFailure {
     /** No connection was established, so nothing was sent. */
@@ -118,7 +148,12 @@
     private val loop: SocketLoop,
     private val connectTimeout: Duration,
 ) {
-    private class Connection(val socket: TcpConnection) {
+    private class Connection(opened: OpenedConnection) {
+        val socket = opened.socket
+        val input = opened.input
+
+        /** Whether later exchanges may use the connection too. */
+        val isShareable = opened.isShareable
         var idleSince: TimeMark = TimeSource.Monotonic.markNow()
         var idleTimeout: Duration = DEFAULT_IDLE_TIMEOUT
         var isUsed = false
@@ -137,20 +172,24 @@
      * Sends [request] to [endpoint] and returns the result of [receive], which reads the response.
      *
      * Cancelling the call closes its connection.
+     *
+     * @param connector establishes a connection if there is no idle one to use
      */
     public suspend fun <T> exchange(
         endpoint: Endpoint,
         request: OutgoingRequest,
+        connector: Connector = Connector { connect(endpoint) },
         receive: suspend (ReceivedResponse) -> T,
-    ): Result<T, ExchangeFailure> = withContext(loop) { exchangeOnLoop(endpoint, request, receive) }
+    ): Result<T, ExchangeFailure> = withContext(loop) { exchangeOnLoop(endpoint, request, connector, receive) }
 
     private suspend fun <T> exchangeOnLoop(
         endpoint: Endpoint,
         request: OutgoingRequest,
+        connector: Connector,
         receive: suspend (ReceivedResponse) -> T,
     ): Result<T, ExchangeFailure> {
         val idle = if (request.onNewConnection) null else takeIdleOrNull(endpoint)
-        val connection = idle ?: connectOrNull(endpoint) ?: return Err(ExchangeFailure.NotConnected)
+        val connection = idle ?: Connection(connector.connect().getOrElse { return Err(it) })
         var reusable = false
         val reservation = loop.memory.open(request.traffic)
         val trace = ExchangeTrace(endpoint)
@@ -174,7 +213,8 @@
             return Err(e.toExchangeFailure())
         } finally {
             reservation.close()
-            if (reusable && !request.onNewConnection) addIdle(endpoint, connection) else connection.close()
+            val isKept = reusable && connection.isShareable && !request.onNewConnection
+            if (isKept) addIdle(endpoint, connection) else connection.close()
         }
     }
 
@@ -201,7 +241,6 @@
         val isFirst = !isUsed
         trace.isFirstOnConnection = isFirst
         isUsed = true
-        val input = socket.input
         val head =
             input.readResponseHead(reservation).getOrElse {
                 trace.headFailed(it)
@@ -250,18 +289,65 @@
         return null
     }
 
-    private suspend fun connectOrNull(endpoint: Endpoint): Connection? {
+    /** Keeps a connection that carried nothing for a later exchange with [endpoint]. */
+    public fun keepIdle(endpoint: Endpoint, connection: OpenedConnection): Unit =
+        addIdle(endpoint, Connection(connection))
+
+    /**
+     * Connects to [endpoint]; called on the thread of the loop.
+     *
+     * The caller has to close the connection or to use it for an exchange.
+     */
+    public suspend fun connect(endpoint: Endpoint): Result<OpenedConnection, ExchangeFailure> {
         val start = TimeSource.Monotonic.markNow()
         var error = "timeout"
         val connection =
             try {
-                withTimeoutOrNull(connectTimeout) { Connection(loop.connect(endpoint.host, endpoint.port)) }
+                withTimeoutOrNull(
+                    connectTimeout,
+                ) { OpenedConnection.direct(loop.connect(endpoint.host, endpoint.port)) }
             } catch (e: IOException) {
                 error = e.message.orEmpty().replace(' ', '_')
                 null
             }
         if (connection == null) logUnconnected(endpoint, error, start)
-        return connection
+        return connection.toResultOr { ExchangeFailure.NotConnected }
+    }
+
+    /**
+     * Connects to what [target] names, through the server at [carrier]; called on the thread of the loop.
+     *
+     * The caller has to close the connection or to use it for an exchange, after which it is closed.
+     */
+    public suspend fun connectThrough(
+        carrier: Endpoint,
+        target: String,
+        timeout: Duration,
+    ): Result<OpenedConnection, TunnelFailure> =
+        try {
+            withTimeoutOrNull(timeout) { openTunnel(carrier, target) } ?: Err(TunnelFailure.NoAnswer)
+        } catch (e: IOException) {
+            log.debug("event=tunnel_failed peer={}:{} error={}", carrier.host, carrier.port, e.message)
+            Err(TunnelFailure.NoAnswer)
+        }
+
+    private suspend fun openTunnel(carrier: Endpoint, target: String): Result<OpenedConnection, TunnelFailure> {
+        val socket = loop.connect(carrier.host, carrier.port)
+        var isOpen = false
+        try {
+            val builder = RequestResponseBuilder()
+            builder.requestLine(HttpMethod(CONNECT), target, "HTTP/1.1")
+            builder.headerLine("Host", "${carrier.host}:${carrier.port}")
+            builder.emptyLine()
+            socket.output.writePacket(builder.build())
+            socket.output.flush()
+            val head = loop.memory.open(Traffic.Control).use { socket.input.readResponseHead(it) }
+            val status = head.getOrElse { return Err(TunnelFailure.NoAnswer) }.status
+            isOpen = status == TUNNEL_OPEN
+            return if (isOpen) Ok(OpenedConnection.carried(socket)) else Err(TunnelFailure.Refused(status))
+        } finally {
+            if (!isOpen) socket.close()
+        }
     }
 
     private fun logUnconnected(endpoint: Endpoint, error: String, start: TimeMark): Unit =
@@ -291,10 +377,15 @@
          */
         val DEFAULT_IDLE_TIMEOUT: Duration = 4.seconds
 
+        const val TUNNEL_OPEN = 200
+
         val METHODS_WITH_BODY = setOf("POST", "PUT", "PATCH")
     }
 }
 
+/** The method of requests for a connection through a server. */
+public const val CONNECT: String = "CONNECT"
+
 /**
  * Returns the server's `Keep-Alive` timeout minus one second, or null if the server sends none.
  *
--- a/http/src/main/kotlin/gypsumcart/http/HttpServer.kt
+++ b/http/src/main/kotlin/gypsumcart/http/HttpServer.kt
@@ -203,7 +203,12 @@
             ResponseWriter(output, request.method, reservation) {
                 closeRequested || draining && input.availableForRead == 0
             }
-        handleUntilDisconnect(request, response, input)
+        try {
+            handleUntilDisconnect(request, response, input)
+            if (response.isEnded) response.tunnel?.carry(connection.socket, loop.memory)
+        } finally {
+            response.tunnel?.close()
+        }
         return response.isEnded && response.isConnectionReusable
     }
 
--- a/http/src/main/kotlin/gypsumcart/http/ResponseWriter.kt
+++ b/http/src/main/kotlin/gypsumcart/http/ResponseWriter.kt
@@ -40,6 +40,19 @@
     internal var isConnectionReusable = true
         private set
 
+    /** What the connection carries after this response, or null if it carries further requests. */
+    internal var tunnel: Tunnel? = null
+        private set
+
+    /** Responds to a `CONNECT` request with status 200, and has the connection carry [tunnel] from then on. */
+    public suspend fun openTunnel(tunnel: Tunnel) {
+        checkNotStarted()
+        this.tunnel = tunnel
+        isConnectionReusable = false
+        write { output.writeByteArray(TUNNEL_HEAD) }
+        isEnded = true
+    }
+
     /** Writes a whole response, without the body if the request's method is HEAD. */
     public suspend fun send(head: ResponseHead, body: ByteArray): Unit = send(head, BodyPieces(listOf(body)))
 
@@ -102,6 +115,7 @@
 
     private companion object {
         const val HEX_RADIX = 16
+        val TUNNEL_HEAD = "HTTP/1.1 200 OK\r\n\r\n".encodeToByteArray()
         val LINE_END = "\r\n".encodeToByteArray()
         val LAST_CHUNK = "0\r\n\r\n".encodeToByteArray()
     }
