Refuse at once where all nodes are cut off, and return without waiting for a request

What callers saw, in a test with three nodes that all hang: each request was refused with 503 after a second (nine one after the other in 9.1 s), since nodes that say that they are cut off were left out of the list of the others, and a node without others connects by itself. After the cut the first request at a node was refused (1 of 37), as only requests led to new tries.

Nodes that are cut off now stay in the list and are not asked, and a node that is cut off tries one back end a second by itself.

--- a/core/src/main/kotlin/gypsumcart/core/membership/NodeReport.kt
+++ b/core/src/main/kotlin/gypsumcart/core/membership/NodeReport.kt
@@ -90,9 +90,9 @@
 /** Returns the members with those in [zone] first, otherwise in their original order. */
 public fun List<Member>.nearestFirst(zone: ZoneName?): List<Member> = sortedBy { if (it.zone == zone) 0 else 1 }
 
-/** Returns the nodes other than [self] that accept connections of other nodes and reach the back ends. */
+/** Returns the nodes other than [self] that accept connections of other nodes. */
 public fun List<Member>.carriers(self: NodeId): List<Carrier> =
     mapNotNull { member ->
-        val address = member.peerAddress?.takeIf { member.node != self && member.reachesBackEnds }
-        address?.let { Carrier(member.node, it, member.zone) }
+        val address = member.peerAddress?.takeIf { member.node != self }
+        address?.let { Carrier(member.node, it, member.zone, member.reachesBackEnds) }
     }
--- a/core/src/main/kotlin/gypsumcart/core/routing/BackEndPaths.kt
+++ b/core/src/main/kotlin/gypsumcart/core/routing/BackEndPaths.kt
@@ -76,7 +76,6 @@
     private val unreached = HashMap<InstanceKey, MissedConnection>()
     private var receivedAt: MonotonicTime? = null
     private var silenceProbeAt: MonotonicTime? = null
-    private var cutOffProbeAt: MonotonicTime? = null
 
     /** Whether this node counts as cut off from all back ends. */
     public var isCutOff: Boolean = false
@@ -90,16 +89,12 @@
             is PathEvent.Connected -> recordConnection(event.instance, now)
             is PathEvent.Unreached -> recordUnreached(event, now)
             PathEvent.Received -> emptyList<PathEffect>().also { receivedAt = now }
-            is PathEvent.SilenceConfirmed -> abandonUnlessReceived(event.since, now)
+            is PathEvent.SilenceConfirmed -> abandonUnlessReceived(event.since)
         }
 
     /** Returns the path of a new connection to [instance]; a probe that is due counts as made. */
     public fun pathTo(instance: InstanceKey, now: MonotonicTime): BackEndPath {
-        if (isCutOff) {
-            val isDue = cutOffProbeAt?.let { now >= it } ?: true
-            if (isDue) cutOffProbeAt = now + PROBE_PERIOD
-            return BackEndPath.Carried(isDue)
-        }
+        if (isCutOff) return BackEndPath.Carried(isProbeDue = false)
         val probeAt = probesAt[instance] ?: return BackEndPath.Direct
         val isDue = now >= probeAt
         if (isDue) probesAt[instance] = now + PROBE_PERIOD
@@ -134,38 +129,37 @@
             if (probesAt.size > MAX_CARRIED) probesAt.clear()
         }
         val isCut = unreached.size >= MIN_UNREACHED || unreached.values.count { it.isCarried } >= MIN_CARRIED
-        return if (isCut) cutOff(now) else emptyList()
+        return if (isCut) cutOff() else emptyList()
     }
 
-    private fun abandonUnlessReceived(since: MonotonicTime, now: MonotonicTime): List<PathEffect> {
+    private fun abandonUnlessReceived(since: MonotonicTime): List<PathEffect> {
         if (receivedAt?.let { it > since } ?: false) return emptyList()
-        return cutOff(now) + PathEffect.AbandonConnections
+        return cutOff() + PathEffect.AbandonConnections
     }
 
-    private fun cutOff(now: MonotonicTime): List<PathEffect> {
+    private fun cutOff(): List<PathEffect> {
         if (isCutOff) return emptyList()
         isCutOff = true
-        cutOffProbeAt = now + PROBE_PERIOD
         return listOf(PathEffect.CutOffChanged(true))
     }
 
-    private companion object {
-        /** Every connection to a back end has its price. */
-        val PROBE_PERIOD: Duration = 1.seconds
+    public companion object {
+        /** The time between two tries to connect directly; every connection to a back end has its price. */
+        public val PROBE_PERIOD: Duration = 1.seconds
 
         /** Several times the usual pause between responses to a node with few calls. */
-        val MAX_SILENCE: Duration = 400.milliseconds
+        private val MAX_SILENCE: Duration = 400.milliseconds
 
         /** The time within which several back ends that are not reached show that the node is cut off. */
-        val UNREACHED_WINDOW: Duration = 3.seconds
+        private val UNREACHED_WINDOW: Duration = 3.seconds
 
         /** Other nodes reach these back ends, so that they are sound. */
-        const val MIN_CARRIED = 2
+        private const val MIN_CARRIED = 2
 
         /** Back ends of one host or rack may be down at once. */
-        const val MIN_UNREACHED = 3
+        private const val MIN_UNREACHED = 3
 
         /** More than the back ends of a large fleet. */
-        const val MAX_CARRIED = 4_096
+        private const val MAX_CARRIED = 4_096
     }
 }
--- a/core/src/main/kotlin/gypsumcart/core/routing/CarrierChoice.kt
+++ b/core/src/main/kotlin/gypsumcart/core/routing/CarrierChoice.kt
@@ -7,8 +7,17 @@
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.seconds
 
-/** Represents a node that can carry connections to back ends for others. */
-public data class Carrier(public val node: NodeId, public val address: Address, public val zone: ZoneName)
+/**
+ * Represents a node that can carry connections to back ends for others.
+ *
+ * @property reachesBackEnds whether it reaches back ends itself
+ */
+public data class Carrier(
+    public val node: NodeId,
+    public val address: Address,
+    public val zone: ZoneName,
+    public val reachesBackEnds: Boolean = true,
+)
 
 /**
  * Chooses the nodes that carry connections for a node in [zone].
@@ -22,7 +31,7 @@
     /** Returns the [carriers] to ask, in this order; at most two, others each time. */
     public fun choose(carriers: List<Carrier>, now: MonotonicTime): List<Carrier> {
         passedOverUntil.values.removeIf { now >= it }
-        val usable = carriers.filter { it.node !in passedOverUntil }
+        val usable = carriers.filter { it.reachesBackEnds && it.node !in passedOverUntil }
         if (usable.isEmpty()) return emptyList()
         turn++
         val (near, far) = usable.partition { it.zone == zone }
--- a/node/src/main/kotlin/gypsumcart/node/BackEndConnections.kt
+++ b/node/src/main/kotlin/gypsumcart/node/BackEndConnections.kt
@@ -43,7 +43,8 @@
  *
  * Used on the thread of the edge only.
  *
- * @property carriers returns the nodes that can carry connections
+ * @property carriers returns the other nodes
+ * @property listed returns the listed back ends, one of which is tried from time to time while none is reached
  * @property closeIdle closes the idle connections to all back ends
  * @property onReachChanged called when this node loses its connections to all back ends, or reaches one again
  */
@@ -54,6 +55,7 @@
     private val choice: CarrierChoice,
     private val metrics: Metrics,
     private val carriers: () -> List<Carrier>,
+    private val listed: () -> Collection<BackEnd>,
     private val closeIdle: () -> Unit,
     private val onReachChanged: (reachesBackEnds: Boolean) -> Unit,
 ) {
@@ -62,6 +64,7 @@
     /** The calls that wait for a back end on a direct connection. */
     private val waiting = LinkedHashSet<CallConnection>()
     private var isWatching = false
+    private var prober: Job? = null
 
     /** Whether this node reaches no back end by itself. */
     val isCutOff: Boolean get() = paths.isCutOff
@@ -227,6 +230,14 @@
         probeOrNull(backEnd)?.let { client.keepIdle(backEnd.endpoint, it) }
     }
 
+    /** Tries direct connections until it is cancelled; the one that is established ends the cut. */
+    private suspend fun probeWhileCutOff() {
+        while (true) {
+            delay(BackEndPaths.PROBE_PERIOD)
+            listed().filterNot { it.draining }.randomOrNull()?.let { probe(it) }
+        }
+    }
+
     private suspend fun probeOrNull(backEnd: BackEnd): OpenedConnection? {
         val attempt = Attempt { client.connect(backEnd.endpoint) }
         try {
@@ -288,8 +299,16 @@
     private fun execute(effect: PathEffect) {
         when (effect) {
             is PathEffect.CutOffChanged -> {
-                log.warn("event=cut_off_changed cut_off={} carriers={}", effect.isCutOff, carriers().size)
+                val others = carriers()
+                log.warn(
+                    "event=cut_off_changed cut_off={} carriers={} nodes={}",
+                    effect.isCutOff,
+                    others.count { it.reachesBackEnds },
+                    others.size,
+                )
                 onReachChanged(!effect.isCutOff)
+                prober?.cancel()
+                if (effect.isCutOff) prober = scope.launch { probeWhileCutOff() }
             }
 
             PathEffect.AbandonConnections -> {
--- a/node/src/main/kotlin/gypsumcart/node/Node.kt
+++ b/node/src/main/kotlin/gypsumcart/node/Node.kt
@@ -106,6 +106,7 @@
             CarrierChoice(identity.zone),
             metrics,
             carriers = { state.members.carriers(identity.node) },
+            listed = { state.backEnds.values },
             closeIdle = { platform.closeIdleConnectionsExcept(emptySet()) },
         ) { reachesBackEnds ->
             rings.membership.offer(MembershipEvent.BackEndsReachedChanged(reachesBackEnds))
--- a/node/src/test/kotlin/gypsumcart/node/ClientEdgeTest.kt
+++ b/node/src/test/kotlin/gypsumcart/node/ClientEdgeTest.kt
@@ -64,6 +64,7 @@
             CarrierChoice(ZoneName("a")),
             Metrics(),
             { emptyList() },
+            { emptyList() },
             {},
         ) {}
     private val calls =
