Refuse a request as not run if its time ends while its connection is being opened

What callers saw: 502, which promises nothing, for requests that reached no back end, so that those that may run once were lost to their clients. A call that was not sent now counts as one that was not connected: 503.

StrandedNodesTest, 'a request whose time runs out while its connection is being opened is refused as not run': 502 before, 503 now.

--- a/node/src/main/kotlin/gypsumcart/node/BackEndCalls.kt
+++ b/node/src/main/kotlin/gypsumcart/node/BackEndCalls.kt
@@ -81,12 +81,18 @@
         if (exchange == null) {
             logTimeout(call, isSent, remainingTime)
             client.closeIdle(call.backEnd.endpoint)
-            val failure = if (connection.isLost) CallFailure.CutOff else CallFailure.TimedOut
-            return CallResult.Failed(failure, response.progress)
+            return CallResult.Failed(timeoutFailure(isSent, connection), response.progress)
         }
         return exchange.fold({ it }, { CallResult.Failed(failureOf(it, connection), response.progress) })
     }
 
+    private fun timeoutFailure(isSent: Boolean, connection: BackEndConnections.CallConnection): CallFailure =
+        when {
+            !isSent -> failureOf(ExchangeFailure.NotConnected, connection)
+            connection.isLost -> CallFailure.CutOff
+            else -> CallFailure.TimedOut
+        }
+
     private fun failureOf(failure: ExchangeFailure, connection: BackEndConnections.CallConnection): CallFailure =
         if (failure == ExchangeFailure.NotConnected && connection.lacksPath) {
             CallFailure.NoPath
--- a/standins/src/test/kotlin/gypsumcart/standins/StrandedNodesTest.kt
+++ b/standins/src/test/kotlin/gypsumcart/standins/StrandedNodesTest.kt
@@ -100,6 +100,14 @@
             .filter { it.startsWith(name) }
             .sumOf { it.substringAfterLast(' ').toDouble() }
 
+    // Guards against requests that did not run and whose clients are told that they may have.
+    @Test
+    fun `a request whose time runs out while its connection is being opened is refused as not run`() {
+        start(nodeCount = 1)
+        nodes[0].cut(LinkMode.HANGS)
+        expectThat(send(nodes[0])).startsWith("HTTP/1.1 503")
+    }
+
     // Guards against a zone of nodes that are cut off together and ask each other (RECOVER).
     @Test
     fun `most nodes are cut off and serve through the one that is left`() {
