--- a/standins/src/test/kotlin/gypsumcart/standins/ReleaseOutOfStepTest.kt
+++ b/standins/src/test/kotlin/gypsumcart/standins/ReleaseOutOfStepTest.kt
@@ -56,7 +56,7 @@
         fleet.configure(1, listOf(ConfiguredRoute("/stream/", "streaming", "drafts", 1, resumable = true, 8_000)))
         startBackEnds("v1")
         nodes += fleet.startNode("node-1")
-        nodes += fleet.startNode("node-2", store = fleet.startStore("partial", partialStore))
+        nodes += fleet.startNode("node-2", storeAddress = fleet.startServer("partial", partialStore))
         for (node in nodes) awaitCondition { get(node.settings.readiness, "/readiness").startsWith("HTTP/1.1 200") }
     }
 
