Read which back ends say that they are brittle, and report what they turn away

Callers of a service whose replicas say `Server-Brittle` lose them one after another; nothing read the header, so neither a log line nor a metric showed it. The statement is now read in the header codec, passed to routing as a `BrittlenessStatement`, and shared among the nodes with the other findings, by age. Routing reports statements, rejections for want of room (a 503 that states that the request did not run) and cut calls of brittle back ends; `brittleness_stated`, `brittleness_changed` and two metrics show them. A back end that has yet to say anything is taken for as brittle as others of its service. No decision is changed yet.

--- a/core/src/main/kotlin/gypsumcart/core/dispatch/Dispatch.kt
+++ b/core/src/main/kotlin/gypsumcart/core/dispatch/Dispatch.kt
@@ -15,6 +15,7 @@
 import gypsumcart.core.Ticket
 import gypsumcart.core.routing.HealthSignal
 import gypsumcart.core.routing.InstanceKey
+import gypsumcart.core.routing.RoomSignal
 import gypsumcart.core.routing.key
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.seconds
@@ -71,6 +72,27 @@
 
 private const val FIRST_SERVER_ERROR = 500
 
+/** What the result shows of the room at the back end. */
+private val CallResult.room: RoomSignal
+    get() =
+        when (this) {
+            is CallResult.Answered -> RoomSignal.FREED
+            CallResult.ClientGone -> RoomSignal.OCCUPIED
+            is CallResult.Failed ->
+                when (val f = failure) {
+                    is CallFailure.Declined -> if (f.status == UNAVAILABLE) RoomSignal.REJECTED else RoomSignal.FREED
+                    is CallFailure.UnattributedRefusal ->
+                        if (f.status == UNAVAILABLE) RoomSignal.REJECTED else RoomSignal.FREED
+                    CallFailure.TimedOut, CallFailure.Aborted, CallFailure.InvalidResponse -> RoomSignal.OCCUPIED
+                    CallFailure.ConnectFailed, CallFailure.Withheld, CallFailure.WrongInstance -> RoomSignal.FREED
+                    CallFailure.Truncated -> RoomSignal.FREED
+                    is CallFailure.NotResumed, is CallFailure.ServerError -> RoomSignal.FREED
+                }
+        }
+
+/** The status with which a back end turns away a request for which it has no room. */
+private const val UNAVAILABLE = 503
+
 /** Describes how much of a response has been delivered to the client. */
 public sealed class DeliveryProgress {
     /** Nothing was delivered. */
@@ -110,12 +132,14 @@
      * Releases the load that routing counts for a call, and reports what the call showed of the back end's health.
      *
      * @property isError whether the response states a failure of the back end
+     * @property room what the end shows of the room at the back end
      */
     public data class Release(
         public val ticket: Ticket,
         public val instance: InstanceKey,
         public val health: HealthSignal,
         public val isError: Boolean = false,
+        public val room: RoomSignal = RoomSignal.FREED,
     ) : DispatchEffect()
 
     /**
@@ -229,7 +253,7 @@
         val backEnd = request.backEnd ?: return emptyList()
         request.backEnd = null
         val health = healthSignalOf(event.result)
-        val release = DispatchEffect.Release(event.ticket, backEnd.key, health, event.result.isError)
+        val release = DispatchEffect.Release(event.ticket, backEnd.key, health, event.result.isError, event.result.room)
         return listOf(release) + afterCall(request, backEnd, event.result, now)
     }
 
--- a/core/src/main/kotlin/gypsumcart/core/routing/Candidates.kt
+++ b/core/src/main/kotlin/gypsumcart/core/routing/Candidates.kt
@@ -55,6 +55,12 @@
 
     val limiter = CallLimiter()
 
+    /** Whether the instance says that it is brittle. */
+    val brittleness = Brittleness()
+
+    /** Whether the instance is known to have fallen over while it was brittle. */
+    var hasFallen = false
+
     /** What is known of the instance's capacity, or null if it is not learned. */
     var capacity: InstanceCapacity? = null
 
--- a/core/src/main/kotlin/gypsumcart/core/routing/Routing.kt
+++ b/core/src/main/kotlin/gypsumcart/core/routing/Routing.kt
@@ -36,6 +36,7 @@
         if (features.learnedCapacity) BackEndChoice.ByCapacity(CapacityLearner()) else BackEndChoice.Even
     private var sharedFindings = RoutingFindings.NONE
     private val versions = VersionSplit()
+    private val brittle = BrittleBackEnds()
     private var place = NodePlace(nodeCount = 1, rank = 0)
 
     override fun decide(event: RoutingEvent, now: MonotonicTime): List<RoutingEffect> =
@@ -58,6 +59,7 @@
             is RoutingEvent.FindingsReceived -> learn(event.findings, event.asOf, now)
             is RoutingEvent.CapacityReported -> noEffects { choice.learn(event) }
             is RoutingEvent.LimitStated -> hearLimit(event, now)
+            is RoutingEvent.BrittlenessStated -> hearBrittleness(event, now)
             is RoutingEvent.PauseStated -> pauseCalls(event, now)
             is RoutingEvent.VersionsRuled -> {
                 versions.update(event.rules, event.revision)
@@ -72,11 +74,6 @@
                     .also { waiting.clear() }
         }
 
-    private inline fun noEffects(change: () -> Unit): List<RoutingEffect> {
-        change()
-        return emptyList()
-    }
-
     private fun updateBackEnds(backEnds: List<BackEnd>, now: MonotonicTime): List<RoutingEffect> {
         val keys = backEnds.mapTo(HashSet()) { it.key }
         // A back end may be listed again before its pause ends.
@@ -89,8 +86,10 @@
             .map { backEnd -> candidates.getOrPut(backEnd.key) { Candidate(backEnd) }.also { it.backEnd = backEnd } }
             .sortedBy { it.backEnd.id }
             .groupByTo(HashMap()) { it.backEnd.service }
-            .onEach { (_, ofService) -> ofService.spreadLimits() }
-            .let(candidatesByService::putAll)
+            .onEach { (service, ofService) ->
+                ofService.spreadLimits()
+                brittle.list(service, ofService)
+            }.let(candidatesByService::putAll)
         choice.list(backEnds, candidates.values, now)
         return assignWaiting(now)
     }
@@ -231,7 +230,8 @@
         val call = candidate?.endCall(event.ticket, event.health, now)
         if (call?.prompt != null) places.recordEnd(candidate.backEnd.service, now)
         call?.let { choice.recordEnd(event, it, candidate.backEnd, now) }
-        val used = if (versions.awaitsEndOf(candidate)) versions.uses(candidates) else emptyList()
+        val fall = candidate?.let { brittle.observeEnd(it, event, now) }
+        val used = listOfNotNull(fall) + if (versions.awaitsEndOf(candidate)) versions.uses(candidates) else emptyList()
         val learned = used + if (call == null) emptyList() else learnFrom(call, candidate.backEnd, event.health, now)
         return if (waiting.isEmpty()) learned else learned + assignWaiting(now)
     }
@@ -285,7 +285,8 @@
                 candidates[instance]?.limiter?.learn(statement, asOf - age, now) ?: false
             }
         val quarantined = apply(quarantine.merge(findings.crashEvidence, asOf, now), now)
-        return quarantined + changed.flatMap { limitChanged(it.instance, now) }
+        val stated = findings.brittleness.mapNotNull { brittle.learn(candidates[it.instance], it, asOf) }
+        return quarantined + stated + changed.flatMap { limitChanged(it.instance, now) }
     }
 
     private fun hearLimit(event: RoutingEvent.LimitStated, now: MonotonicTime): List<RoutingEffect> {
@@ -293,6 +294,11 @@
         return if (changed) limitChanged(event.instance, now) + shareFindings(now) else emptyList()
     }
 
+    private fun hearBrittleness(event: RoutingEvent.BrittlenessStated, now: MonotonicTime): List<RoutingEffect> {
+        val changed = candidates[event.instance]?.let { brittle.hear(it, event.statement, now) }
+        return if (changed != null) listOf(changed) + shareFindings(now) else emptyList()
+    }
+
     /** Pauses calls, and refuses the waiting requests for which none is possible before their waiting time ends. */
     private fun pauseCalls(event: RoutingEvent.PauseStated, now: MonotonicTime): List<RoutingEffect> {
         val paused = candidates[event.instance]?.takeIf { it.limiter.pauseUntil(event.until) } ?: return emptyList()
@@ -310,7 +316,12 @@
     /** Shares the findings if there are any, or if the last ones are to be withdrawn. */
     private fun shareFindings(now: MonotonicTime): List<RoutingEffect> {
         val limits = candidates.values.mapNotNull { it.limiter.reportOrNull(it.backEnd.key, now) }
-        val findings = RoutingFindings(quarantine.evidence(now), limits.sortedBy { it.age }.take(MAX_SHARED_LIMITS))
+        val findings =
+            RoutingFindings(
+                quarantine.evidence(now),
+                limits.sortedBy { it.age }.take(MAX_SHARED_LIMITS),
+                brittle.report(candidates.values, now),
+            )
         if (findings.isEmpty && sharedFindings.isEmpty) return emptyList()
         sharedFindings = findings
         return listOf(RoutingEffect.ShareFindings(findings))
@@ -371,6 +382,11 @@
     }
 }
 
+private inline fun noEffects(change: () -> Unit): List<RoutingEffect> {
+    change()
+    return emptyList()
+}
+
 private fun QuarantineVerdict.Refused.toOutcome(): Outcome =
     Outcome.NotRun(RefusalReason.Quarantined(part), retryAfter)
 
--- a/core/src/main/kotlin/gypsumcart/core/routing/RoutingEvents.kt
+++ b/core/src/main/kotlin/gypsumcart/core/routing/RoutingEvents.kt
@@ -49,12 +49,14 @@
      * The call to [instance] for the request with [ticket] ended.
      *
      * @property isError whether the response states a failure of the back end
+     * @property room what the end shows of the room at the back end
      */
     public data class CallReleased(
         public val ticket: Ticket,
         public val instance: InstanceKey,
         public val health: HealthSignal,
         public val isError: Boolean = false,
+        public val room: RoomSignal = RoomSignal.FREED,
     ) : RoutingEvent()
 
     /**
@@ -102,6 +104,12 @@
         public val statement: LimitStatement,
     ) : RoutingEvent()
 
+    /** A response of [instance] to this node stated [statement]. */
+    public data class BrittlenessStated(
+        public val instance: InstanceKey,
+        public val statement: BrittlenessStatement,
+    ) : RoutingEvent()
+
     /** A response of [instance] to this node asked it for a pause, which ends at [until]. */
     public data class PauseStated(
         public val instance: InstanceKey,
@@ -175,6 +183,13 @@
         public val requestsPerSecond: Double?,
     ) : RoutingEffect()
 
+    /** Reports what became known of the brittle [instance] of [service]. */
+    public data class BrittlenessChanged(
+        public val service: ServiceName,
+        public val instance: InstanceKey,
+        public val change: BrittlenessChange,
+    ) : RoutingEffect()
+
     /** Ends the call for the request with [ticket] to [instance], which responds to nobody, if it may be repeated. */
     public data class EndCall(public val ticket: Ticket, public val instance: InstanceKey) : RoutingEffect()
 
--- a/core/src/test/kotlin/gypsumcart/core/routing/ServingFleet.kt
+++ b/core/src/test/kotlin/gypsumcart/core/routing/ServingFleet.kt
@@ -240,6 +240,7 @@
                     if (effect.requestsPerSecond == null) limited -= effect.instance else limited += effect.instance
                 is RoutingEffect.ReportLoad, is RoutingEffect.VersionsUsed -> Unit
                 is RoutingEffect.EndCall, is RoutingEffect.StandingChanged -> error("capacity is not learned here")
+                is RoutingEffect.BrittlenessChanged -> error("no engine is brittle here")
             }
         }
 
--- a/node/src/main/kotlin/gypsumcart/node/BackEndCalls.kt
+++ b/node/src/main/kotlin/gypsumcart/node/BackEndCalls.kt
@@ -41,6 +41,7 @@
     private val client: HttpClient,
     private val clock: MonotonicClock,
     private val limits: StatedLimits,
+    private val brittleness: StatedBrittleness,
     private val availability: StatedAvailability,
     private val responseLimits: ResponseLimits,
     private val onFirstPiece: (DispatchEffect.Call, MonotonicTime) -> Unit,
@@ -94,12 +95,12 @@
         }
         return when (kind) {
             ResponseKind.Valid -> {
-                limits.observe(call.backEnd, codec.limitStatementOrNull(head))
+                observeRoom(call, head)
                 forward(call, head, body, response)
             }
 
             is ResponseKind.Declined -> {
-                limits.observe(call.backEnd, codec.limitStatementOrNull(head))
+                observeRoom(call, head)
                 // A body that is left unread closes the connection.
                 if (kind.id == ResponseId.OWN) discard(body)
                 CallResult.Failed(CallFailure.Declined(kind.status), response.progress)
@@ -108,7 +109,7 @@
             is ResponseKind.WrongInstance -> CallResult.Failed(CallFailure.WrongInstance, response.progress)
 
             is ResponseKind.Unconfirmed -> {
-                limits.observe(call.backEnd, codec.limitStatementOrNull(head))
+                observeRoom(call, head)
                 reportStart(call)
                 discard(body)
                 val isResumed = response.isStarted
@@ -121,6 +122,12 @@
         }
     }
 
+    /** Notes what the back end says of the requests that it has room for. */
+    private fun observeRoom(call: DispatchEffect.Call, head: ResponseHead) {
+        limits.observe(call.backEnd, codec.limitStatementOrNull(head))
+        brittleness.observe(call.backEnd, codec.brittlenessStatementOrNull(head))
+    }
+
     /** Logs a refusal or an invalid response, with what shows whether it belongs to its request. */
     private fun logRefusal(call: DispatchEffect.Call, received: ReceivedResponse, kind: ResponseKind) {
         log.info(
--- a/node/src/main/kotlin/gypsumcart/node/FindingsCodec.kt
+++ b/node/src/main/kotlin/gypsumcart/node/FindingsCodec.kt
@@ -3,6 +3,9 @@
 import gypsumcart.core.BackEndId
 import gypsumcart.core.Incarnation
 import gypsumcart.core.PromptPartId
+import gypsumcart.core.ServiceName
+import gypsumcart.core.routing.BrittlenessReport
+import gypsumcart.core.routing.BrittlenessStatement
 import gypsumcart.core.routing.CrashEvidence
 import gypsumcart.core.routing.InstanceKey
 import gypsumcart.core.routing.LimitReport
@@ -16,6 +19,7 @@
 internal class WireFindings(
     val crashes: List<WireCrashEvidence> = emptyList(),
     val limits: List<WireLimit> = emptyList(),
+    val brittleness: List<WireBrittleness> = emptyList(),
 )
 
 /**
@@ -26,6 +30,20 @@
 @Serializable
 internal class WireLimit(val id: String, val incarnation: Long, val rate: Double?, val age: Long)
 
+/**
+ * Represents what an instance of [service] stated [age] milliseconds ago.
+ *
+ * @property tolerance the requests that it can turn away in a second, or null if it does not say that it is brittle
+ */
+@Serializable
+internal class WireBrittleness(
+    val service: String,
+    val id: String,
+    val incarnation: Long,
+    val tolerance: Int?,
+    val age: Long,
+)
+
 /**
  * Represents evidence of crashes.
  *
@@ -39,13 +57,27 @@
 internal class WireCrash(val id: String, val incarnation: Long, val age: Long)
 
 internal fun RoutingFindings.toWireOrNull(): WireFindings? =
-    if (isEmpty) null else WireFindings(crashEvidence.map { it.toWire() }, limits.map { it.toWire() })
+    if (isEmpty) {
+        null
+    } else {
+        WireFindings(
+            crashEvidence.map {
+                it.toWire()
+            },
+            limits.map { it.toWire() },
+            brittleness.map { it.toWire() },
+        )
+    }
 
 internal fun WireFindings?.toFindings(): RoutingFindings =
     if (this == null) {
         RoutingFindings.NONE
     } else {
-        RoutingFindings(crashes.map { it.toEvidence() }, limits.map { it.toReport() })
+        RoutingFindings(
+            crashes.map { it.toEvidence() },
+            limits.map { it.toReport() },
+            brittleness.map { it.toReport() },
+        )
     }
 
 private fun LimitReport.toWire(): WireLimit {
@@ -64,6 +96,29 @@
         age.milliseconds,
     )
 
+private fun BrittlenessReport.toWire(): WireBrittleness {
+    val tolerance =
+        when (val s = statement) {
+            is BrittlenessStatement.Brittle -> s.tolerance
+            BrittlenessStatement.Sturdy -> null
+        }
+    return WireBrittleness(
+        service.text,
+        instance.id.text,
+        instance.incarnation.number,
+        tolerance,
+        age.inWholeMilliseconds,
+    )
+}
+
+private fun WireBrittleness.toReport(): BrittlenessReport =
+    BrittlenessReport(
+        ServiceName(service),
+        InstanceKey(BackEndId(id), Incarnation(incarnation)),
+        if (tolerance == null) BrittlenessStatement.Sturdy else BrittlenessStatement.Brittle(tolerance),
+        age.milliseconds,
+    )
+
 private fun CrashEvidence.toWire(): WireCrashEvidence =
     WireCrashEvidence(
         part.text,
--- a/node/src/main/kotlin/gypsumcart/node/Metrics.kt
+++ b/node/src/main/kotlin/gypsumcart/node/Metrics.kt
@@ -62,6 +62,10 @@
     /** Counts a stage of a roll-out that this node learned of, by its [name]. */
     fun countStage(name: String): Unit = registry.counter("gypsumcart.rollout.stages", "stage", name).increment()
 
+    /** Counts a [change] of a brittle back end of [service]. */
+    fun countBrittleness(service: ServiceName, change: String): Unit =
+        registry.counter("gypsumcart.brittle.changes", "service", service.text, "change", change).increment()
+
     /** Counts a failed write to the store by [kind], the kind of row. */
     fun countFailedWrite(kind: String): Unit = registry.counter("gypsumcart.store.unwritten", "rows", kind).increment()
 
@@ -107,6 +111,7 @@
         registry.gauge("gypsumcart.lease.held", state) { if (it.leaseHeld) 1.0 else 0.0 }
         registry.gauge("gypsumcart.linked", state) { if (it.linked) 1.0 else 0.0 }
         registry.gauge("gypsumcart.limited.back.ends", state) { it.limitedBackEnds.size.toDouble() }
+        registry.gauge("gypsumcart.brittle.back.ends", state) { it.brittleBackEnds.size.toDouble() }
         registry.gauge("gypsumcart.ejected.back.ends", state) { it.ejectedBackEnds.size.toDouble() }
         registry.gauge("gypsumcart.quarantined.parts", state) { it.quarantinedParts.size.toDouble() }
         registry.gauge("gypsumcart.rollouts", state) { it.rolledOutVersions.size.toDouble() }
--- a/node/src/main/kotlin/gypsumcart/node/Node.kt
+++ b/node/src/main/kotlin/gypsumcart/node/Node.kt
@@ -87,6 +87,10 @@
         StatedLimits(state) { instance, statement ->
             rings.routing.offer(RoutingEvent.LimitStated(instance, statement))
         }
+    private val statedBrittleness =
+        StatedBrittleness(state) { instance, statement ->
+            rings.routing.offer(RoutingEvent.BrittlenessStated(instance, statement))
+        }
     private val statedAvailability =
         StatedAvailability(
             clock,
@@ -99,6 +103,7 @@
             client,
             clock,
             statedLimits,
+            statedBrittleness,
             statedAvailability,
             settings.responses,
             ::reportFirstPiece,
@@ -127,7 +132,7 @@
     private val loanLink = QuotaLoanLink(identity.node, rings.admission, client, runtime.scope, clock, metrics)
     private val readPace = FleetReadPace()
     private val duties: List<Duty> =
-        RequestDuties(rings, edge, loanLink, state, platform, timers, clock, settings.bounds, features).all +
+        RequestDuties(rings, edge, loanLink, state, metrics, platform, timers, clock, settings.bounds, features).all +
             FleetDuties(
                 rings,
                 state,
--- a/node/src/main/kotlin/gypsumcart/node/NodeState.kt
+++ b/node/src/main/kotlin/gypsumcart/node/NodeState.kt
@@ -49,6 +49,10 @@
     @Volatile
     var limitedBackEnds: Set<InstanceKey> = emptySet()
 
+    /** The services of the back ends that are brittle, by instance. */
+    @Volatile
+    var brittleBackEnds: Map<InstanceKey, ServiceName> = emptyMap()
+
     /** The new version of each service whose roll-out has not ended. */
     @Volatile
     var rolledOutVersions: Map<ServiceName, BackEndVersion> = emptyMap()
--- a/node/src/main/kotlin/gypsumcart/node/Ports.kt
+++ b/node/src/main/kotlin/gypsumcart/node/Ports.kt
@@ -18,6 +18,7 @@
 import gypsumcart.core.rollout.RolloutOrder
 import gypsumcart.core.rollout.RolloutRow
 import gypsumcart.core.routing.AvailabilityStatement
+import gypsumcart.core.routing.BrittlenessStatement
 import gypsumcart.core.routing.LimitStatement
 import gypsumcart.http.Headers
 import gypsumcart.http.HttpRequest
@@ -219,6 +220,12 @@
     /** Returns what a response with [head] says about the rate of requests, or null if that is unreadable. */
     public fun limitStatementOrNull(head: ResponseHead): LimitStatement?
 
+    /**
+     * Returns what a response with [head] says about how many requests its back end can turn away, or null if that is
+     * unreadable.
+     */
+    public fun brittlenessStatementOrNull(head: ResponseHead): BrittlenessStatement?
+
     /** Returns what a response with [head] says about whether its back end accepts further requests. */
     public fun availabilityStatements(head: ResponseHead): List<AvailabilityStatement>
 
--- a/node/src/main/kotlin/gypsumcart/node/RequestDuties.kt
+++ b/node/src/main/kotlin/gypsumcart/node/RequestDuties.kt
@@ -41,6 +41,7 @@
     private val edge: ClientEdge,
     private val loans: QuotaLoanLink,
     private val state: NodeState,
+    private val metrics: Metrics,
     private val platform: Platform,
     private val timers: Timers,
     private val clock: MonotonicClock,
@@ -138,6 +139,8 @@
 
             is RoutingEffect.LimitChanged -> recordLimit(effect)
 
+            is RoutingEffect.BrittlenessChanged -> effect.record(state, metrics)
+
             is RoutingEffect.EndCall -> rings.dispatch.put(DispatchEvent.CallOverdue(effect.ticket, effect.instance))
 
             is RoutingEffect.StandingChanged -> effect.record(state)
@@ -217,7 +220,13 @@
 
             is DispatchEffect.Release ->
                 rings.routing.reply(
-                    RoutingEvent.CallReleased(effect.ticket, effect.instance, effect.health, effect.isError),
+                    RoutingEvent.CallReleased(
+                        effect.ticket,
+                        effect.instance,
+                        effect.health,
+                        effect.isError,
+                        effect.room,
+                    ),
                 )
 
             is DispatchEffect.Reassign ->
@@ -267,6 +276,7 @@
                 state.drainingBackEnds = effect.backEnds.count { it.draining }
                 val listed = effect.backEnds.mapTo(HashSet()) { it.key }
                 state.limitedBackEnds = state.limitedBackEnds intersect listed
+                state.brittleBackEnds = state.brittleBackEnds.filterKeys { it in listed }
                 state.ejectedBackEnds = state.ejectedBackEnds intersect listed
                 state.activeBackEnds = effect.backEnds.size - state.drainingBackEnds
                 log.info(
--- a/node/src/test/kotlin/gypsumcart/node/ClientEdgeTest.kt
+++ b/node/src/test/kotlin/gypsumcart/node/ClientEdgeTest.kt
@@ -22,6 +22,7 @@
 import gypsumcart.core.dispatch.DispatchEffect
 import gypsumcart.core.dispatch.DispatchEvent
 import gypsumcart.core.routing.AvailabilityStatement
+import gypsumcart.core.routing.BrittlenessStatement
 import gypsumcart.core.routing.LimitStatement
 import gypsumcart.core.routing.RoutingEvent
 import gypsumcart.http.Headers
@@ -54,6 +55,7 @@
     private val dispatch = Ring<DispatchEvent>("dispatch", 16, reservedCapacity = 8)
     private val client = HttpClient(runtime.loop, 1.seconds)
     private val limits = StatedLimits(NodeState()) { _, _ -> }
+    private val brittleness = StatedBrittleness(NodeState()) { _, _ -> }
     private val availability = StatedAvailability(MonotonicClock.SYSTEM, {}) { _, _ -> }
     private val calls =
         BackEndCalls(
@@ -61,6 +63,7 @@
             client,
             MonotonicClock.SYSTEM,
             limits,
+            brittleness,
             availability,
             ResponseLimits(),
             { _, _ -> },
@@ -207,6 +210,8 @@
 
         override fun limitStatementOrNull(head: ResponseHead): LimitStatement = LimitStatement.Unlimited
 
+        override fun brittlenessStatementOrNull(head: ResponseHead): BrittlenessStatement = BrittlenessStatement.Sturdy
+
         override fun availabilityStatements(head: ResponseHead): List<AvailabilityStatement> = emptyList()
 
         override fun outcomeHead(outcome: Outcome, id: RequestId?): ResponseHead = ResponseHead(503, Headers.EMPTY)
