Keep the calls of all nodes to a brittle back end within its room

Callers of a service whose replicas say that they are brittle lost most of them: each node sent what it had, and one that had to turn away more than it can in a second fell over, and then the next. Rejected requests were retried at back ends that were as full.

While a back end says that it is brittle, each node now has a part of its slots, by rank, and a part of one call less than it can turn away in a second. A part shrinks at once and grows two seconds later, so that nodes with different views never exceed the slots together. Requests beyond it wait at the node, the most urgent first, or are refused at once with the time at which room is expected. An instance that has just started gets one call and one more for each that it answers, and a node that was turned away sends nothing for a second. Where no back end says so, nothing changes.

--- a/core/src/main/kotlin/gypsumcart/core/routing/BrittleBackEnds.kt
+++ b/core/src/main/kotlin/gypsumcart/core/routing/BrittleBackEnds.kt
@@ -37,6 +37,7 @@
 
     /** Returns what the end of a call shows of the brittle [candidate] that made it. */
     fun observeEnd(candidate: Candidate, event: RoutingEvent.CallReleased, now: MonotonicTime): RoutingEffect? {
+        candidate.room.recordEnd(event, candidate.inFlightCalls, now)
         if (candidate.brittleness.toleranceOrNull(now) == null) return null
         if (event.room == RoomSignal.REJECTED) return candidate.changed(BrittlenessChange.Rejected)
         val fell = event.health == HealthSignal.DISCONNECTED && !candidate.backEnd.draining
--- a/core/src/main/kotlin/gypsumcart/core/routing/CallLimiter.kt
+++ b/core/src/main/kotlin/gypsumcart/core/routing/CallLimiter.kt
@@ -10,7 +10,18 @@
  *
  * @property rank the number of live nodes whose id is lower than that of this one
  */
-internal data class NodePlace(val nodeCount: Int, val rank: Int)
+internal data class NodePlace(val nodeCount: Int, val rank: Int) {
+    /**
+     * Returns this node's part of [total] that are divided evenly; the parts of all nodes add up to the total.
+     *
+     * @param position decides which nodes get one more than others, from 0 to 1
+     */
+    fun partOf(total: Int, position: Double): Int {
+        val first = (position * nodeCount).toInt()
+        val getsMore = Math.floorMod(rank - first, nodeCount) < total % nodeCount
+        return total / nodeCount + if (getsMore) 1 else 0
+    }
+}
 
 /**
  * Paces this node's calls to a back end that limits the requests of all nodes together.
--- a/core/src/main/kotlin/gypsumcart/core/routing/Candidates.kt
+++ b/core/src/main/kotlin/gypsumcart/core/routing/Candidates.kt
@@ -58,6 +58,9 @@
     /** Whether the instance says that it is brittle. */
     val brittleness = Brittleness()
 
+    /** What this node may use of the instance while it is brittle. */
+    val room = BrittleRoom(brittleness)
+
     /** Whether the instance is known to have fallen over while it was brittle. */
     var hasFallen = false
 
@@ -79,7 +82,11 @@
 
     /** Returns whether a call may be made now that is not to go to [excluded] instances. */
     fun isAvailable(excluded: Set<InstanceKey>, place: NodePlace, now: MonotonicTime): Boolean =
-        !backEnd.draining && backEnd.key !in excluded && limiter.isOpen(place, now)
+        !backEnd.draining && backEnd.key !in excluded && limiter.isOpen(place, now) && hasRoom(place, now)
+
+    /** Returns whether brittleness does not keep this node from one more call now. */
+    fun hasRoom(place: NodePlace, now: MonotonicTime): Boolean =
+        room.isOpen(backEnd.slots, calls.size, place, now)
 
     /** Returns whether the instance must not get the request with [ticket], or any request if it is null. */
     fun isEjected(now: MonotonicTime, ticket: Ticket? = null): Boolean {
@@ -152,7 +159,10 @@
 
 /** Spreads the nodes that share limits evenly over the candidates of one service. */
 internal fun List<Candidate>.spreadLimits(): Unit =
-    forEachIndexed { i, candidate -> candidate.limiter.position = i.toDouble() / size }
+    forEachIndexed { i, candidate ->
+        candidate.limiter.position = i.toDouble() / size
+        candidate.room.position = i.toDouble() / size
+    }
 
 /** Returns the limiters of the candidates that accept new requests. */
 internal fun List<Candidate>.limiters(): List<CallLimiter> = filterNot { it.backEnd.draining }.map { it.limiter }
--- a/core/src/main/kotlin/gypsumcart/core/routing/Routing.kt
+++ b/core/src/main/kotlin/gypsumcart/core/routing/Routing.kt
@@ -37,6 +37,7 @@
     private var sharedFindings = RoutingFindings.NONE
     private val versions = VersionSplit()
     private val brittle = BrittleBackEnds()
+    private val rooms = BrittleRoomQueue()
     private var place = NodePlace(nodeCount = 1, rank = 0)
 
     override fun decide(event: RoutingEvent, now: MonotonicTime): List<RoutingEffect> =
@@ -124,9 +125,12 @@
             if (assigned != null) return earlier + assigned
         }
         val isFull = limiters.isNotEmpty() && places.areFull(admitted, ofService, place, now)
-        val limit = admitted.submission.arrivedAt + places.maxWaitFor(admitted, isFull, now)
+        val isShort = ofService.areShortOfRoom(place, now)
+        val maxWait = if (isShort) rooms.maxWaitFor(admitted) else places.maxWaitFor(admitted, isFull, now)
+        val limit = admitted.submission.arrivedAt + maxWait
         val request = WaitingRequest(admitted, excluded, minOf(limit, admitted.deadline))
         if (limiters.areUsedUp(place, now)) return earlier + awaitLimit(request, limiters, now)
+        if (isShort) return earlier + rooms.await(request, ofService, waiting, place, now)
         return earlier + awaitPlace(request, isFull, now)
     }
 
@@ -228,6 +232,7 @@
     private fun releaseCall(event: RoutingEvent.CallReleased, now: MonotonicTime): List<RoutingEffect> {
         val candidate = candidates[event.instance]
         val call = candidate?.endCall(event.ticket, event.health, now)
+        call?.let { rooms.recordEnd(candidate.backEnd.service, now - it.startedAt) }
         if (call?.prompt != null) places.recordEnd(candidate.backEnd.service, now)
         call?.let { choice.recordEnd(event, it, candidate.backEnd, now) }
         val fall = candidate?.let { brittle.observeEnd(it, event, now) }
@@ -260,7 +265,10 @@
     private fun startResponse(event: RoutingEvent.FirstPieceReceived, now: MonotonicTime): List<RoutingEffect> {
         event.fraction?.let { latencies.add(event.service, it, now) }
         val call = candidates[event.instance]?.callOrNull(event.ticket) ?: return emptyList()
-        if (!call.started) choice.recordStart(event.instance, call, now)
+        if (!call.started) {
+            choice.recordStart(event.instance, call, now)
+            candidates[event.instance]?.room?.recordResponse()
+        }
         call.started = true
         places.recordStart(call, now)
         val prompt = call.prompt ?: return emptyList()
@@ -357,6 +365,7 @@
         val ofService = versions.backEndsFor(admitted, candidatesByService)
         return when {
             ofService.limiters().areUsedUp(place, now) -> refusals.outcomeOf(admitted, ofService, place, now)
+            ofService.areShortOfRoom(place, now) -> rooms.refusalOf(admitted, ofService, waiting, place, now)
             places.areFull(admitted, ofService, place, now) ->
                 places.refusalOf(admitted, waiting.count(admitted.service), now)
             else -> Outcome.NotRun(RefusalReason.NoBackEnd, RETRY_AFTER)
@@ -390,7 +399,7 @@
 private fun QuarantineVerdict.Refused.toOutcome(): Outcome =
     Outcome.NotRun(RefusalReason.Quarantined(part), retryAfter)
 
-private fun costOf(admitted: AdmittedRequest): Double =
+internal fun costOf(admitted: AdmittedRequest): Double =
     1 + (admitted.submission.prompt?.tokens ?: 0).toDouble() / TOKENS_PER_COST_UNIT
 
 /** A prompt of this many tokens loads an engine as much as one more running request. */
--- a/core/src/main/kotlin/gypsumcart/core/routing/WaitingRequests.kt
+++ b/core/src/main/kotlin/gypsumcart/core/routing/WaitingRequests.kt
@@ -58,7 +58,11 @@
     /** Returns how many requests would have their turn before [admitted], which asks for [work]. */
     fun countBefore(admitted: AdmittedRequest, work: Double): Int =
         when (order) {
-            WaitingOrder.ByPriority -> count(admitted.service)
+            WaitingOrder.ByPriority ->
+                entries.values.count { (request) ->
+                    val other = request.admitted
+                    other.service == admitted.service && other.priority <= admitted.priority
+                }
 
             WaitingOrder.FairAmongTeams -> {
                 val tag = nextTag(admitted.team, work)
--- a/core/src/test/kotlin/gypsumcart/core/routing/BrittleFleet.kt
+++ b/core/src/test/kotlin/gypsumcart/core/routing/BrittleFleet.kt
@@ -30,12 +30,16 @@
  *
  * @property speeds how fast each back end works, as a multiple of the usual speed
  * @property tolerance the requests that a brittle one can turn away in a second
+ * @property brittleQueue the requests that a brittle one keeps waiting
+ * @property contactTime how long after its first statement it may fall
  */
 internal class BrittleService(
     val speeds: List<Double> = List(6) { 1.0 },
     val slots: Int = 4,
     val tolerance: Int = 3,
     val work: Duration = 300.milliseconds,
+    val brittleQueue: Int = 1,
+    val contactTime: Duration = 3.seconds,
 ) {
     /** The requests a second that all back ends together complete. */
     val capacity: Double get() = speeds.sum() * slots / work.toDouble(DurationUnit.SECONDS)
@@ -45,8 +49,8 @@
  * Runs the routing, dispatch and membership deciders of several nodes before back ends that turn brittle, in virtual
  * time.
  *
- * From [CONTACT_TIME] after they first say it, back ends keep [BRITTLE_QUEUE] requests waiting instead of
- * [USUAL_QUEUE], and one that turns away more than it tolerates in a second falls over: its calls are cut, and another
+ * From a contact time after they first say it, back ends keep fewer than [USUAL_QUEUE] requests waiting,
+ * and one that turns away more than it tolerates in a second falls over: its calls are cut, and another
  * instance is back [ABSENCE] later.
  */
 internal class BrittleFleet(
@@ -54,7 +58,12 @@
     zoneSizes: List<Int> = listOf(1, 1, 1),
     seed: Int = 5,
 ) {
-    private class Call(val node: Server, val effect: DispatchEffect.Call, val work: Duration)
+    /** A request at a back end, of a [node] or of another caller. */
+    private class Call(val node: Server?, val effect: DispatchEffect.Call?, val work: Duration)
+
+    private fun Call.end(result: CallResult, speaker: BackEnd?) {
+        if (node != null && effect != null) node.end(effect, result, speaker)
+    }
 
     private inner class Replica(val backEnd: BackEnd, val speed: Double) {
         val running = HashSet<Call>()
@@ -62,11 +71,16 @@
         val rejections = ArrayDeque<Duration>()
         var isUp = true
 
+        /** Ends this instance as if its host were lost; another one is back after a while. */
+        fun stop() {
+            if (isUp) end()
+        }
+
         fun receive(call: Call) {
             when {
                 !isUp -> schedule(NETWORK_TIME) { fail(call, CallFailure.ConnectFailed) }
                 running.size < backEnd.slots -> run(call)
-                queue.size < if (mayFall) BRITTLE_QUEUE else USUAL_QUEUE -> queue += call
+                queue.size < if (mayFall) service.brittleQueue else USUAL_QUEUE -> queue += call
                 else -> reject(call)
             }
         }
@@ -77,12 +91,12 @@
         }
 
         private fun complete(call: Call) {
-            schedule(NETWORK_TIME) { call.node.end(call.effect, CallResult.Answered(200), backEnd) }
+            schedule(NETWORK_TIME) { call.end(CallResult.Answered(200), backEnd) }
             queue.removeFirstOrNull()?.let(::run)
         }
 
         private fun reject(call: Call) {
-            rejected++
+            if (mayFall) rejected++
             rejections += fleet.now
             while (fleet.now - rejections.first() >= 1.seconds) rejections.removeFirst()
             schedule(NETWORK_TIME) { fail(call, CallFailure.Declined(503), backEnd) }
@@ -90,8 +104,12 @@
         }
 
         private fun fall() {
-            isUp = false
             falls += fleet.now
+            end()
+        }
+
+        private fun end() {
+            isUp = false
             (running + queue).forEach { schedule(NETWORK_TIME) { fail(it, CallFailure.Truncated) } }
             running.clear()
             queue.clear()
@@ -104,7 +122,7 @@
         }
 
         private fun fail(call: Call, failure: CallFailure, speaker: BackEnd? = null): Unit =
-            call.node.end(call.effect, CallResult.Failed(failure, DeliveryProgress.None), speaker)
+            call.end(CallResult.Failed(failure, DeliveryProgress.None), speaker)
     }
 
     val fleet = SimulatedFleet(zoneSizes)
@@ -116,12 +134,12 @@
     private val servers = LinkedHashMap<NodeId, Server>()
     private var lastNumber = 0L
     private var brittleFrom: Duration? = null
-    private val mayFall: Boolean get() = brittleFrom?.let { fleet.now >= it + CONTACT_TIME } ?: false
+    private val mayFall: Boolean get() = brittleFrom?.let { fleet.now >= it + service.contactTime } ?: false
 
     /** When back ends fell over. */
     val falls = ArrayList<Duration>()
 
-    /** The requests that back ends have turned away. */
+    /** The requests that back ends have turned away since they may fall. */
     var rejected = 0
         private set
 
@@ -155,6 +173,26 @@
         addServer(fleet.node(id.text))
     }
 
+    /** Lets other callers than the nodes send [perSecond] requests a second for [duration]. */
+    fun addOtherCallers(perSecond: Double, duration: Duration) {
+        val end = fleet.now + duration
+
+        fun next() {
+            replicas.random(random).receive(Call(null, null, service.work))
+            if (fleet.now < end) schedule((-ln(1 - random.nextDouble()) / perSecond).seconds, ::next)
+        }
+        next()
+    }
+
+    /** Ends the instance of the back end with [index] for a while, which is no fall. */
+    fun stopReplica(index: Int): Unit = replicas[index].stop()
+
+    /** Ends the process of one node for good. */
+    fun removeNode() {
+        val node = fleet.nodes.removeAt(0)
+        node.running = false
+    }
+
     fun turnBrittle() {
         brittleFrom = fleet.now
     }
@@ -304,12 +342,10 @@
     }
 
     companion object {
-        val CONTACT_TIME = 3.seconds
         val ABSENCE = 3.seconds
         val DELISTING_TIME = 1.seconds
         val NETWORK_TIME = 2.milliseconds
         val DEADLINE = 1.5.seconds
         const val USUAL_QUEUE = 8
-        const val BRITTLE_QUEUE = 1
     }
 }
