--- a/core/src/main/kotlin/gypsumcart/core/routing/BrittleRoom.kt
+++ b/core/src/main/kotlin/gypsumcart/core/routing/BrittleRoom.kt
@@ -32,8 +32,8 @@
     /** Returns whether this node may send one call more than the [inFlight] ones that are in progress. */
     fun isOpen(slots: Int, inFlight: Int, place: NodePlace, now: MonotonicTime): Boolean {
         val tolerance = brittleness.toleranceOrNull(now) ?: return true
+        forgetUntil(now)
         if (resumesAtOrNull(tolerance, place, now) != null) return false
-        abandonedUntil.removeIf { it <= now }
         return inFlight + abandonedUntil.size < limit(slots, tolerance, place, now)
     }
 
@@ -50,6 +50,7 @@
 
     /** Records the end of a call, besides which [inFlight] others are in progress. */
     fun recordEnd(event: RoutingEvent.CallReleased, inFlight: Int, now: MonotonicTime) {
+        forgetUntil(now)
         when (event.room) {
             RoomSignal.FREED -> if (event.health == HealthSignal.HEALTHY) recordResponse()
 
@@ -64,6 +65,12 @@
         }
     }
 
+    private fun forgetUntil(now: MonotonicTime) {
+        abandonedUntil.removeIf { it <= now }
+        rejections.removeIf { now - it > MEMORY }
+        if (rejections.isEmpty()) caution = Duration.ZERO
+    }
+
     private fun limit(slots: Int, tolerance: Int, place: NodePlace, now: MonotonicTime): Int {
         val part = parts.update(place.partOf(slots, position), now)
         val widest = widestParts.update(place.partOf(slots + spareOf(tolerance), position), now)
@@ -72,8 +79,6 @@
 
     /** Returns when this node may call again if the back end has turned away its part of what it tolerates. */
     private fun resumesAtOrNull(tolerance: Int, place: NodePlace, now: MonotonicTime): MonotonicTime? {
-        while (rejections.firstOrNull()?.let { now - it > MEMORY } ?: false) rejections.removeFirst()
-        if (rejections.isEmpty()) caution = Duration.ZERO
         val tolerated = place.partOf(spareOf(tolerance), position).coerceAtLeast(1)
         val decisive = rejections.getOrNull(rejections.size - tolerated) ?: return null
         return (decisive + REJECTION_SPAN).takeIf { it > now }
