Renew no lease by a row that an older copy of the store shows

A node whose lease was taken over while its host was suspended reads the row as soon as it runs again. If the store has come back from a copy from before the take-over, the row names this node, and it renewed its old token and acted beside the holder until the feed of the fleet table told it of the return, up to 1.7 s later. The platform refuses the lower token only where it checks fencing.

A row of a later era than the known one is treated as LeaseEvent.StoreRestored treats it: a node whose term runs acquires the lease anew, and all others wait for longer than a term. So a holder needn't wait for the feed either.

LeaseTest: 'an earlier holder that reads an older copy before it is told so waits for longer than a term' failed before (WriteRow with the old token); all 18 pass.

--- a/core/src/main/kotlin/gypsumcart/core/leases/Lease.kt
+++ b/core/src/main/kotlin/gypsumcart/core/leases/Lease.kt
@@ -6,6 +6,8 @@
 import gypsumcart.core.MonotonicTime
 import gypsumcart.core.NodeId
 import gypsumcart.core.UnixMillis
+import gypsumcart.core.membership.StoreEra
+import gypsumcart.core.membership.StorePosition
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 
@@ -193,6 +195,7 @@
         if (row == null && known != null && isRowKnown) return observeAbsence(now)
         isAbsenceDoubtful = false
         if (isRowKnown && (row?.version ?: 0) <= (known?.version ?: 0)) return emptyList()
+        if (row != null && known != null && row.era > known.era) isRowOutdated = true
         isRowKnown = true
         this.row = row
         rowChangedAt = now
@@ -299,6 +302,9 @@
         return listOf(LeaseEffect.HoldingChanged(token))
     }
 
+    /** The era of the store in which the row was read; the row itself may have been written in an earlier one. */
+    private val LeaseRow.era: StoreEra get() = StorePosition(version).era
+
     private fun heldOrNull(now: MonotonicTime): Held? = held?.takeIf { now < it.until }
 
     private fun LeaseRow.supersedes(held: Held?): Boolean =
--- a/core/src/test/kotlin/gypsumcart/core/leases/LeaseTest.kt
+++ b/core/src/test/kotlin/gypsumcart/core/leases/LeaseTest.kt
@@ -6,6 +6,8 @@
 import gypsumcart.core.UnixMillis
 import gypsumcart.core.WindowNumber
 import gypsumcart.core.at
+import gypsumcart.core.membership.StoreEra
+import gypsumcart.core.membership.StorePosition
 import org.junit.jupiter.api.Test
 import strikt.api.expectThat
 import strikt.assertions.any
@@ -224,6 +226,24 @@
         expectThat(request(800)).none { isA<LeaseEffect.Execute>() }
     }
 
+    private fun position(era: Long, counter: Long): Long =
+        checkNotNull(StorePosition.ofOrNull(StoreEra(era), counter)).number
+
+    /** Guards against two holders: a host is resumed and reads a copy from before its lease was taken over. */
+    @Test
+    fun `an earlier holder that reads an older copy before it is told so waits for longer than a term`() {
+        val token = FencingToken(position(1, 7))
+        observe(0, null)
+        tick(100)
+        endWrite(110, LeaseWriteResult.Written(token.number))
+        wallClockOffset += 5_000
+        tick(350)
+        observe(360, LeaseRow(node, Incarnation(1), position(2, 7), token))
+        expectThat(tick(600)).isEmpty()
+        expectThat(tick(3_800)).isEmpty()
+        expectThat(tick(3_900)).contains(LeaseEffect.WriteRow(position(2, 7), null))
+    }
+
     private companion object {
         /** The version of the row in an older copy, which is above all earlier ones. */
         const val COPIED = 1_000L
