Keep the era of a store that counts its eras from a large number

A Store-Era above 524,287 did not fit into a position and counted as none, so that a return of such a store was missed as before: a feed went on behind its counter (CONFIG). The bits that fit are kept; they rise with each era too, but for the one at which they start over.

--- a/core/src/main/kotlin/gypsumcart/core/membership/StorePosition.kt
+++ b/core/src/main/kotlin/gypsumcart/core/membership/StorePosition.kt
@@ -19,6 +19,13 @@
         public val UNNAMED: StoreEra = StoreEra(0)
 
         private const val MAX_ERA = (1L shl 63 - StorePosition.COUNTER_BITS) - 1
+
+        /**
+         * Returns the era that the store names with [number].
+         *
+         * The store may count from any number, so only the bits are kept that fit. They rise with each era too.
+         */
+        public fun ofNamed(number: Long): StoreEra = StoreEra(number and MAX_ERA)
     }
 }
 
