Send no report of usage that may replace one lost with an older copy

A node that took over the lease sums up a window that had ended before only if the store has lost nothing since. That there is no row does not mean the same in a later era. The node was told of the return with the feed of the fleet table, up to 1.7 s later.

The write now names the era in which it was accepted, and what the store had been asked names its own; if they differ, the window counts as ended. One that ended while this node held the lease is sent as before. Not covered: a later holder that reads the row that was written so.

UsageTest: 'a report whose write shows that the store came back from an older copy meanwhile is not sent' failed without the condition (SendReport); all 12 pass. StoreHistoryTest now also expects the era, and is as strict as before.

--- a/core/src/main/kotlin/gypsumcart/core/usage/Usage.kt
+++ b/core/src/main/kotlin/gypsumcart/core/usage/Usage.kt
@@ -8,6 +8,7 @@
 import gypsumcart.core.leases.CommandResult
 import gypsumcart.core.leases.FencedCommand
 import gypsumcart.core.membership.NodeReport
+import gypsumcart.core.membership.StoreEra
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.seconds
 import kotlin.time.DurationUnit
@@ -33,13 +34,22 @@
      * The store was asked since when it holds all that it has acknowledged.
      *
      * @property intactSince a time after which it has not come back from an older copy, or null if it never has
+     * @property era the era of the store for which this holds
      */
-    public data class StoreHistoryRead(public val intactSince: MonotonicTime?) : UsageEvent()
+    public data class StoreHistoryRead(
+        public val intactSince: MonotonicTime?,
+        public val era: StoreEra = StoreEra.UNNAMED,
+    ) : UsageEvent()
 
-    /** The store holds [counts] as the final report for [window]; another node may have stored it. */
+    /**
+     * The store holds [counts] as the final report for [window]; another node may have stored it.
+     *
+     * @property writtenIn the era of the store in which this node stored it just now, or null if the store held it
+     */
     public data class ReportStored(
         public val window: WindowNumber,
         public val counts: Map<TeamName, Int>,
+        public val writtenIn: StoreEra? = null,
     ) : UsageEvent()
 
     /** Storing the report for [window] failed, or its outcome is unknown, or the store was read and holds none. */
@@ -227,6 +237,10 @@
     }
 
     private fun sendReport(event: UsageEvent.ReportStored, now: MonotonicTime): List<UsageEffect> {
+        if (event.mayReplaceLostReport) {
+            finish(event.window)
+            return emptyList()
+        }
         val agrees = stored.record(event.window, event.counts)
         if (event.window in finished) return emptyList()
         if (!agrees) {
@@ -239,6 +253,13 @@
         return listOf(UsageEffect.SendReport(FencedCommand.ReportUsage(event.window, event.counts)))
     }
 
+    /** Whether the store, which held no report when this one was stored, may have lost one since it was asked. */
+    private val UsageEvent.ReportStored.mayReplaceLostReport: Boolean
+        get() {
+            val isFirst = stored.countsOrNull(window) == null && !heldSince.isBeforeEndOf(window)
+            return writtenIn != null && isFirst && writtenIn != history?.era
+        }
+
     private fun finish(window: WindowNumber) {
         pending -= window
         finished += window
--- a/core/src/test/kotlin/gypsumcart/core/usage/UsageTest.kt
+++ b/core/src/test/kotlin/gypsumcart/core/usage/UsageTest.kt
@@ -11,6 +11,7 @@
 import gypsumcart.core.leases.CommandResult
 import gypsumcart.core.leases.FencedCommand
 import gypsumcart.core.membership.NodeReport
+import gypsumcart.core.membership.StoreEra
 import org.junit.jupiter.api.Test
 import strikt.api.expectThat
 import strikt.assertions.contains
@@ -176,4 +177,14 @@
         expectThat(usage.decide(UsageEvent.ReportStored(first, mapOf(team to 2)), at(8.4.seconds))).isEmpty()
         expectThat(reportEffects(12.0)).isEmpty()
     }
+
+    /** Guards against two reports for one window: the row of the first is lost while the second is being stored. */
+    @Test
+    fun `a report whose write shows that the store came back from an older copy meanwhile is not sent`() {
+        takeOverAt8(intactSince = null)
+        expectThat(reportEffects(8.5)).containsExactly(UsageEffect.StoreReport(first, mapOf(team to 3)))
+        val written = UsageEvent.ReportStored(first, mapOf(team to 3), writtenIn = StoreEra(2))
+        expectThat(usage.decide(written, at(8.6.seconds))).isEmpty()
+        expectThat(reportEffects(12.0)).isEmpty()
+    }
 }
--- a/node/src/main/kotlin/gypsumcart/node/FleetDuties.kt
+++ b/node/src/main/kotlin/gypsumcart/node/FleetDuties.kt
@@ -20,6 +20,7 @@
 import gypsumcart.core.membership.MembershipEffect
 import gypsumcart.core.membership.MembershipEvent
 import gypsumcart.core.membership.MembershipSettings
+import gypsumcart.core.membership.StorePosition
 import gypsumcart.core.membership.fleetLoads
 import gypsumcart.core.replicas.Autoscaler
 import gypsumcart.core.replicas.AutoscalerEffect
@@ -272,7 +273,7 @@
 
     private suspend fun storeReport(effect: UsageEffect.StoreReport): UsageEvent =
         rows.put(Tables.USAGE, effect.window.toRowKey(), encodeUsageCounts(effect.counts), RowVersion.ABSENT).fold(
-            { UsageEvent.ReportStored(effect.window, effect.counts) },
+            { UsageEvent.ReportStored(effect.window, effect.counts, writtenIn = StorePosition(it.number).era) },
             { failure ->
                 val stored = (failure as? StoreFailure.Conflict)?.current?.toUsageCountsOrNull()
                 if (stored != null) {
--- a/node/src/main/kotlin/gypsumcart/node/StoreHistory.kt
+++ b/node/src/main/kotlin/gypsumcart/node/StoreHistory.kt
@@ -32,7 +32,7 @@
         val era = rows.eraOrNull() ?: return UsageEvent.StoreHistoryRead(intactSince = null)
         val clock = rows.clockOrNull() ?: return null
         val since = row.sinceMillisOrNull(era) ?: startEraOrNull(era, row, clock)
-        return since?.let { UsageEvent.StoreHistoryRead(clock.at - (clock.millis - it).milliseconds) }
+        return since?.let { UsageEvent.StoreHistoryRead(clock.at - (clock.millis - it).milliseconds, era) }
     }
 
     private suspend fun startEraOrNull(era: StoreEra, row: Row?, clock: StoreClock): Long? {
--- a/node/src/test/kotlin/gypsumcart/node/StoreHistoryTest.kt
+++ b/node/src/test/kotlin/gypsumcart/node/StoreHistoryTest.kt
@@ -60,9 +60,9 @@
     @Test
     fun `the first node that asks in an era states when, and later processes learn it`() {
         val store = CopiedStore(era = 1)
-        expectThat(readOrNull(store)).isEqualTo(intactSince(1_000))
+        expectThat(readOrNull(store)).isEqualTo(intactSince(1_000, era = 1))
         store.millis = 9_000
-        expectThat(readOrNull(store)).isEqualTo(intactSince(1_000))
+        expectThat(readOrNull(store)).isEqualTo(intactSince(1_000, era = 1))
     }
 
     @Test
@@ -71,9 +71,9 @@
         readOrNull(store)
         store.era = 2
         store.millis = 9_000
-        expectThat(readOrNull(store)).isEqualTo(intactSince(9_000))
+        expectThat(readOrNull(store)).isEqualTo(intactSince(9_000, era = 2))
         store.millis = 12_000
-        expectThat(readOrNull(store)).isEqualTo(intactSince(9_000))
+        expectThat(readOrNull(store)).isEqualTo(intactSince(9_000, era = 2))
     }
 
     @Test
@@ -83,7 +83,7 @@
         store.row = null
         store.era = 2
         store.millis = 9_000
-        expectThat(readOrNull(store)).isEqualTo(intactSince(9_000))
+        expectThat(readOrNull(store)).isEqualTo(intactSince(9_000, era = 2))
     }
 
     @Test
@@ -99,7 +99,7 @@
 
         fun time(millis: Long): MonotonicTime = BOOT + millis.milliseconds + OFFSET
 
-        fun intactSince(millis: Long) = UsageEvent.StoreHistoryRead(time(millis))
+        fun intactSince(millis: Long, era: Long) = UsageEvent.StoreHistoryRead(time(millis), StoreEra(era))
 
         /** The clock of the process is ahead of that of the store. */
         val OFFSET: Duration = 500.milliseconds
