Keep the newest row of a roll-out when a copy of the store shows an earlier one

A copy of the store shows the row of a roll-out as it was some seconds ago, with a version of the later era, above all earlier ones. All nodes adopted it: a version that had been rolled back got requests again (EXPOSURE), and a row that the copy lacks was never written again, so that the operator never read how the roll-out had ended.

Rows compare by the era in which their writer acquired the lease and the counter, which a copy keeps. A holder writes only in the era of its token, on the version that the store shows in that era, and writes rows of earlier eras again, final ones too.

--- a/core/src/main/kotlin/gypsumcart/core/membership/StorePosition.kt
+++ b/core/src/main/kotlin/gypsumcart/core/membership/StorePosition.kt
@@ -36,6 +36,9 @@
     /** The version as the store numbers it. */
     public val counter: Long get() = number and MAX_COUNTER
 
+    /** Returns the position of the same counter in [other]. */
+    public fun inEra(other: StoreEra): StorePosition = StorePosition((other.number shl COUNTER_BITS) or counter)
+
     override fun compareTo(other: StorePosition): Int = number.compareTo(other.number)
 
     override fun toString(): String = "$era:$counter"
--- a/core/src/main/kotlin/gypsumcart/core/rollout/Rollout.kt
+++ b/core/src/main/kotlin/gypsumcart/core/rollout/Rollout.kt
@@ -85,7 +85,7 @@
     private fun adopt(row: RolloutRow, now: MonotonicTime): List<RolloutEffect> {
         val tracker = trackerOf(row.service, now)
         val isNewer = tracker.adopt(row, readAt = now, confirmedAt = now)
-        if (row.version == tracker.row?.version) tracker.confirm(now)
+        if (tracker.row.isSameAs(row)) tracker.confirm(now)
         return if (isNewer) listOf(RolloutEffect.StageChanged(row, tracker.summary())) else emptyList()
     }
 
@@ -94,7 +94,10 @@
         busy -= service
         return when (val result = event.result) {
             is RolloutWriteResult.Written -> adopt(event.row.copy(version = result.version), now)
-            is RolloutWriteResult.Outdated -> result.current?.let { adopt(it, now) }.orEmpty()
+            is RolloutWriteResult.Outdated -> {
+                if (result.current == null) trackers[service]?.stored?.recordAbsence()
+                result.current?.let { adopt(it, now) }.orEmpty()
+            }
             RolloutWriteResult.Unknown -> listOf(read(service))
         }
     }
@@ -129,9 +132,18 @@
 
     private fun nextRowOrNull(tracker: RolloutTracker, held: FencingToken, now: MonotonicTime): RolloutRow? {
         val row = tracker.row
-        if (row != null && row.token > held) return null
-        tracker.firstRowOrNull(services, held)?.let { return it }
-        if (row == null || row.stage.isFinal) return null
+        if (row != null && row.token > held || tracker.stored.isAfter(held)) return null
+        return tracker.firstRowOrNull(services, held) ?: row?.let { nextRowOrNull(it, tracker, held, now) }
+    }
+
+    private fun nextRowOrNull(
+        row: RolloutRow,
+        tracker: RolloutTracker,
+        held: FencingToken,
+        now: MonotonicTime,
+    ): RolloutRow? {
+        // The store may have lost a row of an earlier era, and the operator reads there how the roll-out ended.
+        if (row.stage.isFinal) return if (row.token.era < held.era) row.copy(token = held) else null
         val next = plan.nextStageOrNull(row.stage, tracker.facts(row, now))
         // A write of an earlier holder that arrives late finds another version of the row than it expects.
         return if (next != null || row.token < held) row.copy(stage = next ?: row.stage, token = held) else null
@@ -139,7 +151,7 @@
 
     private fun write(tracker: RolloutTracker, row: RolloutRow, now: MonotonicTime): RolloutEffect {
         busy += row.service
-        val expected = tracker.row?.version ?: 0
+        val expected = tracker.stored.expectedVersion(row.token)
         return RolloutEffect.Write(row.copy(elapsed = tracker.elapsed(row.order, now), version = 0), expected)
     }
 
--- /dev/null
+++ b/core/src/main/kotlin/gypsumcart/core/rollout/RolloutEras.kt
@@ -0,0 +1,45 @@
+package gypsumcart.core.rollout
+
+import gypsumcart.core.FencingToken
+import gypsumcart.core.membership.StoreEra
+import gypsumcart.core.membership.StorePosition
+
+/** The era of the store in which the lease was acquired. */
+internal val FencingToken.era: StoreEra get() = StorePosition(number).era
+
+/**
+ * When the row was written; a copy keeps the counter of its version.
+ *
+ * A holder writes rows only in the era in which it acquired the lease.
+ */
+internal val RolloutRow.writtenAt: StorePosition
+    get() = StorePosition(version).inEra(token.era)
+
+/** Whether both are the same row, which has a later version too if a copy of the store contains it. */
+internal fun RolloutRow?.isSameAs(other: RolloutRow?): Boolean =
+    if (this == null || other == null) {
+        this == other
+    } else {
+        version == other.version || writtenAt == other.writtenAt
+    }
+
+/** Knows the version of the row that the store holds, which may be an older row than the newest one. */
+internal class StoredRow {
+    private var version = StorePosition(0)
+
+    /** Records that the store holds or has held [row]. */
+    fun observe(row: RolloutRow) {
+        version = maxOf(version, StorePosition(row.version))
+    }
+
+    /** Records that the store holds no row. */
+    fun recordAbsence() {
+        version = StorePosition(0)
+    }
+
+    /** Returns the version that a write with [token] replaces, or 0 if no row of its era is known. */
+    fun expectedVersion(token: FencingToken): Long = if (version.era < token.era) 0 else version.number
+
+    /** Whether the store has come back since the lease was acquired with [token], which must not be used then. */
+    fun isAfter(token: FencingToken): Boolean = version.era > token.era
+}
--- a/core/src/main/kotlin/gypsumcart/core/rollout/RolloutTracker.kt
+++ b/core/src/main/kotlin/gypsumcart/core/rollout/RolloutTracker.kt
@@ -25,6 +25,9 @@
     var row: RolloutRow? = null
         private set
 
+    /** What is known of the row that the store holds. */
+    val stored = StoredRow()
+
     /** The evidence on the version that the newest order or row names. */
     var evidence = VersionEvidence()
         private set
@@ -81,8 +84,9 @@
      */
     fun adopt(row: RolloutRow, readAt: MonotonicTime, confirmedAt: MonotonicTime?): Boolean {
         startTimes.merge(row.order, readAt - row.elapsed, ::minOf)
+        stored.observe(row)
         val known = this.row
-        if (known != null && row.version <= known.version) return false
+        if (known != null && (row.version == known.version || row.writtenAt <= known.writtenAt)) return false
         this.row = row
         if (row.stage != known?.stage) isForgotten = false
         val hasOtherTarget = row.target != known?.target
@@ -163,7 +167,7 @@
         if (!isNews) return null
         val rowConfirmedAt = report.confirmedAge?.let { node.heardAt - it }
         val newer = report.row?.takeIf { adopt(it, node.heardAt, rowConfirmedAt) }
-        if (rowConfirmedAt != null && report.row?.version == row?.version) confirm(rowConfirmedAt)
+        if (rowConfirmedAt != null && row.isSameAs(report.row)) confirm(rowConfirmedAt)
         if (report.order != evidenceOrder) return newer
         reports[node.key] = report
         evidence.merge(node.key, report.routes)
