--- a/core/src/main/kotlin/gypsumcart/core/streams/StreamOrigins.kt
+++ b/core/src/main/kotlin/gypsumcart/core/streams/StreamOrigins.kt
@@ -34,6 +34,9 @@
     /** When the changes that the registry has made while it did not respond will have been listed. */
     private var upToDateFrom: MonotonicTime? = null
 
+    /** When what a copy of the store lacked will have been written again. */
+    private var restoredUntil: MonotonicTime? = null
+
     private var writePause = MIN_WRITE_PAUSE
     private var nextWriteAt: MonotonicTime? = null
 
@@ -59,6 +62,13 @@
                     upToDateFrom = now + SETTLING_TIME
                 }
 
+            StreamEvent.StoreRestored ->
+                noEffects {
+                    memory.expire(now)
+                    memory.storeAgain(inUse.filterValues { it.isSeveral }.keys)
+                    restoredUntil = now + RESTORE_TIME
+                }
+
             is StreamEvent.VersionsRead -> readVersions(event, now)
 
             is StreamEvent.VersionsWritten -> {
@@ -145,7 +155,7 @@
             knowsOneVersion(admitted.service, now) && lookups.hasRoom ->
                 null.also { addLookup(admitted, LookupState.CheckingVersions(isRunning = false, isLast = true), now) }
 
-            beganAs == null -> refuseUnknown(admitted, isFinal = inUse[admitted.service].isSeveral)
+            beganAs == null -> refuseUnknown(admitted, isFinal = inUse[admitted.service].isSeveral, now)
 
             else -> refuse(admitted, RefusalReason.Overloaded("streams"), RETRY_AFTER)
         }
@@ -160,7 +170,9 @@
 
     /** Returns whether no version can be in use that this node would not have heard of if it were in step. */
     private fun knowsAllVersions(now: MonotonicTime): Boolean =
-        rows.isRead && isListed && isRegistryAvailable && upToDateFrom?.let { it > now } != true
+        rows.isRead && isListed && isRegistryAvailable && !isRestoring(now) && upToDateFrom?.let { it > now } != true
+
+    private fun isRestoring(now: MonotonicTime): Boolean = restoredUntil?.let { it > now } ?: false
 
     private fun route(admitted: AdmittedRequest, record: StreamRecord, source: OriginSource): StreamEffect =
         if (record.service == admitted.service) {
@@ -213,26 +225,26 @@
         now: MonotonicTime,
     ): StreamEffect? {
         val readAgainAt = now + WRITE_DELAY
-        if (isLast || readAgainAt >= lookup.giveUpAt) return giveUp(lookup, isFinal)
+        if (isLast || readAgainAt >= lookup.giveUpAt) return giveUp(lookup, isFinal, now)
         lookup.state = LookupState.AwaitingWrite(readAgainAt)
         return null
     }
 
     private fun continueLookup(lookup: StreamLookup, now: MonotonicTime): StreamEffect {
         val beganAs = lookup.beganAs
-        if (beganAs == null || lookup.giveUpAt <= now) return giveUp(lookup, isFinal = false)
+        if (beganAs == null || lookup.giveUpAt <= now) return giveUp(lookup, isFinal = false, now)
         lookup.state = LookupState.ReadingRecord(isLast = true)
         return StreamEffect.ReadRecord(lookup.admitted.ticket, beganAs)
     }
 
-    private fun giveUp(lookup: StreamLookup, isFinal: Boolean): StreamEffect {
+    private fun giveUp(lookup: StreamLookup, isFinal: Boolean, now: MonotonicTime): StreamEffect {
         lookups.remove(lookup)
-        return refuseUnknown(lookup.admitted, isFinal)
+        return refuseUnknown(lookup.admitted, isFinal, now)
     }
 
     /** Refuses the request, for good if no record of its stream was stored although several versions are in use. */
-    private fun refuseUnknown(admitted: AdmittedRequest, isFinal: Boolean): StreamEffect =
-        refuse(admitted, RefusalReason.OriginUnknown, RETRY_AFTER.takeUnless { isFinal })
+    private fun refuseUnknown(admitted: AdmittedRequest, isFinal: Boolean, now: MonotonicTime): StreamEffect =
+        refuse(admitted, RefusalReason.OriginUnknown, RETRY_AFTER.takeUnless { isFinal && !isRestoring(now) })
 
     private fun recordWriteOrNull(now: MonotonicTime): StreamEffect? {
         if (!memory.isWriteDue || nextWriteAt?.let { it > now } == true) return null
@@ -268,6 +280,9 @@
          */
         val SETTLING_TIME: Duration = 1.5.seconds
 
+        /** Within this time back ends and nodes have written again what a copy of the store lacked. */
+        val RESTORE_TIME: Duration = 2.5.seconds
+
         /** Less than clients wait for a first event. */
         val MAX_LOOKUP: Duration = 1.seconds
 
--- a/node/src/main/kotlin/gypsumcart/node/FleetListener.kt
+++ b/node/src/main/kotlin/gypsumcart/node/FleetListener.kt
@@ -9,6 +9,7 @@
 import gypsumcart.core.replicas.AutoscalerEvent
 import gypsumcart.core.rollout.RolloutEvent
 import gypsumcart.core.streams.StreamEvent
+import gypsumcart.core.usage.UsageEvent
 import org.slf4j.LoggerFactory
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
@@ -16,8 +17,18 @@
 /** Passes the rows of [Tables.FLEET] on to the duties that process them. */
 internal class FleetListener(
     private val rings: Rings,
+    private val onStoreRestored: () -> Unit = {},
     private val storeClock: () -> StoreClock?,
 ) : TableListener {
+    override fun onRestored() {
+        rings.lease.put(LeaseEvent.StoreRestored(wallTime()))
+        rings.usage.put(UsageEvent.StoreRestored)
+        rings.membership.put(MembershipEvent.StoreRestored)
+        rings.streams.put(StreamEvent.StoreRestored)
+        rings.orders.put(AutoscalerEvent.StoreRestored)
+        onStoreRestored()
+    }
+
     override fun onSnapshot(rows: List<Row>) {
         if (rows.none { it.key == LEASE_KEY }) rings.lease.put(LeaseEvent.RowObserved(null, wallTime()))
         onChanged(rows, emptyList())
--- a/node/src/main/kotlin/gypsumcart/node/Node.kt
+++ b/node/src/main/kotlin/gypsumcart/node/Node.kt
@@ -189,6 +189,7 @@
         }
         metrics.registerGauges(state, { edge.inProgress }, { statedAvailability.pausedBackEnds })
         metrics.registerGauges(runtime.loop.memory)
+        metrics.registerStoreEra(platform.rowStore)
         rings.all.forEach(metrics::registerGauges)
         timers.start()
         (duties + shutdown.duty).forEach(Duty::start)
@@ -224,7 +225,8 @@
         }
         runtime.scope.launch { platform.followBackEnds(::passOn) }
         runtime.scope.launch {
-            platform.rowStore.follow(Tables.FLEET, readPace, FleetListener(rings, platform.rowStore::clockOrNull))
+            val listener = FleetListener(rings, fleetClock::doubt, platform.rowStore::clockOrNull)
+            platform.rowStore.follow(Tables.FLEET, readPace, listener)
         }
     }
 
@@ -233,6 +235,7 @@
         when (event) {
             DirectoryEvent.RegistryAvailable -> reportRegistry(isAvailable = true)
             DirectoryEvent.RegistryUnavailable -> reportRegistry(isAvailable = false)
+            DirectoryEvent.Restored -> rings.streams.put(StreamEvent.StoreRestored)
             else -> Unit
         }
     }
