--- a/core/src/main/kotlin/gypsumcart/core/streams/StreamOrigins.kt
+++ b/core/src/main/kotlin/gypsumcart/core/streams/StreamOrigins.kt
@@ -243,8 +243,11 @@
     }
 
     /** Refuses the request, for good if no record of its stream was stored although several versions are in use. */
-    private fun refuseUnknown(admitted: AdmittedRequest, isFinal: Boolean, now: MonotonicTime): StreamEffect =
-        refuse(admitted, RefusalReason.OriginUnknown, RETRY_AFTER.takeUnless { isFinal && !isRestoring(now) })
+    private fun refuseUnknown(admitted: AdmittedRequest, isFinal: Boolean, now: MonotonicTime): StreamEffect {
+        // Records that a copy of the store lacks are written again.
+        val retryAfter = RETRY_AFTER.takeUnless { isFinal && !isRestoring(now) }
+        return refuse(admitted, RefusalReason.OriginUnknown, retryAfter)
+    }
 
     private fun recordWriteOrNull(now: MonotonicTime): StreamEffect? {
         if (!memory.isWriteDue || nextWriteAt?.let { it > now } == true) return null
--- a/core/src/test/kotlin/gypsumcart/core/streams/StreamOriginsTest.kt
+++ b/core/src/test/kotlin/gypsumcart/core/streams/StreamOriginsTest.kt
@@ -412,7 +412,7 @@
         expectThat(endRead(RecordReadResult.Absent).outcomes()).containsExactly(UNKNOWN_FOR_NOW)
         now += 3.seconds
         arrive("b", number = 2)
-        endRead(RecordReadResult.Absent, number = 2)
+        expectThat(endRead(RecordReadResult.Absent, number = 2).routedVersions()).isEmpty()
         expectThat(endCheck(setOf(V1)).routedVersions()).containsExactly(V1)
     }
 
--- a/node/src/main/kotlin/gypsumcart/node/BackEndCalls.kt
+++ b/node/src/main/kotlin/gypsumcart/node/BackEndCalls.kt
@@ -7,10 +7,10 @@
 import gypsumcart.core.MonotonicTime
 import gypsumcart.core.TeamName
 import gypsumcart.core.dispatch.CallResult
+import gypsumcart.core.dispatch.DeliveryProgress
 import gypsumcart.core.dispatch.DispatchEffect
 import gypsumcart.core.routing.key
 import gypsumcart.core.streams.takesUpStream
-import gypsumcart.http.Endpoint
 import gypsumcart.http.EventStreamSplitter
 import gypsumcart.http.ExchangeFailure
 import gypsumcart.http.HttpClient
@@ -39,6 +39,7 @@
 internal class BackEndCalls(
     private val codec: CallCodec,
     private val client: HttpClient,
+    private val connections: BackEndConnections,
     private val clock: MonotonicClock,
     private val limits: StatedLimits,
     private val availability: StatedAvailability,
@@ -60,26 +61,72 @@
         if (!availability.acceptsCalls(call.backEnd)) return CallResult.Failed(CallFailure.Withheld, response.progress)
         val headers = codec.callHeaders(request, call, remainingTime)
         val needsNewConnection = refusalsWithoutId.areExpectedFrom(call.backEnd.key)
+        val connection = connections.CallConnection(call.backEnd)
+        var isSent = false
         val outgoing =
             OutgoingRequest(request.method, request.target, headers, request.body, needsNewConnection) {
-                availability.acceptsCalls(call.backEnd)
+                isSent = availability.acceptsCalls(call.backEnd)
+                if (isSent) connection.recordSent()
+                isSent
             }
-        val endpoint = Endpoint(call.backEnd.address.host, call.backEnd.address.port, call.backEnd.peerId)
         val exchange =
             withTimeoutOrNull(remainingTime) {
-                client.exchange(endpoint, outgoing) { handleResponse(call, it, response) }
+                connection.use({ mayRunAgain(call, response) }) {
+                    client.exchange(call.backEnd.endpoint, outgoing, connection) {
+                        connection.recordReceived()
+                        handleResponse(call, it, response, connection)
+                    }
+                }
             }
         if (exchange == null) {
-            client.closeIdle(endpoint)
-            return CallResult.Failed(CallFailure.TimedOut, response.progress)
+            logTimeout(call, isSent, remainingTime)
+            client.closeIdle(call.backEnd.endpoint)
+            return CallResult.Failed(timeoutFailure(isSent, connection), response.progress)
+        }
+        return exchange.fold({ it }, { CallResult.Failed(failureOf(it, connection), response.progress) })
+    }
+
+    private fun timeoutFailure(isSent: Boolean, connection: BackEndConnections.CallConnection): CallFailure =
+        when {
+            !isSent -> failureOf(ExchangeFailure.NotConnected, connection)
+            connection.isLost -> CallFailure.CutOff
+            else -> CallFailure.TimedOut
+        }
+
+    private fun failureOf(failure: ExchangeFailure, connection: BackEndConnections.CallConnection): CallFailure =
+        if (failure == ExchangeFailure.NotConnected && connection.lacksPath) {
+            CallFailure.NoPath
+        } else {
+            failure.toCallFailure()
+        }
+
+    /** Returns whether a call may be ended and made again elsewhere. */
+    private fun mayRunAgain(call: DispatchEffect.Call, response: ForwardedResponse): Boolean {
+        val route = call.admitted.route
+        if (!route.kind.isRetryable || call.attempt.number >= route.maxAttempts) return false
+        return when (val progress = response.progress) {
+            DeliveryProgress.None -> true
+            is DeliveryProgress.Started -> progress.lastEventId != null
         }
-        return exchange.fold({ it }, { CallResult.Failed(it.toCallFailure(), response.progress) })
     }
 
+    /** Logs whether a call that ran out of time was waiting for a connection or for its response. */
+    private fun logTimeout(call: DispatchEffect.Call, isSent: Boolean, elapsed: Duration): Unit =
+        log.info(
+            "event=call_timed_out request={} attempt={} back_end={} incarnation={} sent={} after_ms={}",
+            call.admitted.submission.requestId,
+            call.attempt,
+            call.backEnd.id,
+            call.backEnd.incarnation,
+            isSent,
+            elapsed.inWholeMilliseconds,
+        )
+
     private suspend fun handleResponse(
         call: DispatchEffect.Call,
         received: ReceivedResponse,
         response: ForwardedResponse,
+        connection: BackEndConnections.CallConnection,
     ): CallResult {
         val (head, body) = received
         val id = checkNotNull(call.admitted.submission.requestId) { "a call was made for a request without an id" }
@@ -95,7 +142,7 @@
         return when (kind) {
             ResponseKind.Valid -> {
                 limits.observe(call.backEnd, codec.limitStatementOrNull(head))
-                forward(call, head, body, response)
+                forward(call, head, body, response, connection)
             }
 
             is ResponseKind.Declined -> {
@@ -143,10 +190,11 @@
         head: ResponseHead,
         body: ResponseBody,
         response: ForwardedResponse,
+        connection: BackEndConnections.CallConnection,
     ): CallResult {
         val streams = call.admitted.route.kind is CallKind.Streamed
         return when {
-            streams && head.isSuccess -> forwardEvents(call, head, body, response)
+            streams && head.isSuccess -> forwardEvents(call, head, body, response, connection)
             response.isStarted -> failResumption(head, body, response)
             else -> forwardWhole(call, head, body, response)
         }
@@ -195,6 +243,7 @@
         head: ResponseHead,
         body: ResponseBody,
         response: ForwardedResponse,
+        connection: BackEndConnections.CallConnection,
     ): CallResult {
         val events = EventStreamSplitter(responseLimits.maxEventBytes, body.reservation, call.lastEventId)
         val buffer = ByteArray(EVENT_BUFFER_BYTES)
@@ -202,6 +251,7 @@
         while (true) {
             val n = body.read(buffer)
             if (n < 0) break
+            connection.recordReceived()
             val complete = events.append(buffer, n)
             if (complete.isNotEmpty() && !events.isOversized) {
                 if (!started) {
--- a/node/src/main/kotlin/gypsumcart/node/RolloutDuty.kt
+++ b/node/src/main/kotlin/gypsumcart/node/RolloutDuty.kt
@@ -91,6 +91,7 @@
             CallFailure.InvalidResponse, is CallFailure.ServerError, is CallFailure.NotResumed -> CallSign.Failed
             is CallFailure.UnattributedRefusal -> CallSign.Failed
             CallFailure.Truncated, CallFailure.TimedOut -> CallSign.Lost
+            CallFailure.NoPath, CallFailure.CutOff -> null
             CallFailure.ConnectFailed, is CallFailure.Declined, CallFailure.WrongInstance -> null
             CallFailure.Withheld, CallFailure.Aborted -> null
         }
@@ -162,7 +163,8 @@
                 when (failure) {
                     is StoreFailure.Conflict ->
                         RolloutWriteResult.Outdated(failure.current?.toRolloutRowOrNull(storeMillis()))
-                    is StoreFailure.Declined, StoreFailure.NoAnswer -> RolloutWriteResult.Unknown
+                    is StoreFailure.Declined, StoreFailure.EarlierEra, StoreFailure.NoAnswer ->
+                        RolloutWriteResult.Unknown
                 }
             },
         )
--- a/standins/src/main/kotlin/gypsumcart/standins/StandInFleet.kt
+++ b/standins/src/main/kotlin/gypsumcart/standins/StandInFleet.kt
@@ -24,11 +24,10 @@
 public class StandInFleet(private val runtime: EdgeRuntime = EdgeRuntime()) {
     /** The store of all nodes. */
     public val store: StandInStore = StandInStore()
-    private val storeAddress = startServer("store", store)
-    private val backEndAddresses = LinkedHashMap<String, Address>()
 
-    /** Starts a store other than [store], e.g. one that passes some calls on, and returns its address. */
-    public fun startStore(name: String, handler: RequestHandler): Address = startServer(name, handler)
+    /** The address at which [store] is served. */
+    public val storeAddress: Address = startServer("store", store)
+    private val backEndAddresses = LinkedHashMap<String, Address>()
 
     /** Writes a configuration with [routes] and [version] to the store, as the operator does. */
     public fun configure(version: Long, routes: List<ConfiguredRoute>) {
@@ -48,6 +47,9 @@
         register(service, backEnd, "ready", version = version)
     }
 
+    /** Returns the address of the started back end with [id]. */
+    public fun addressOf(id: String): Address = backEndAddresses.getValue(id)
+
     /** Orders a roll-out, as the operator does. */
     public fun orderRollout(service: String, target: String, seconds: Int) {
         store.put("op", "rollout/$service", """{"service":"$service","to":"$target","durationS":$seconds}""")
@@ -87,14 +89,14 @@
      * @param graceSeconds the time within which the node stops
      * @param memory what its messages may hold
      * @param features what is switched on
-     * @param store the address of the store that the node uses
+     * @param storeAddress the address at which the node reaches the store
      */
     public fun startNode(
         name: String,
         graceSeconds: Double = BOUNDS.graceSeconds,
         memory: MemoryBudget = MemoryBudget.ofHeap(),
         features: Features = Features.NONE,
-        store: Address = storeAddress,
+        storeAddress: Address = this.storeAddress,
     ): RunningNode {
         val settings =
             NodeSettings(
@@ -105,18 +107,19 @@
                 directory = freeAddress(),
                 metrics = freeAddress(),
                 peers = freeAddress(),
-                store = store.toString(),
+                store = storeAddress.toString(),
                 bounds = BOUNDS.copy(graceSeconds = graceSeconds),
             )
         val nodeRuntime = EdgeRuntime(memory)
         val client = HttpClient(nodeRuntime.loop, 1.seconds)
-        val platform = HttpPlatform(name, store, null, client)
+        val platform = HttpPlatform(name, storeAddress, null, client)
         val node = Node(settings, platform, nodeRuntime, client, features)
         node.start()
         return RunningNode(node, settings, nodeRuntime)
     }
 
-    private fun startServer(name: String, handler: RequestHandler): Address {
+    /** Serves [handler] on a free address and returns that. */
+    public fun startServer(name: String, handler: RequestHandler): Address {
         val address = checkNotNull(addressOrNull(freeAddress()))
         val limits = MessageLimits(MAX_BYTES, MAX_BYTES, 5.seconds, 60.seconds)
         val server =
@@ -126,7 +129,7 @@
     }
 
     /** Returns an address that nothing listens on and that no outgoing connection can take before it is used. */
-    private fun freeAddress(): String {
+    public fun freeAddress(): String {
         val port = generateSequence { nextPort() }.take(LISTENING_PORTS.count()).first(::isFree)
         return "127.0.0.1:$port"
     }
