--- a/standins/src/test/kotlin/gypsumcart/standins/RegistryVersionsTest.kt
+++ b/standins/src/test/kotlin/gypsumcart/standins/RegistryVersionsTest.kt
@@ -17,7 +17,7 @@
     private val platform =
         HttpPlatform(
             "node-1",
-            fleet.startStore("same", fleet.store),
+            fleet.storeAddress,
             cloud = null,
             HttpClient(runtime.loop, 1.seconds),
         )
