--- a/core/src/test/kotlin/gypsumcart/core/streams/StreamOriginsTest.kt
+++ b/core/src/test/kotlin/gypsumcart/core/streams/StreamOriginsTest.kt
@@ -52,25 +52,12 @@
 
     private fun List<StreamEffect>.reads() = filterIsInstance<StreamEffect.ReadRecord>().map { it.beganAs.text }
 
-    private fun List<StreamEffect>.checks() = filterIsInstance<StreamEffect.CheckVersions>().map { it.services }
-
     private fun List<StreamEffect>.writtenIds() =
         filterIsInstance<StreamEffect.WriteRecords>().flatMap { write -> write.records.map { it.beganAs.text } }
 
     private fun List<StreamEffect>.writtenVersions() =
         filterIsInstance<StreamEffect.WriteVersions>().map { it.versions }
 
-    // Guards against refusing take-ups of a service that has always had a single version.
-    @Test
-    fun `a stream goes on at the only version, also if the client does not name it`() {
-        start(setOf(V1), setOf(V1))
-        arrive("a")
-        expectThat(endRead(RecordReadResult.Absent).checks()).isEqualTo(listOf(setOf(LEDGER)))
-        expectThat(endCheck(setOf(V1)).routedVersions()).containsExactly(V1)
-        expectThat(arrive(null, number = 2).checks()).isEqualTo(listOf(setOf(LEDGER)))
-        expectThat(endCheck(setOf(V1)).routedVersions()).containsExactly(V1)
-    }
-
     // Guards against back ends without a version being taken for any version.
     @Test
     fun `back ends that state no version count as one version`() {
@@ -381,26 +368,6 @@
         )
     }
 
-    // Guards against refusals where one version is in use and a loss of a node brings many take-ups at once.
-    @Test
-    fun `take-ups beyond the bound of reads go on at the only version`() {
-        start(setOf(V1), setOf(V1))
-        val effects = (1L..257L).flatMap { arrive("$it", number = it) }
-        expectThat(effects.reads()).hasSize(256)
-        expectThat(effects.outcomes()).isEmpty()
-        expectThat(endCheck(setOf(V1)).routedVersions()).containsExactly(V1)
-    }
-
-    // Guards against memory and time that grow with the take-ups that wait while the store does not respond.
-    @Test
-    fun `take-ups beyond the bound of waiting ones are refused for now`() {
-        start(setOf(V1), setOf(V1))
-        val effects = (1L..1_025L).flatMap { arrive("$it", number = it) }
-        expectThat(effects.outcomes()).containsExactly(
-            Outcome.NotRun(RefusalReason.Overloaded("streams"), 300.milliseconds),
-        )
-    }
-
     // Guards against the check of requests that no back end can continue.
     @Test
     fun `only requests of resumable routes take streams up`() {
--- a/core/src/test/kotlin/gypsumcart/core/streams/VersionChecksTest.kt
+++ b/core/src/test/kotlin/gypsumcart/core/streams/VersionChecksTest.kt
@@ -104,6 +104,34 @@
         expectThat(endCheck(setOf(V2)).routedVersions()).isEmpty()
     }
 
+    // Guards against refusing take-ups of a service that has always had a single version.
+    @Test
+    fun `a stream goes on at the only version, also if the client does not name it`() {
+        arrive("a")
+        expectThat(endRead(RecordReadResult.Absent).checks()).isEqualTo(listOf(setOf(LEDGER)))
+        expectThat(endCheck(setOf(V1)).routedVersions()).containsExactly(V1)
+        expectThat(arrive(null, number = 2).checks()).isEqualTo(listOf(setOf(LEDGER)))
+        expectThat(endCheck(setOf(V1)).routedVersions()).containsExactly(V1)
+    }
+
+    // Guards against refusals where one version is in use and a loss of a node brings many take-ups at once.
+    @Test
+    fun `take-ups beyond the bound of reads go on at the only version`() {
+        val effects = (1L..257L).flatMap { arrive("$it", number = it) }
+        expectThat(effects.reads()).hasSize(256)
+        expectThat(effects.outcomes()).isEmpty()
+        expectThat(endCheck(setOf(V1)).routedVersions()).containsExactly(V1)
+    }
+
+    // Guards against memory and time that grow with the take-ups that wait while the store does not respond.
+    @Test
+    fun `take-ups beyond the bound of waiting ones are refused for now`() {
+        val effects = (1L..1_025L).flatMap { arrive("$it", number = it) }
+        expectThat(effects.outcomes()).containsExactly(
+            Outcome.NotRun(RefusalReason.Overloaded("streams"), 300.milliseconds),
+        )
+    }
+
     private companion object {
         val UNKNOWN = Outcome.NotRun(RefusalReason.OriginUnknown, null)
         val UNKNOWN_FOR_NOW = Outcome.NotRun(RefusalReason.OriginUnknown, 300.milliseconds)
