Don't take up again orders of roll-outs that a copy of the store shows anew

An order is numbered by the version of its row. After a restore the copy shows the same order under a number of the later era, the operator writes it again under another one, or the copy shows an earlier order: each counted as a new order. A version that had been rolled back was rolled out again, and a roll-out was rolled back for an order from before it.

OrderHistory takes an order of a later era with the content of the latest one for that, within 5 s of its first sight there or as the first of its era; one with other content waits 5 s for the operator to write the latest one again. The same order given again later is a new one. A process that knows only the order compares it when the row comes.

--- a/core/src/main/kotlin/gypsumcart/core/rollout/Rollout.kt
+++ b/core/src/main/kotlin/gypsumcart/core/rollout/Rollout.kt
@@ -71,7 +71,10 @@
                 }
             is RolloutEvent.CallObserved -> noEffects { trackers[event.service]?.observe(event.call, now) }
             is RolloutEvent.OldCallEnded -> noEffects { trackers[event.service]?.recordOldCall(event.elapsed) }
-            RolloutEvent.Tick -> judge() + advance(now)
+            RolloutEvent.Tick -> {
+                trackers.values.forEach { it.release(now) }
+                judge() + advance(now)
+            }
         }
 
     private inline fun noEffects(change: () -> Unit): List<RolloutEffect> {
--- a/core/src/main/kotlin/gypsumcart/core/rollout/RolloutTracker.kt
+++ b/core/src/main/kotlin/gypsumcart/core/rollout/RolloutTracker.kt
@@ -17,9 +17,10 @@
     private val self: NodeKey,
     private val limits: RolloutLimits,
 ) {
+    private val orders = OrderHistory()
+
     /** The latest order, or null if only a row of one is known. */
-    var order: RolloutOrder? = null
-        private set
+    val order: RolloutOrder? get() = orders.latest
 
     /** The newest row. */
     var row: RolloutRow? = null
@@ -65,9 +66,15 @@
     val isRunning: Boolean get() = isPending && !isInForce || row?.stage?.isFinal == false
 
     fun observe(order: RolloutOrder, now: MonotonicTime) {
-        val known = this.order
-        if (known != null && order.number <= known.number) return
-        this.order = order
+        if (orders.receive(order, row, now)) takeUp(order, now)
+    }
+
+    /** Takes up an order that was withheld, if it is due. */
+    fun release(now: MonotonicTime) {
+        if (orders.release(now)) order?.let { takeUp(it, now) }
+    }
+
+    private fun takeUp(order: RolloutOrder, now: MonotonicTime) {
         startTimes.merge(order.number, now, ::minOf)
         isInForce = isAlone(order.target)
         restartEvidence()
@@ -88,6 +95,7 @@
         val known = this.row
         if (known != null && (row.version == known.version || row.writtenAt <= known.writtenAt)) return false
         this.row = row
+        orders.check(row, readAt)
         if (row.stage != known?.stage) isForgotten = false
         val hasOtherTarget = row.target != known?.target
         if (row.stage != RolloutStage.Committed || hasOtherTarget) sealed = false
