--- a/core/src/test/kotlin/gypsumcart/core/rollout/RestoredOrderTest.kt
+++ b/core/src/test/kotlin/gypsumcart/core/rollout/RestoredOrderTest.kt
@@ -9,7 +9,6 @@
 import gypsumcart.core.membership.NodeKey
 import gypsumcart.core.membership.StoreEra
 import gypsumcart.core.membership.StorePosition
-import org.junit.jupiter.api.Tag
 import org.junit.jupiter.api.Test
 import strikt.api.expectThat
 import strikt.assertions.isEmpty
@@ -50,7 +49,6 @@
 
     // Guards against a version that was rolled back and gets requests again, as its order's row is in a later era.
     @Test
-    @Tag("known-red")
     fun `an order that the copy shows again is not taken up again after a roll-back`() {
         decide(RolloutEvent.Ordered(order(era = 1)))
         decide(RolloutEvent.RowRead(rolledBack(era = 1)))
@@ -61,7 +59,6 @@
 
     // Guards against the same at a process that has started since, and has only read the copy.
     @Test
-    @Tag("known-red")
     fun `a process that starts after the store came back takes no order up again after a roll-back`() {
         decide(RolloutEvent.RowRead(rolledBack(era = 2)))
         decide(RolloutEvent.Ordered(order(era = 2)))
