Close idle connections when a cut has reset those to two back ends

A connection that is lost before anything of the response came closes the idle ones to its back end; two of different back ends with nothing received in between, or one during a cut, close all.

--- a/core/src/main/kotlin/gypsumcart/core/routing/BackEndPaths.kt
+++ b/core/src/main/kotlin/gypsumcart/core/routing/BackEndPaths.kt
@@ -43,6 +43,9 @@
      */
     public data class Unreached(public val instance: InstanceKey, public val isCarried: Boolean) : PathEvent()
 
+    /** A direct connection to [instance] was lost before anything of the response arrived. */
+    public data class Lost(public val instance: InstanceKey) : PathEvent()
+
     /** A back end responded on a direct connection. */
     public data object Received : PathEvent()
 
@@ -55,6 +58,9 @@
     /** Reports whether this node now counts as cut off from all back ends. */
     public data class CutOffChanged(public val isCutOff: Boolean) : PathEffect()
 
+    /** Closes all idle connections, which may be lost too and would show it only when they are used. */
+    public data object CloseIdle : PathEffect()
+
     /** Gives up the direct connections: closes idle ones and ends the calls on others that may run again. */
     public data object AbandonConnections : PathEffect()
 }
@@ -75,6 +81,9 @@
     /** The back ends that were not reached since the last direct connection was established. */
     private val unreached = HashMap<InstanceKey, MissedConnection>()
     private var receivedAt: MonotonicTime? = null
+
+    /** The back ends whose connections were lost since something was received. */
+    private val lost = HashSet<InstanceKey>()
     private var silenceProbeAt: MonotonicTime? = null
 
     /** Whether this node counts as cut off from all back ends. */
@@ -88,7 +97,8 @@
         when (event) {
             is PathEvent.Connected -> recordConnection(event.instance, now)
             is PathEvent.Unreached -> recordUnreached(event, now)
-            PathEvent.Received -> emptyList<PathEffect>().also { receivedAt = now }
+            is PathEvent.Lost -> recordLost(event.instance)
+            PathEvent.Received -> recordReceived(now)
             is PathEvent.SilenceConfirmed -> abandonUnlessReceived(event.since)
         }
 
@@ -110,10 +120,23 @@
         return if (isCutOff) SilenceVerdict.Confirmed else SilenceVerdict.Probe
     }
 
+    private fun recordReceived(now: MonotonicTime): List<PathEffect> {
+        receivedAt = now
+        lost.clear()
+        return emptyList()
+    }
+
+    private fun recordLost(instance: InstanceKey): List<PathEffect> {
+        lost += instance
+        if (!isCutOff && lost.size < MIN_LOST) return emptyList()
+        lost.clear()
+        return listOf(PathEffect.CloseIdle)
+    }
+
     private fun recordConnection(instance: InstanceKey, now: MonotonicTime): List<PathEffect> {
         unreached.clear()
         probesAt -= instance
-        receivedAt = now
+        recordReceived(now)
         if (!isCutOff) return emptyList()
         isCutOff = false
         probesAt.clear()
@@ -156,6 +179,9 @@
         /** Other nodes reach these back ends, so that they are sound. */
         private const val MIN_CARRIED = 2
 
+        /** One may have restarted. */
+        private const val MIN_LOST = 2
+
         /** Back ends of one host or rack may be down at once. */
         private const val MIN_UNREACHED = 3
 
--- a/core/src/test/kotlin/gypsumcart/core/routing/BackEndPathsTest.kt
+++ b/core/src/test/kotlin/gypsumcart/core/routing/BackEndPathsTest.kt
@@ -91,6 +91,16 @@
         expectThat(paths.isCutOff).isFalse()
     }
 
+    @Test
+    fun `connections lost to two back ends in a row, or during a cut, close the idle ones`() {
+        expectThat(decide(PathEvent.Lost(backEnd(1)), 0)).isEmpty()
+        decide(PathEvent.Received, 10)
+        expectThat(decide(PathEvent.Lost(backEnd(2)), 20)).isEmpty()
+        expectThat(decide(PathEvent.Lost(backEnd(1)), 30)).isEqualTo(listOf(PathEffect.CloseIdle))
+        decide(PathEvent.SilenceConfirmed(start + 40.milliseconds), 300)
+        expectThat(decide(PathEvent.Lost(backEnd(3)), 400)).isEqualTo(listOf(PathEffect.CloseIdle))
+    }
+
     @Test
     fun `the node of the own zone is asked first and one of another zone second, others each time`() {
         val carriers = listOf("a" to "n-1", "a" to "n-2", "b" to "n-3").map { (zone, node) -> carrier(node, zone) }
--- a/node/src/main/kotlin/gypsumcart/node/BackEndCalls.kt
+++ b/node/src/main/kotlin/gypsumcart/node/BackEndCalls.kt
@@ -83,7 +83,13 @@
             client.closeIdle(call.backEnd.endpoint)
             return CallResult.Failed(timeoutFailure(isSent, connection), response.progress)
         }
-        return exchange.fold({ it }, { CallResult.Failed(failureOf(it, connection), response.progress) })
+        return exchange.fold(
+            { it },
+            {
+                if (it == ExchangeFailure.ConnectionLost) connection.recordLost()
+                CallResult.Failed(failureOf(it, connection), response.progress)
+            },
+        )
     }
 
     private fun timeoutFailure(isSent: Boolean, connection: BackEndConnections.CallConnection): CallFailure =
--- a/node/src/main/kotlin/gypsumcart/node/BackEndConnections.kt
+++ b/node/src/main/kotlin/gypsumcart/node/BackEndConnections.kt
@@ -75,6 +75,7 @@
         private var isCarried = false
         private var isAbandoned = false
         private var isSentDirectly = false
+        private var hasReceived = false
         private var mayRunAgain: () -> Boolean = { false }
 
         private var wasCarrierFound = false
@@ -135,9 +136,17 @@
         fun recordReceived() {
             if (isCarried) return
             waitingSince = clock.now()
+            hasReceived = true
             apply(PathEvent.Received)
         }
 
+        /** Records that the connection was lost; its idle siblings are probably lost too. */
+        fun recordLost() {
+            if (!isSentDirectly || hasReceived) return
+            client.closeIdle(backEnd.endpoint)
+            apply(PathEvent.Lost(backEnd.key))
+        }
+
         fun abandon() {
             if (!mayRunAgain()) return
             isAbandoned = true
@@ -311,6 +320,8 @@
                 if (effect.isCutOff) prober = scope.launch { probeWhileCutOff() }
             }
 
+            PathEffect.CloseIdle -> closeIdle()
+
             PathEffect.AbandonConnections -> {
                 closeIdle()
                 waiting.toList().forEach { it.abandon() }
--- a/standins/src/test/kotlin/gypsumcart/standins/CuttableLink.kt
+++ b/standins/src/test/kotlin/gypsumcart/standins/CuttableLink.kt
@@ -23,6 +23,9 @@
     /** Has reset the open connections and refuses new ones. */
     RESETS,
 
+    /** Resets open connections when something is sent on them, and refuses new ones. */
+    RESETS_ON_USE,
+
     /** Carries open connections and refuses new ones. */
     REFUSES_NEW,
 }
@@ -63,7 +66,7 @@
                 hang()
             }
 
-            LinkMode.RESETS, LinkMode.REFUSES_NEW -> listener?.close()
+            LinkMode.RESETS, LinkMode.RESETS_ON_USE, LinkMode.REFUSES_NEW -> listener?.close()
         }
         if (next == LinkMode.RESETS) sockets.toList().forEach(::reset)
         lock.withLock { modeChanged.signalAll() }
@@ -133,6 +136,7 @@
                 val n = from.getInputStream().read(buffer)
                 awaitCarrying()
                 if (n < 0) break
+                if (mode == LinkMode.RESETS_ON_USE) throw IOException("the link is cut")
                 to.getOutputStream().write(buffer, 0, n)
             }
             to.shutdownOutput()
--- a/standins/src/test/kotlin/gypsumcart/standins/StrandedNodesTest.kt
+++ b/standins/src/test/kotlin/gypsumcart/standins/StrandedNodesTest.kt
@@ -78,7 +78,7 @@
 
     // Guards against nodes whose clients are not served though other nodes reach the back ends (RECOVER).
     @ParameterizedTest
-    @EnumSource(LinkMode::class, names = ["HANGS", "RESETS", "REFUSES_NEW"])
+    @EnumSource(LinkMode::class, names = ["HANGS", "RESETS", "RESETS_ON_USE", "REFUSES_NEW"])
     fun `a node that lost its links to the back ends serves its clients through another node`(mode: LinkMode) {
         start(nodeCount = 3)
         load(nodes, 1.seconds)
@@ -108,6 +108,19 @@
         expectThat(send(nodes[0])).startsWith("HTTP/1.1 503")
     }
 
+    // Guards against requests that are lost one by one on idle connections that a cut has ended.
+    @Test
+    fun `a cut that shows only when a connection is used costs few requests that may run once`() {
+        start(nodeCount = 2)
+        val streams = List(IDLE_CONNECTIONS) { senders.submit<String> { send(nodes[0], "/stream/1") } }
+        streams.forEach { it.get(10, TimeUnit.SECONDS) }
+        nodes[0].cut(LinkMode.RESETS_ON_USE)
+        val responses = List(IDLE_CONNECTIONS) { send(nodes[0]) }
+        println("on use: ${responses.summary()}")
+        expectThat(responses.count { it.startsWith("HTTP/1.1 502") }).isLessThan(MAX_LOST)
+        expectNoneRunTwice()
+    }
+
     // Guards against a zone of nodes that are cut off together and ask each other (RECOVER).
     @Test
     fun `most nodes are cut off and serve through the one that is left`() {
@@ -259,7 +272,11 @@
     }
 
     private companion object {
-        const val EVENTS = 200
+        const val EVENTS = 100
+        const val IDLE_CONNECTIONS = 15
+
+        /** One for each of two back ends. */
+        const val MAX_LOST = 3
         const val STREAM_START_MILLIS = 300L
         const val UPLOAD_BYTES = 900_000
 
