--- a/core/src/main/kotlin/gypsumcart/core/membership/StorePosition.kt
+++ b/core/src/main/kotlin/gypsumcart/core/membership/StorePosition.kt
@@ -19,6 +19,13 @@
         public val UNNAMED: StoreEra = StoreEra(0)
 
         private const val MAX_ERA = (1L shl 63 - StorePosition.COUNTER_BITS) - 1
+
+        /**
+         * Returns the era that the store names with [number].
+         *
+         * The store may count from any number, so only the bits are kept that fit. They rise with each era too.
+         */
+        public fun ofNamed(number: Long): StoreEra = StoreEra(number and MAX_ERA)
     }
 }
 
@@ -39,10 +46,13 @@
     /**
      * Whether a condition on a row with this version holds for the same row in [other].
      *
-     * In another era the version may be that of another change. That there is no row means the same in all eras.
+     * In another era the version may be that of another change. A row may be missing in any era, also one that was lost.
      */
     public fun isComparableIn(other: StoreEra): Boolean = number == 0L || era == other
 
+    /** Returns the position of the same counter in [other]. */
+    public fun inEra(other: StoreEra): StorePosition = StorePosition((other.number shl COUNTER_BITS) or counter)
+
     override fun compareTo(other: StorePosition): Int = number.compareTo(other.number)
 
     override fun toString(): String = "$era:$counter"
--- a/core/src/main/kotlin/gypsumcart/core/rollout/RolloutTracker.kt
+++ b/core/src/main/kotlin/gypsumcart/core/rollout/RolloutTracker.kt
@@ -17,14 +17,18 @@
     private val self: NodeKey,
     private val limits: RolloutLimits,
 ) {
+    private val orders = OrderHistory()
+
     /** The latest order, or null if only a row of one is known. */
-    var order: RolloutOrder? = null
-        private set
+    val order: RolloutOrder? get() = orders.latest
 
     /** The newest row. */
     var row: RolloutRow? = null
         private set
 
+    /** What is known of the row that the store holds. */
+    val stored = StoredRow()
+
     /** The evidence on the version that the newest order or row names. */
     var evidence = VersionEvidence()
         private set
@@ -62,9 +66,15 @@
     val isRunning: Boolean get() = isPending && !isInForce || row?.stage?.isFinal == false
 
     fun observe(order: RolloutOrder, now: MonotonicTime) {
-        val known = this.order
-        if (known != null && order.number <= known.number) return
-        this.order = order
+        if (orders.receive(order, row, now)) takeUp(order, now)
+    }
+
+    /** Takes up an order that was withheld, if it is due. */
+    fun release(now: MonotonicTime) {
+        if (orders.release(now)) order?.let { takeUp(it, now) }
+    }
+
+    private fun takeUp(order: RolloutOrder, now: MonotonicTime) {
         startTimes.merge(order.number, now, ::minOf)
         isInForce = isAlone(order.target)
         restartEvidence()
@@ -81,9 +91,11 @@
      */
     fun adopt(row: RolloutRow, readAt: MonotonicTime, confirmedAt: MonotonicTime?): Boolean {
         startTimes.merge(row.order, readAt - row.elapsed, ::minOf)
+        stored.observe(row)
         val known = this.row
-        if (known != null && row.version <= known.version) return false
+        if (known != null && (row.version == known.version || row.writtenAt <= known.writtenAt)) return false
         this.row = row
+        orders.check(row, readAt)
         if (row.stage != known?.stage) isForgotten = false
         val hasOtherTarget = row.target != known?.target
         if (row.stage != RolloutStage.Committed || hasOtherTarget) sealed = false
@@ -163,7 +175,7 @@
         if (!isNews) return null
         val rowConfirmedAt = report.confirmedAge?.let { node.heardAt - it }
         val newer = report.row?.takeIf { adopt(it, node.heardAt, rowConfirmedAt) }
-        if (rowConfirmedAt != null && report.row?.version == row?.version) confirm(rowConfirmedAt)
+        if (rowConfirmedAt != null && row.isSameAs(report.row)) confirm(rowConfirmedAt)
         if (report.order != evidenceOrder) return newer
         reports[node.key] = report
         evidence.merge(node.key, report.routes)
--- a/core/src/main/kotlin/gypsumcart/core/routing/Routing.kt
+++ b/core/src/main/kotlin/gypsumcart/core/routing/Routing.kt
@@ -36,6 +36,8 @@
         if (features.learnedCapacity) BackEndChoice.ByCapacity(CapacityLearner()) else BackEndChoice.Even
     private var sharedFindings = RoutingFindings.NONE
     private val versions = VersionSplit()
+    private val brittle = BrittleBackEnds()
+    private val rooms = BrittleRoomQueue()
     private var place = NodePlace(nodeCount = 1, rank = 0)
 
     override fun decide(event: RoutingEvent, now: MonotonicTime): List<RoutingEffect> =
@@ -58,6 +60,7 @@
             is RoutingEvent.FindingsReceived -> learn(event.findings, event.asOf, now)
             is RoutingEvent.CapacityReported -> noEffects { choice.learn(event) }
             is RoutingEvent.LimitStated -> hearLimit(event, now)
+            is RoutingEvent.BrittlenessStated -> hearBrittleness(event, now)
             is RoutingEvent.PauseStated -> pauseCalls(event, now)
             is RoutingEvent.VersionsRuled -> {
                 versions.update(event.rules, event.revision)
@@ -72,11 +75,6 @@
                     .also { waiting.clear() }
         }
 
-    private inline fun noEffects(change: () -> Unit): List<RoutingEffect> {
-        change()
-        return emptyList()
-    }
-
     private fun updateBackEnds(backEnds: List<BackEnd>, now: MonotonicTime): List<RoutingEffect> {
         val keys = backEnds.mapTo(HashSet()) { it.key }
         // A back end may be listed again before its pause ends.
@@ -89,8 +87,10 @@
             .map { backEnd -> candidates.getOrPut(backEnd.key) { Candidate(backEnd) }.also { it.backEnd = backEnd } }
             .sortedBy { it.backEnd.id }
             .groupByTo(HashMap()) { it.backEnd.service }
-            .onEach { (_, ofService) -> ofService.spreadLimits() }
-            .let(candidatesByService::putAll)
+            .onEach { (service, ofService) ->
+                ofService.spreadLimits()
+                brittle.list(service, ofService)
+            }.let(candidatesByService::putAll)
         choice.list(backEnds, candidates.values, now)
         return assignWaiting(now)
     }
@@ -125,9 +125,12 @@
             if (assigned != null) return earlier + assigned
         }
         val isFull = limiters.isNotEmpty() && places.areFull(admitted, ofService, place, now)
-        val limit = admitted.submission.arrivedAt + places.maxWaitFor(admitted, isFull, now)
+        val isShort = ofService.areShortOfRoom(place, now)
+        val maxWait = if (isShort) rooms.maxWaitFor(admitted) else places.maxWaitFor(admitted, isFull, now)
+        val limit = admitted.submission.arrivedAt + maxWait
         val request = WaitingRequest(admitted, excluded, minOf(limit, admitted.deadline))
         if (limiters.areUsedUp(place, now)) return earlier + awaitLimit(request, limiters, now)
+        if (isShort) return earlier + rooms.await(request, ofService, waiting, place, now)
         return earlier + awaitPlace(request, isFull, now)
     }
 
@@ -229,9 +232,11 @@
     private fun releaseCall(event: RoutingEvent.CallReleased, now: MonotonicTime): List<RoutingEffect> {
         val candidate = candidates[event.instance]
         val call = candidate?.endCall(event.ticket, event.health, now)
+        call?.let { rooms.recordEnd(candidate.backEnd.service, now - it.startedAt) }
         if (call?.prompt != null) places.recordEnd(candidate.backEnd.service, now)
         call?.let { choice.recordEnd(event, it, candidate.backEnd, now) }
-        val used = if (versions.awaitsEndOf(candidate)) versions.uses(candidates) else emptyList()
+        val fall = candidate?.let { brittle.observeEnd(it, event, now) }
+        val used = listOfNotNull(fall) + if (versions.awaitsEndOf(candidate)) versions.uses(candidates) else emptyList()
         val learned = used + if (call == null) emptyList() else learnFrom(call, candidate.backEnd, event.health, now)
         return if (waiting.isEmpty()) learned else learned + assignWaiting(now)
     }
@@ -260,7 +265,10 @@
     private fun startResponse(event: RoutingEvent.FirstPieceReceived, now: MonotonicTime): List<RoutingEffect> {
         event.fraction?.let { latencies.add(event.service, it, now) }
         val call = candidates[event.instance]?.callOrNull(event.ticket) ?: return emptyList()
-        if (!call.started) choice.recordStart(event.instance, call, now)
+        if (!call.started) {
+            choice.recordStart(event.instance, call, now)
+            candidates[event.instance]?.room?.recordResponse()
+        }
         call.started = true
         places.recordStart(call, now)
         val prompt = call.prompt ?: return emptyList()
@@ -285,7 +293,8 @@
                 candidates[instance]?.limiter?.learn(statement, asOf - age, now) ?: false
             }
         val quarantined = apply(quarantine.merge(findings.crashEvidence, asOf, now), now)
-        return quarantined + changed.flatMap { limitChanged(it.instance, now) }
+        val stated = findings.brittleness.mapNotNull { brittle.learn(candidates[it.instance], it, asOf) }
+        return quarantined + stated + changed.flatMap { limitChanged(it.instance, now) }
     }
 
     private fun hearLimit(event: RoutingEvent.LimitStated, now: MonotonicTime): List<RoutingEffect> {
@@ -293,6 +302,11 @@
         return if (changed) limitChanged(event.instance, now) + shareFindings(now) else emptyList()
     }
 
+    private fun hearBrittleness(event: RoutingEvent.BrittlenessStated, now: MonotonicTime): List<RoutingEffect> {
+        val changed = candidates[event.instance]?.let { brittle.hear(it, event.statement, now) }
+        return if (changed != null) listOf(changed) + shareFindings(now) else emptyList()
+    }
+
     /** Pauses calls, and refuses the waiting requests for which none is possible before their waiting time ends. */
     private fun pauseCalls(event: RoutingEvent.PauseStated, now: MonotonicTime): List<RoutingEffect> {
         val paused = candidates[event.instance]?.takeIf { it.limiter.pauseUntil(event.until) } ?: return emptyList()
@@ -310,7 +324,12 @@
     /** Shares the findings if there are any, or if the last ones are to be withdrawn. */
     private fun shareFindings(now: MonotonicTime): List<RoutingEffect> {
         val limits = candidates.values.mapNotNull { it.limiter.reportOrNull(it.backEnd.key, now) }
-        val findings = RoutingFindings(quarantine.evidence(now), limits.sortedBy { it.age }.take(MAX_SHARED_LIMITS))
+        val findings =
+            RoutingFindings(
+                quarantine.evidence(now),
+                limits.sortedBy { it.age }.take(MAX_SHARED_LIMITS),
+                brittle.report(candidates.values, now),
+            )
         if (findings.isEmpty && sharedFindings.isEmpty) return emptyList()
         sharedFindings = findings
         return listOf(RoutingEffect.ShareFindings(findings))
@@ -346,6 +365,7 @@
         val ofService = versions.backEndsFor(admitted, candidatesByService)
         return when {
             ofService.limiters().areUsedUp(place, now) -> refusals.outcomeOf(admitted, ofService, place, now)
+            ofService.areShortOfRoom(place, now) -> rooms.refusalOf(admitted, ofService, waiting, place, now)
             places.areFull(admitted, ofService, place, now) ->
                 places.refusalOf(admitted, waiting.count(admitted.service), now)
             else -> Outcome.NotRun(RefusalReason.NoBackEnd, RETRY_AFTER)
@@ -371,10 +391,15 @@
     }
 }
 
+private inline fun noEffects(change: () -> Unit): List<RoutingEffect> {
+    change()
+    return emptyList()
+}
+
 private fun QuarantineVerdict.Refused.toOutcome(): Outcome =
     Outcome.NotRun(RefusalReason.Quarantined(part), retryAfter)
 
-private fun costOf(admitted: AdmittedRequest): Double =
+internal fun costOf(admitted: AdmittedRequest): Double =
     1 + (admitted.submission.prompt?.tokens ?: 0).toDouble() / TOKENS_PER_COST_UNIT
 
 /** A prompt of this many tokens loads an engine as much as one more running request. */
