--- a/core/src/main/kotlin/gypsumcart/core/membership/StorePosition.kt
+++ b/core/src/main/kotlin/gypsumcart/core/membership/StorePosition.kt
@@ -46,7 +46,8 @@
     /**
      * Whether a condition on a row with this version holds for the same row in [other].
      *
-     * In another era the version may be that of another change. A row may be missing in any era, also one that was lost.
+     * In another era the version may be that of another change. That a row is missing can be asked in any era, but a copy
+     * may lack one that was written.
      */
     public fun isComparableIn(other: StoreEra): Boolean = number == 0L || era == other
 
