Poll the store shortly after an outage

Cause: the first poll after an outage goes on from the old position and waits for the whole poll of up to 1.8 s before it learns of the era. The first read after a failure is urgent now, as a read after another origin's failure was.

FeedSourceTest, 'the first read after an outage is urgent': failed before.

--- a/core/src/main/kotlin/gypsumcart/core/membership/FeedSource.kt
+++ b/core/src/main/kotlin/gypsumcart/core/membership/FeedSource.kt
@@ -34,7 +34,7 @@
 
 /** Represents an output of the [FeedSource] decider. */
 public sealed class FeedEffect {
-    /** Reads the table from [origin]; [isFallback] if another origin has just failed, so that the read is urgent. */
+    /** Reads the table from [origin]; [isFallback] if the read before it failed, so that this one is urgent. */
     public data class Read(public val origin: FeedOrigin, public val isFallback: Boolean) : FeedEffect()
 
     /** Reports that the table can't be read from any origin. */
@@ -82,7 +82,7 @@
     private fun nextReadOrNull(now: MonotonicTime): FeedEffect? {
         val untried = origins.filter { it !in tried }
         val next = untried.firstOrNull { !isSuspected(it, now) } ?: untried.firstOrNull() ?: return null
-        return FeedEffect.Read(next, isFallback = tried.isNotEmpty())
+        return FeedEffect.Read(next, isFallback = tried.isNotEmpty() || isUnavailable)
     }
 
     private fun isSuspected(origin: FeedOrigin, now: MonotonicTime): Boolean =
--- a/core/src/test/kotlin/gypsumcart/core/membership/FeedSourceTest.kt
+++ b/core/src/test/kotlin/gypsumcart/core/membership/FeedSourceTest.kt
@@ -110,6 +110,19 @@
             .isEqualTo(listOf(FeedEffect.Read(store, isFallback = true)))
     }
 
+    // Guards against changes that are seen late after an outage, as the first poll waits at a store that has come back.
+    @Test
+    fun `the first read after an outage is urgent`() {
+        failing += store
+        read()
+        failing.clear()
+        expectThat(source.decide(FeedEvent.ReadDue, at(now)))
+            .isEqualTo(listOf(FeedEffect.Read(store, isFallback = true)))
+        source.decide(FeedEvent.ReadEnded(store, succeeded = true), at(now))
+        expectThat(source.decide(FeedEvent.ReadDue, at(now)))
+            .isEqualTo(listOf(FeedEffect.Read(store, isFallback = false)))
+    }
+
     @Test
     fun `a relay that is no longer chosen is not read`() {
         choose(relay, first)
