Don't take back ends that are down for a cut while others respond

By reading, nothing seen at work: three back ends that no node reaches within 3 s counted as a cut of the node, also while others responded on open connections. When a zone of back ends is lost, all nodes would then have opened no direct connection for up to a second and refused requests. Back ends that no other node reaches either count as a cut only if nothing has arrived since the first of them was missed.

BackEndPathsTest: two cases; not run on the code before.

--- a/core/src/main/kotlin/gypsumcart/core/routing/BackEndPaths.kt
+++ b/core/src/main/kotlin/gypsumcart/core/routing/BackEndPaths.kt
@@ -151,10 +151,15 @@
             probesAt[event.instance] = now + PROBE_PERIOD
             if (probesAt.size > MAX_CARRIED) probesAt.clear()
         }
-        val isCut = unreached.size >= MIN_UNREACHED || unreached.values.count { it.isCarried } >= MIN_CARRIED
-        return if (isCut) cutOff() else emptyList()
+        val isCarried = unreached.values.count { it.isCarried } >= MIN_CARRIED
+        val isLost = unreached.size >= MIN_UNREACHED && isSilentSinceFirstMiss
+        return if (isCarried || isLost) cutOff() else emptyList()
     }
 
+    /** Back ends that no node reaches are down, unless nothing arrives from the others either. */
+    private val isSilentSinceFirstMiss: Boolean
+        get() = receivedAt?.let { received -> unreached.values.all { it.at >= received } } ?: true
+
     private fun abandonUnlessReceived(since: MonotonicTime): List<PathEffect> {
         if (receivedAt?.let { it > since } ?: false) return emptyList()
         return cutOff() + PathEffect.AbandonConnections
--- a/core/src/test/kotlin/gypsumcart/core/routing/BackEndPathsTest.kt
+++ b/core/src/test/kotlin/gypsumcart/core/routing/BackEndPathsTest.kt
@@ -44,6 +44,24 @@
         expectThat(paths.isCutOff).isFalse()
     }
 
+    // Guards against a zone of back ends that is lost and keeps all nodes from opening connections to the others.
+    @Test
+    fun `back ends that no node reaches are no cut while others respond`() {
+        decide(PathEvent.Unreached(backEnd(1), isCarried = false), 0)
+        decide(PathEvent.Received, 50)
+        decide(PathEvent.Unreached(backEnd(2), isCarried = false), 100)
+        expectThat(decide(PathEvent.Unreached(backEnd(3), isCarried = false), 200)).isEmpty()
+        expectThat(pathTo(4, 210)).isEqualTo(BackEndPath.Direct)
+    }
+
+    @Test
+    fun `back ends that no node reaches are a cut if nothing arrives from the others`() {
+        decide(PathEvent.Received, 0)
+        (1..2).forEach { decide(PathEvent.Unreached(backEnd(it), isCarried = false), 50 * it) }
+        val effects = decide(PathEvent.Unreached(backEnd(3), isCarried = false), 200)
+        expectThat(effects).isEqualTo(listOf(PathEffect.CutOffChanged(true)))
+    }
+
     @Test
     fun `two back ends that only other nodes reach cut the node off until a connection is established`() {
         decide(PathEvent.Unreached(backEnd(1), isCarried = true), 0)
