--- a/node/src/test/kotlin/gypsumcart/node/FleetClockTest.kt
+++ b/node/src/test/kotlin/gypsumcart/node/FleetClockTest.kt
@@ -11,7 +11,6 @@
 import strikt.assertions.isNull
 
 class FleetClockTest {
-    /** Holds the row of the clock. */
     private class ClockStore : RowStore {
         var row: Row? = null
         var isAway = false
