--- a/core/src/main/kotlin/gypsumcart/core/streams/StreamEvents.kt
+++ b/core/src/main/kotlin/gypsumcart/core/streams/StreamEvents.kt
@@ -9,6 +9,7 @@
 import gypsumcart.core.RequestId
 import gypsumcart.core.ServiceName
 import gypsumcart.core.Ticket
+import kotlin.time.Duration
 
 /** Whether the request asks for the rest of a stream that another back end can continue. */
 public val AdmittedRequest.takesUpStream: Boolean
@@ -124,13 +125,32 @@
     public data object Store : OriginSource()
 }
 
+/**
+ * Describes how the version that began a stream was looked for.
+ *
+ * @property waited the time since the request arrived
+ * @property reads the number of reads of the stream's record that have ended
+ * @property lastRead the result of the last of them, or null if there was none
+ * @property versionCount the number of versions that were in use as this node knows
+ */
+public data class OriginSearch(
+    public val waited: Duration,
+    public val reads: Int,
+    public val lastRead: RecordReadResult?,
+    public val versionCount: Int,
+)
+
 /** Represents an output of the [StreamOrigins] decider. */
 public sealed class StreamEffect {
     /** Passes on a request whose origin is known by [source]. */
     public data class Route(public val admitted: AdmittedRequest, public val source: OriginSource) : StreamEffect()
 
-    /** Ends a request without a call. */
-    public data class Refuse(public val admitted: AdmittedRequest, public val outcome: Outcome.NotRun) : StreamEffect()
+    /** Ends a request without a call, after [search]. */
+    public data class Refuse(
+        public val admitted: AdmittedRequest,
+        public val outcome: Outcome.NotRun,
+        public val search: OriginSearch,
+    ) : StreamEffect()
 
     /** Reads the record of the stream that began with [beganAs], for the request with [ticket]. */
     public data class ReadRecord(public val ticket: Ticket, public val beganAs: RequestId) : StreamEffect()
@@ -138,8 +158,8 @@
     /** Reads which versions of [services] are in use now; ends with [StreamEvent.VersionsChecked]. */
     public data class CheckVersions(public val services: Set<ServiceName>) : StreamEffect()
 
-    /** Writes [records] together. */
-    public data class WriteRecords(public val records: List<StreamRecord>) : StreamEffect()
+    /** Writes [records] together, the first of which has waited for [delay] since its stream began. */
+    public data class WriteRecords(public val records: List<StreamRecord>, public val delay: Duration) : StreamEffect()
 
     /** Writes the [versions] of [service] that are in use. */
     public data class WriteVersions(
--- a/core/src/main/kotlin/gypsumcart/core/streams/StreamLookups.kt
+++ b/core/src/main/kotlin/gypsumcart/core/streams/StreamLookups.kt
@@ -29,6 +29,11 @@
     val giveUpAt: MonotonicTime,
     var state: LookupState,
 ) {
+    var reads = 0
+        private set
+    var lastRead: RecordReadResult? = null
+        private set
+
     val beganAs: RequestId? get() = admitted.submission.takeUp?.beganAs
 
     /** Whether its record is being read, or may be. */
@@ -36,6 +41,11 @@
 
     val dueTime: MonotonicTime
         get() = (state as? LookupState.AwaitingWrite)?.until?.let { minOf(it, giveUpAt) } ?: giveUpAt
+
+    fun recordRead(result: RecordReadResult) {
+        reads++
+        lastRead = result
+    }
 }
 
 /** Holds the requests whose origins are being determined, and the check of versions that they share. */
--- a/core/src/main/kotlin/gypsumcart/core/streams/StreamMemory.kt
+++ b/core/src/main/kotlin/gypsumcart/core/streams/StreamMemory.kt
@@ -3,6 +3,7 @@
 import gypsumcart.core.MonotonicTime
 import gypsumcart.core.RequestId
 import gypsumcart.core.ServiceName
+import kotlin.time.Duration
 
 /** Holds the records of the streams that began at this node, and those of them that are to be stored. */
 internal class StreamMemory {
@@ -35,6 +36,10 @@
 
     fun recordOrNull(beganAs: RequestId): StreamRecord? = streams[beganAs]?.record
 
+    /** Returns the time since the stream of [record] began, or zero if it is no longer known. */
+    fun ageOf(record: StreamRecord, now: MonotonicTime): Duration =
+        streams[record.beganAs]?.let { now - it.beganAt } ?: Duration.ZERO
+
     /** Adds the record of a new stream; the first one of a request stays. */
     fun add(record: StreamRecord, isToBeStored: Boolean, now: MonotonicTime) {
         if (record.beganAs.text.length > MAX_ID_LENGTH) return
--- a/core/src/main/kotlin/gypsumcart/core/streams/StreamOrigins.kt
+++ b/core/src/main/kotlin/gypsumcart/core/streams/StreamOrigins.kt
@@ -143,9 +143,9 @@
         val beganAs = admitted.submission.takeUp?.beganAs
         val own = beganAs?.let(memory::recordOrNull)
         return when {
-            own != null -> route(admitted, own, OriginSource.Memory)
+            own != null -> route(admitted, own, OriginSource.Memory, now)
 
-            admitted.deadline <= now -> refuse(admitted, RefusalReason.OriginUnknown, retryAfter = null)
+            admitted.deadline <= now -> refuse(admitted, RefusalReason.OriginUnknown, retryAfter = null, now)
 
             beganAs != null && lookups.hasRoomForRead -> {
                 addLookup(admitted, LookupState.ReadingRecord(isLast = false), now)
@@ -157,7 +157,7 @@
 
             beganAs == null -> refuseUnknown(admitted, isFinal = inUse[admitted.service].isSeveral, now)
 
-            else -> refuse(admitted, RefusalReason.Overloaded("streams"), RETRY_AFTER)
+            else -> refuse(admitted, RefusalReason.Overloaded("streams"), RETRY_AFTER, now)
         }
     }
 
@@ -174,27 +174,47 @@
 
     private fun isRestoring(now: MonotonicTime): Boolean = restoredUntil?.let { it > now } ?: false
 
-    private fun route(admitted: AdmittedRequest, record: StreamRecord, source: OriginSource): StreamEffect =
+    private fun route(
+        admitted: AdmittedRequest,
+        record: StreamRecord,
+        source: OriginSource,
+        now: MonotonicTime,
+    ): StreamEffect =
         if (record.service == admitted.service) {
             route(admitted, record.version, source)
         } else {
-            refuse(admitted, RefusalReason.OriginGone, retryAfter = null)
+            refuse(admitted, RefusalReason.OriginGone, retryAfter = null, now)
         }
 
     private fun route(admitted: AdmittedRequest, version: BackEndVersion?, source: OriginSource): StreamEffect =
         StreamEffect.Route(admitted.copy(origin = StreamOrigin.WrittenBy(version)), source)
 
-    private fun refuse(admitted: AdmittedRequest, reason: RefusalReason, retryAfter: Duration?): StreamEffect =
-        StreamEffect.Refuse(admitted, Outcome.NotRun(reason, retryAfter))
+    private fun refuse(
+        admitted: AdmittedRequest,
+        reason: RefusalReason,
+        retryAfter: Duration?,
+        now: MonotonicTime,
+        lookup: StreamLookup? = null,
+    ): StreamEffect {
+        val search =
+            OriginSearch(
+                waited = now - admitted.submission.arrivedAt,
+                reads = lookup?.reads ?: 0,
+                lastRead = lookup?.lastRead,
+                versionCount = inUse[admitted.service].orEmpty().size,
+            )
+        return StreamEffect.Refuse(admitted, Outcome.NotRun(reason, retryAfter), search)
+    }
 
     private fun endRead(event: StreamEvent.RecordRead, now: MonotonicTime): StreamEffect? {
         val lookup = lookups[event.ticket] ?: return null
         val state = lookup.state as? LookupState.ReadingRecord ?: return null
+        lookup.recordRead(event.result)
         val service = lookup.admitted.service
         val record = (event.result as? RecordReadResult.Found)?.record?.takeIf { it.beganAs == lookup.beganAs }
         val isAbsent = record == null && event.result != RecordReadResult.Failed
         return when {
-            record != null -> route(lookup.admitted, record, OriginSource.Store).also { lookups.remove(lookup) }
+            record != null -> route(lookup.admitted, record, OriginSource.Store, now).also { lookups.remove(lookup) }
 
             isAbsent && knowsOneVersion(service, now) ->
                 null.also { lookup.state = LookupState.CheckingVersions(isRunning = false, state.isLast) }
@@ -239,20 +259,26 @@
 
     private fun giveUp(lookup: StreamLookup, isFinal: Boolean, now: MonotonicTime): StreamEffect {
         lookups.remove(lookup)
-        return refuseUnknown(lookup.admitted, isFinal, now)
+        return refuseUnknown(lookup.admitted, isFinal, now, lookup)
     }
 
     /** Refuses the request, for good if no record of its stream was stored although several versions are in use. */
-    private fun refuseUnknown(admitted: AdmittedRequest, isFinal: Boolean, now: MonotonicTime): StreamEffect {
+    private fun refuseUnknown(
+        admitted: AdmittedRequest,
+        isFinal: Boolean,
+        now: MonotonicTime,
+        lookup: StreamLookup? = null,
+    ): StreamEffect {
         // Records that a copy of the store lacks are written again.
         val retryAfter = RETRY_AFTER.takeUnless { isFinal && !isRestoring(now) }
-        return refuse(admitted, RefusalReason.OriginUnknown, retryAfter)
+        return refuse(admitted, RefusalReason.OriginUnknown, retryAfter, now, lookup)
     }
 
     private fun recordWriteOrNull(now: MonotonicTime): StreamEffect? {
         if (!memory.isWriteDue || nextWriteAt?.let { it > now } == true) return null
         nextWriteAt = now + writePause
-        return StreamEffect.WriteRecords(memory.takeBatch())
+        val records = memory.takeBatch()
+        return StreamEffect.WriteRecords(records, memory.ageOf(records.first(), now))
     }
 
     /** Requests a tick for the next due time, unless one has been requested that comes no later. */
--- a/node/src/main/kotlin/gypsumcart/node/Metrics.kt
+++ b/node/src/main/kotlin/gypsumcart/node/Metrics.kt
@@ -93,9 +93,11 @@
     fun countTakeUp(source: String, result: String): Unit =
         registry.counter("gypsumcart.stream.take.ups", "source", source, "result", result).increment()
 
-    /** Counts [count] stored records of streams. */
-    fun countStreamRecords(count: Int): Unit =
+    /** Counts [count] stored records of streams, the first of which had waited for [delay] before the write. */
+    fun countStreamRecords(count: Int, delay: Duration) {
         registry.counter("gypsumcart.stream.records").increment(count.toDouble())
+        registry.timer("gypsumcart.stream.record.delay").record(delay.inWholeMilliseconds, TimeUnit.MILLISECONDS)
+    }
 
     /** Registers a gauge for the number of events that wait in [ring]. */
     fun registerGauges(ring: Ring<*>) {
--- a/node/src/main/kotlin/gypsumcart/node/StreamDuty.kt
+++ b/node/src/main/kotlin/gypsumcart/node/StreamDuty.kt
@@ -13,6 +13,7 @@
 import gypsumcart.core.dispatch.CallResult
 import gypsumcart.core.dispatch.DispatchEffect
 import gypsumcart.core.routing.RoutingEvent
+import gypsumcart.core.streams.OriginSearch
 import gypsumcart.core.streams.OriginSource
 import gypsumcart.core.streams.RecordReadResult
 import gypsumcart.core.streams.StreamEffect
@@ -68,12 +69,12 @@
     private fun execute(effect: StreamEffect) {
         when (effect) {
             is StreamEffect.Route -> {
-                record(effect.admitted, effect.source, "routed")
+                record(effect.admitted, effect.source, "routed", search = null)
                 rings.routing.put(RoutingEvent.RequestAdmitted(effect.admitted))
             }
 
             is StreamEffect.Refuse -> {
-                record(effect.admitted, source = null, effect.outcome.reason.toLogValue())
+                record(effect.admitted, source = null, effect.outcome.reason.toLogValue(), effect.search)
                 // If the ring of admission is full, the request stays charged.
                 rings.admission.offer(AdmissionEvent.Settled(effect.admitted.ticket))
                 edge.deliver(effect.admitted.ticket, EdgeCommand.Conclude(effect.outcome))
@@ -86,7 +87,7 @@
                 scope.launch { rings.streams.reply(StreamEvent.VersionsChecked(checkVersions(effect.services))) }
 
             is StreamEffect.WriteRecords ->
-                scope.launch { rings.streams.reply(StreamEvent.RecordsWritten(write(effect.records))) }
+                scope.launch { rings.streams.reply(StreamEvent.RecordsWritten(write(effect))) }
 
             is StreamEffect.WriteVersions -> scope.launch { writeVersions(effect.service, effect.versions) }
 
@@ -98,20 +99,32 @@
         }
     }
 
-    private fun record(admitted: AdmittedRequest, source: OriginSource?, result: String) {
+    private fun record(admitted: AdmittedRequest, source: OriginSource?, result: String, search: OriginSearch?) {
         val sourceName = source?.toLogValue() ?: "none"
         metrics.countTakeUp(sourceName, result)
         log.info(
-            "event=stream_taken_up request={} began_as={} service={} version={} source={} result={}",
+            "event=stream_taken_up request={} began_as={} service={} version={} source={} result={} waited_ms={} " +
+                "reads={} last_read={} versions={}",
             admitted.submission.requestId,
             admitted.submission.takeUp?.beganAs,
             admitted.service,
             (admitted.origin as? StreamOrigin.WrittenBy)?.version,
             sourceName,
             result,
+            search?.waited?.inWholeMilliseconds,
+            search?.reads,
+            search?.lastRead?.toLogValue(),
+            search?.versionCount,
         )
     }
 
+    private fun RecordReadResult.toLogValue(): String =
+        when (this) {
+            RecordReadResult.Absent -> "absent"
+            RecordReadResult.Failed -> "failed"
+            is RecordReadResult.Found -> "found"
+        }
+
     private fun OriginSource.toLogValue(): String =
         when (this) {
             OriginSource.History -> "history"
@@ -145,13 +158,13 @@
         return VersionCheck.Confirmed(versions)
     }
 
-    private suspend fun write(records: List<StreamRecord>): Boolean =
+    private suspend fun write(effect: StreamEffect.WriteRecords): Boolean =
         rows
-            .putAll(records.map { it.toRow() })
-            .onSuccess { metrics.countStreamRecords(records.size) }
+            .putAll(effect.records.map { it.toRow() })
+            .onSuccess { metrics.countStreamRecords(effect.records.size, effect.delay) }
             .onFailure {
                 metrics.countFailedWrite("streams")
-                log.info("event=stream_records_unwritten count={} cause={}", records.size, it.toLogValue())
+                log.info("event=stream_records_unwritten count={} cause={}", effect.records.size, it.toLogValue())
             }.isOk
 
     private suspend fun writeVersions(service: ServiceName, versions: Set<BackEndVersion?>) {
