--- a/core/src/main/kotlin/gypsumcart/core/streams/StreamEvents.kt
+++ b/core/src/main/kotlin/gypsumcart/core/streams/StreamEvents.kt
@@ -9,6 +9,8 @@
 import gypsumcart.core.RequestId
 import gypsumcart.core.ServiceName
 import gypsumcart.core.Ticket
+import gypsumcart.core.membership.ExchangeId
+import gypsumcart.core.membership.NodeKey
 import kotlin.time.Duration
 
 /** Whether the request asks for the rest of a stream that another back end can continue. */
@@ -106,6 +108,18 @@
     /** The write of records ended. */
     public data class RecordsWritten(public val succeeded: Boolean) : StreamEvent()
 
+    /** The nodes that keep records of streams are now [peers], this one included if it does. */
+    public data class PeersUpdated(public val peers: List<StreamPeer>) : StreamEvent()
+
+    /** Another node sent [message], to which it waits for the response to [exchange]. */
+    public data class MessageReceived(
+        public val exchange: ExchangeId,
+        public val message: StreamMessage,
+    ) : StreamEvent()
+
+    /** The message that was sent to [peer] was answered, or not. */
+    public data class MessageEnded(public val peer: NodeKey, public val result: StreamMessageResult) : StreamEvent()
+
     /** The number of live nodes changed, or the [rank] of this one, which is the number of those with a lower id. */
     public data class RankUpdated(public val nodeCount: Int, public val rank: Int) : StreamEvent()
 
@@ -121,7 +135,10 @@
     /** This node forwarded the first event. */
     public data object Memory : OriginSource()
 
-    /** The node that forwarded the first event stored a record. */
+    /** Another node keeps a record for the one that forwarded the first event. */
+    public data object Peer : OriginSource()
+
+    /** The store holds a record. */
     public data object Store : OriginSource()
 }
 
@@ -161,6 +178,15 @@
     /** Writes [records] together, the first of which has waited for [delay] since its stream began. */
     public data class WriteRecords(public val records: List<StreamRecord>, public val delay: Duration) : StreamEffect()
 
+    /** Sends [message] to [peer]; ends with [StreamEvent.MessageEnded] before the next message to that node. */
+    public data class Send(public val peer: StreamPeer, public val message: StreamMessage) : StreamEffect()
+
+    /** Answers the message of [exchange] with those of the records it asked for that this node knows. */
+    public data class Respond(
+        public val exchange: ExchangeId,
+        public val records: List<StreamRecord>,
+    ) : StreamEffect()
+
     /** Writes the [versions] of [service] that are in use. */
     public data class WriteVersions(
         public val service: ServiceName,
--- a/core/src/main/kotlin/gypsumcart/core/streams/StreamOrigins.kt
+++ b/core/src/main/kotlin/gypsumcart/core/streams/StreamOrigins.kt
@@ -102,6 +102,8 @@
                 versionWrites(now)
             }
 
+            is StreamEvent.PeersUpdated, is StreamEvent.MessageReceived, is StreamEvent.MessageEnded -> emptyList()
+
             StreamEvent.Tick -> tick(now)
         }
 
--- a/core/src/test/kotlin/gypsumcart/core/streams/OutOfStepNodesTest.kt
+++ b/core/src/test/kotlin/gypsumcart/core/streams/OutOfStepNodesTest.kt
@@ -138,6 +138,8 @@
                         StreamEvent.RecordsWritten(it != null)
                     }
 
+                is StreamEffect.Send, is StreamEffect.Respond -> error("no node keeps records for others here")
+
                 is StreamEffect.WriteVersions ->
                     call({ storedVersions = effect.versions }) {
                         StreamEvent.VersionsWritten(effect.service, effect.versions, it != null)
--- a/core/src/test/kotlin/gypsumcart/core/streams/StreamFleet.kt
+++ b/core/src/test/kotlin/gypsumcart/core/streams/StreamFleet.kt
@@ -75,6 +75,8 @@
                         StreamEvent.RecordsWritten(succeeded = true)
                     }
 
+                is StreamEffect.Send, is StreamEffect.Respond -> error("no node keeps records for others")
+
                 is StreamEffect.WriteVersions ->
                     callStore({ storedVersions = effect.versions }) {
                         StreamEvent.VersionsWritten(effect.service, effect.versions, succeeded = true)
--- a/core/src/test/kotlin/gypsumcart/core/streams/StreamOriginsPropertyTest.kt
+++ b/core/src/test/kotlin/gypsumcart/core/streams/StreamOriginsPropertyTest.kt
@@ -62,6 +62,7 @@
                     answer(
                         effect,
                     ) { StreamEvent.RecordsWritten(writeRecords(effect.records)) }
+                is StreamEffect.Send, is StreamEffect.Respond -> error("no node keeps records for others here")
                 is StreamEffect.WriteVersions ->
                     answer(effect) {
                         if (isStoreAvailable) storedVersions[effect.service] = effect.versions
--- a/node/src/main/kotlin/gypsumcart/node/StreamDuty.kt
+++ b/node/src/main/kotlin/gypsumcart/node/StreamDuty.kt
@@ -89,6 +89,8 @@
             is StreamEffect.WriteRecords ->
                 scope.launch { rings.streams.reply(StreamEvent.RecordsWritten(write(effect))) }
 
+            is StreamEffect.Send, is StreamEffect.Respond -> Unit
+
             is StreamEffect.WriteVersions -> scope.launch { writeVersions(effect.service, effect.versions) }
 
             // A tick that does not fit into the ring is made up for by the next periodic one.
@@ -129,6 +131,7 @@
         when (this) {
             OriginSource.History -> "history"
             OriginSource.Memory -> "memory"
+            OriginSource.Peer -> "peer"
             OriginSource.Store -> "store"
         }
 
