Have two other nodes keep the record of a stream from its first event on

Cause: a stream is known to its own node at once, and to all others only by a row of the store, whose write waits for a pause that grows with the fleet (0.7 s at 35 nodes, 8 s at 400), while a take-up looked for it twice within 0.15 s and was then refused for good. Class of fault: the time at which state must be known grows with the fleet, while those who need it come at once.

While several versions of a service are in use, a node now sends the record of a stream to two other nodes, of different zones, when its first event arrives; one of them also writes it to the store. The nodes that keep records are chosen by all alike, five of a small fleet and a tenth of a large one, so that each writes every 0.16 s at 35 nodes. A take-up asks them before it reads the store, and looks again until the record is there, for a second at most.

The link between nodes is not part of this commit.

--- /dev/null
+++ b/core/src/main/kotlin/gypsumcart/core/streams/RecordReplication.kt
@@ -0,0 +1,155 @@
+package gypsumcart.core.streams
+
+import gypsumcart.core.MonotonicTime
+import gypsumcart.core.RequestId
+import gypsumcart.core.membership.NodeKey
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.seconds
+
+/**
+ * Has the records of this node's streams kept by two other nodes, in different zones if possible, and asks for those of
+ * other nodes.
+ *
+ * One of the two nodes also writes the record to the store. A message leaves as soon as the one before it has been
+ * answered, so that records are sent one by one while there are few, and together while there are many.
+ *
+ * @param self this process, or null if it has no link to other nodes
+ */
+internal class RecordReplication(private val self: NodeKey?) {
+    private class Link(val peer: StreamPeer) {
+        val toStore = LinkedHashMap<RequestId, StreamRecord>()
+        val toKeep = LinkedHashMap<RequestId, StreamRecord>()
+        val asked = LinkedHashSet<RequestId>()
+        var sent: StreamMessage? = null
+        var pausedUntil: MonotonicTime? = null
+
+        private val hasWaitingRecords: Boolean get() = toStore.isNotEmpty() || toKeep.isNotEmpty()
+
+        /** Whether records wait, or are on their way. */
+        val hasRecords: Boolean get() = hasWaitingRecords || sent?.hasRecords ?: false
+
+        fun isUsable(now: MonotonicTime): Boolean = pausedUntil?.let { it <= now } ?: true
+
+        /** Returns the next message, or null while one is on its way or nothing waits. */
+        fun nextMessageOrNull(): StreamMessage? {
+            if (sent != null || !hasWaitingRecords && asked.isEmpty()) return null
+            val message =
+                StreamMessage(
+                    toStore.values.take(MAX_RECORDS),
+                    toKeep.values.take(MAX_RECORDS),
+                    asked.take(MAX_QUESTIONS),
+                )
+            message.toStore.forEach { toStore -= it.beganAs }
+            message.toKeep.forEach { toKeep -= it.beganAs }
+            asked -= message.asked.toSet()
+            sent = message
+            return message
+        }
+    }
+
+    /**
+     * Describes what follows from the end of a message.
+     *
+     * @property asked the questions that the message had
+     * @property toStore the records that this node has to write to the store, as no other one takes them
+     */
+    class Ended(val asked: List<RequestId>, val toStore: List<StreamRecord>)
+
+    /** The nodes that keep records, in the order in which this node prefers them. */
+    private var recorders: List<StreamPeer> = emptyList()
+    private val links = LinkedHashMap<NodeKey, Link>()
+
+    /** The number of nodes that write records to the store, or null if this node is none of them. */
+    val writerCountOrNull: Int? get() = recorders.size.takeIf { recorders.any { it.key == self } }
+
+    /**
+     * Replaces the nodes that keep records by a choice from [peers].
+     *
+     * Returns whether the records of this node's streams must be added again, since others are to keep them.
+     */
+    fun update(peers: List<StreamPeer>): Boolean {
+        if (self == null) return false
+        val before = recorders.targets()
+        recorders = peers.chooseRecorders().preferredBy(self.node)
+        val others = recorders.filter { it.key != self }.associateBy { it.key }
+        val hadRecords = links.values.any { it.peer.key !in others && it.hasRecords }
+        links.keys.retainAll(others.keys)
+        others.forEach { (key, peer) -> links.getOrPut(key) { Link(peer) } }
+        return hadRecords || recorders.targets() != before
+    }
+
+    /** Has [record] kept by other nodes, and returns whether this node has to write it to the store. */
+    fun add(record: StreamRecord, now: MonotonicTime): Boolean {
+        val (writer, keeper) = usable(now).targets()
+        if (keeper != null) links[keeper.key]?.toKeep?.set(record.beganAs, record)
+        if (writer == null || writer.key == self) return true
+        links.getValue(writer.key).toStore[record.beganAs] = record
+        return false
+    }
+
+    /** Drops the record of a stream that nobody will take up, if it has not been sent. */
+    fun drop(beganAs: RequestId) {
+        for (link in links.values) {
+            link.toStore -= beganAs
+            link.toKeep -= beganAs
+        }
+    }
+
+    /** Asks all nodes that keep records for that of the stream that [beganAs] began; returns the nodes. */
+    fun ask(beganAs: RequestId, now: MonotonicTime): Set<NodeKey> {
+        val asked = links.values.filter { it.isUsable(now) }
+        asked.forEach { it.asked += beganAs }
+        return asked.mapTo(HashSet()) { it.peer.key }
+    }
+
+    /** Ends the message to [peer]; if it was not answered, other nodes get its records. */
+    fun end(peer: NodeKey, result: StreamMessageResult, now: MonotonicTime): Ended {
+        val link = links[peer]
+        val message = link?.sent ?: return Ended(emptyList(), emptyList())
+        link.sent = null
+        return when (result) {
+            is StreamMessageResult.Answered -> Ended(message.asked, emptyList())
+
+            StreamMessageResult.Failed -> {
+                link.pausedUntil = now + PAUSE
+                val asked = message.asked + link.asked
+                val toStore = message.toStore + link.toStore.values
+                val toKeep = message.toKeep + link.toKeep.values
+                listOf(link.toStore, link.toKeep).forEach { it.clear() }
+                link.asked.clear()
+                toKeep.forEach { keepElsewhere(it, now) }
+                Ended(asked, toStore.filter { add(it, now) })
+            }
+        }
+    }
+
+    /** Returns the messages that are due now. */
+    fun dueMessages(): List<StreamEffect.Send> =
+        links.values.mapNotNull { link -> link.nextMessageOrNull()?.let { StreamEffect.Send(link.peer, it) } }
+
+    private fun keepElsewhere(record: StreamRecord, now: MonotonicTime) {
+        val (_, keeper) = usable(now).targets()
+        if (keeper != null) links[keeper.key]?.toKeep?.set(record.beganAs, record)
+    }
+
+    private fun usable(now: MonotonicTime): List<StreamPeer> =
+        recorders.filter { it.key == self || links[it.key]?.isUsable(now) ?: false }
+
+    /** Returns the node that writes a record to the store and the one that keeps it too, the latter in another zone. */
+    private fun List<StreamPeer>.targets(): Pair<StreamPeer?, StreamPeer?> {
+        val writer = firstOrNull() ?: return null to null
+        val others = drop(1)
+        return writer to (others.firstOrNull { it.zone != writer.zone } ?: others.firstOrNull())
+    }
+
+    private companion object {
+        /** The number of rows that the store accepts in one transaction. */
+        const val MAX_RECORDS = 100
+
+        /** The number of reads of records that a node has in progress at most. */
+        const val MAX_QUESTIONS = 256
+
+        /** How long a node that did not answer gets no messages. */
+        val PAUSE: Duration = 1.seconds
+    }
+}
--- /dev/null
+++ b/core/src/main/kotlin/gypsumcart/core/streams/Recorders.kt
@@ -0,0 +1,37 @@
+package gypsumcart.core.streams
+
+import gypsumcart.core.NodeId
+import gypsumcart.core.routing.finalizeHash
+
+/**
+ * Returns the nodes among these that keep the records of all nodes.
+ *
+ * Nodes with the same view choose the same ones, evenly from all zones. When a node goes or comes, the choice changes
+ * in its zone alone.
+ */
+internal fun List<StreamPeer>.chooseRecorders(): List<StreamPeer> {
+    if (isEmpty()) return emptyList()
+    val zones = groupBy { it.zone }.values
+    val count = maxOf(MIN_RECORDERS, ceilDiv(size, NODES_PER_RECORDER))
+    val countPerZone = ceilDiv(count, zones.size)
+    return zones.flatMap { zone ->
+        zone.sortedWith(compareBy({ finalizeHash(it.key.node.hashCode()) }, { it.key })).take(countPerZone)
+    }
+}
+
+/** Returns these nodes in the order in which [node] has its records kept by them; it prefers itself. */
+internal fun List<StreamPeer>.preferredBy(node: NodeId): List<StreamPeer> =
+    sortedWith(compareBy({ it.key.node != node }, { rendezvousWeight(node, it) }, { it.key }))
+
+private fun rendezvousWeight(node: NodeId, recorder: StreamPeer): Int =
+    finalizeHash(node.hashCode() * HASH_MULTIPLIER + recorder.key.node.hashCode())
+
+private fun ceilDiv(dividend: Int, divisor: Int): Int = (dividend + divisor - 1) / divisor
+
+/** With this many writers, each of them may write ten times a second within the writes that all may make together. */
+private const val MIN_RECORDERS = 5
+
+/** Bounds how many nodes send their records to the same one, and how many are asked for a record. */
+private const val NODES_PER_RECORDER = 10
+
+private const val HASH_MULTIPLIER = 31
--- a/core/src/main/kotlin/gypsumcart/core/streams/StreamLookups.kt
+++ b/core/src/main/kotlin/gypsumcart/core/streams/StreamLookups.kt
@@ -5,11 +5,15 @@
 import gypsumcart.core.RequestId
 import gypsumcart.core.ServiceName
 import gypsumcart.core.Ticket
+import gypsumcart.core.membership.NodeKey
 
 /** Describes what a request that takes a stream up waits for. */
 internal sealed class LookupState {
-    /** The record is being read; [isLast] says that it is for the second time. */
-    data class ReadingRecord(val isLast: Boolean) : LookupState()
+    /** The nodes in [unanswered] were asked for the record, which is read from the store at [until] at the latest. */
+    data class AskingPeers(val unanswered: Set<NodeKey>, val until: MonotonicTime) : LookupState()
+
+    /** The record is being read. */
+    data object ReadingRecord : LookupState()
 
     /**
      * There is no record, or none is read, and the versions in use are to be checked.
@@ -19,8 +23,8 @@
      */
     data class CheckingVersions(val isRunning: Boolean, val isLast: Boolean) : LookupState()
 
-    /** The record was not found, and is read once more at [until]. */
-    data class AwaitingWrite(val until: MonotonicTime) : LookupState()
+    /** The record was not found, and is looked for once more at [until]. */
+    data class AwaitingRecord(val until: MonotonicTime) : LookupState()
 }
 
 /** Tracks a request whose origin is being determined; it is refused at [giveUpAt]. */
@@ -29,6 +33,9 @@
     val giveUpAt: MonotonicTime,
     var state: LookupState,
 ) {
+    /** The number of times that the record was looked for and not found. */
+    var rounds = 0
+
     var reads = 0
         private set
     var lastRead: RecordReadResult? = null
@@ -40,7 +47,12 @@
     val mayReadRecord: Boolean get() = (state as? LookupState.CheckingVersions)?.isLast != true
 
     val dueTime: MonotonicTime
-        get() = (state as? LookupState.AwaitingWrite)?.until?.let { minOf(it, giveUpAt) } ?: giveUpAt
+        get() =
+            when (val current = state) {
+                is LookupState.AskingPeers -> minOf(current.until, giveUpAt)
+                is LookupState.AwaitingRecord -> minOf(current.until, giveUpAt)
+                is LookupState.CheckingVersions, LookupState.ReadingRecord -> giveUpAt
+            }
 
     fun recordRead(result: RecordReadResult) {
         reads++
@@ -53,6 +65,8 @@
     private val lookups = LinkedHashMap<Ticket, StreamLookup>()
     private var isCheckRunning = false
 
+    val isEmpty: Boolean get() = lookups.isEmpty()
+
     /** Whether another request may wait. */
     val hasRoom: Boolean get() = lookups.size < MAX_LOOKUPS
 
@@ -73,6 +87,9 @@
 
     fun dueAt(now: MonotonicTime): List<StreamLookup> = lookups.values.filter { it.dueTime <= now }
 
+    /** Returns the requests that take up one of the streams that [began]. */
+    fun takingUp(began: Set<RequestId>): List<StreamLookup> = lookups.values.filter { it.beganAs in began }
+
     /** Starts a check for all requests that wait for one, unless one runs, which may have read before they came. */
     fun startCheckOrNull(): StreamEffect.CheckVersions? {
         if (isCheckRunning) return null
--- a/core/src/main/kotlin/gypsumcart/core/streams/StreamMemory.kt
+++ b/core/src/main/kotlin/gypsumcart/core/streams/StreamMemory.kt
@@ -5,9 +5,12 @@
 import gypsumcart.core.ServiceName
 import kotlin.time.Duration
 
-/** Holds the records of the streams that began at this node, and those of them that are to be stored. */
+/** Holds the records of the streams of this node and of those that it keeps for others. */
 internal class StreamMemory {
-    private class KnownStream(val record: StreamRecord, val beganAt: MonotonicTime) {
+    private class KnownStream(val record: StreamRecord, val beganAt: MonotonicTime, val isOwn: Boolean) {
+        /** Whether it is for this node to write the record to the store. */
+        var isForStore = false
+
         /** Whether the client has the whole stream. */
         var isEnded = false
 
@@ -40,32 +43,37 @@
     fun ageOf(record: StreamRecord, now: MonotonicTime): Duration =
         streams[record.beganAs]?.let { now - it.beganAt } ?: Duration.ZERO
 
-    /** Adds the record of a new stream; the first one of a request stays. */
-    fun add(record: StreamRecord, isToBeStored: Boolean, now: MonotonicTime) {
-        if (record.beganAs.text.length > MAX_ID_LENGTH) return
-        if (streams.putIfAbsent(record.beganAs, KnownStream(record, now)) != null) return
-        if (isToBeStored) queue[record.beganAs] = record
+    /**
+     * Adds the record of a stream that began at this node, or [isOwn] is false; the first one of a request stays.
+     *
+     * Returns whether the record was added.
+     */
+    fun add(record: StreamRecord, isOwn: Boolean, now: MonotonicTime): Boolean =
+        record.beganAs.text.length <= MAX_ID_LENGTH &&
+            streams.putIfAbsent(record.beganAs, KnownStream(record, now, isOwn)) == null
+
+    /** Has the record stored, if the stream is known and its record is not stored yet. */
+    fun store(record: StreamRecord) {
+        val stream = streams[record.beganAs] ?: return
+        stream.isForStore = true
+        if (!stream.needsNoRecord && stream.record !in batch) queue[record.beganAs] = stream.record
     }
 
+    /** Returns the records of the streams of [services] that began at this node and whose clients may take them up. */
+    fun ownRecords(services: Set<ServiceName>): List<StreamRecord> =
+        streams.values.filter { it.isOwn && !it.isEnded && it.record.service in services }.map { it.record }
+
     /** Marks the stream as one that its client has received; it stays known, as the client may have lost the end. */
     fun end(beganAs: RequestId) {
         streams[beganAs]?.isEnded = true
         queue -= beganAs
     }
 
-    /** Has the records of all streams of [service] stored that are not stored yet. */
-    fun storeAll(service: ServiceName) {
-        for (stream in streams.values) {
-            val isMissing = !stream.needsNoRecord && stream.record !in batch
-            if (isMissing && stream.record.service == service) queue[stream.record.beganAs] = stream.record
-        }
-    }
-
-    /** Has the records of all streams of [services] stored again, as the store may have lost them. */
-    fun storeAgain(services: Set<ServiceName>) {
+    /** Has the records that this node had stored stored again, as the store may have lost them. */
+    fun storeAgain() {
         streams.values.forEach { it.isStored = false }
         isBatchDoubtful = batch.isNotEmpty()
-        services.forEach(::storeAll)
+        streams.values.filter { it.isForStore }.forEach { store(it.record) }
     }
 
     /** Returns the next records to store; [endBatch] must be called before the next ones can be taken. */
@@ -108,8 +116,8 @@
         }
 
     private companion object {
-        /** More than a node begins in the retention time at its share of the peak. */
-        const val MAX_STREAMS = 8_192
+        /** More than a node keeps of itself and of others in the retention time at its share of the peak. */
+        const val MAX_STREAMS = 32_768
 
         const val MAX_QUEUED = 1_000
 
--- a/core/src/main/kotlin/gypsumcart/core/streams/StreamPeers.kt
+++ b/core/src/main/kotlin/gypsumcart/core/streams/StreamPeers.kt
@@ -24,7 +24,9 @@
     public val toStore: List<StreamRecord> = emptyList(),
     public val toKeep: List<StreamRecord> = emptyList(),
     public val asked: List<RequestId> = emptyList(),
-)
+) {
+    internal val hasRecords: Boolean get() = toStore.isNotEmpty() || toKeep.isNotEmpty()
+}
 
 /** Describes the result of a [StreamMessage]. */
 public sealed class StreamMessageResult {
