Don't count new requests against a take-up's places at its version

Cause: a node's share of the batch slots is rounded for the engines that may serve a request; for a take-up these are those of one version. Of 35 nodes each has less than one slot of four engines with 12 slots, so one new request there, which any engine could have served, filled the share.

Requests that need a version now share its slots among themselves, while the node's share of the whole service lasts. How often this happens at work was not measured.

--- a/core/src/main/kotlin/gypsumcart/core/routing/Candidates.kt
+++ b/core/src/main/kotlin/gypsumcart/core/routing/Candidates.kt
@@ -8,6 +8,7 @@
 import gypsumcart.core.Prompt
 import gypsumcart.core.PromptPartId
 import gypsumcart.core.ServiceName
+import gypsumcart.core.StreamOrigin
 import gypsumcart.core.Ticket
 import gypsumcart.core.capacity.InstanceCapacity
 import kotlin.time.Duration
@@ -83,6 +84,9 @@
     /** The number of in-flight calls of this node to the instance. */
     val inFlightCalls: Int get() = calls.size
 
+    /** The number of those of them that need the version of this instance. */
+    val boundCalls: Int get() = calls.values.count { it.admitted.origin is StreamOrigin.WrittenBy }
+
     /** Returns whether a call may be made now that is not to go to [excluded] instances. */
     fun isAvailable(excluded: Set<InstanceKey>, place: NodePlace, now: MonotonicTime): Boolean =
         !backEnd.draining && backEnd.key !in excluded && limiter.isOpen(place, now) && hasRoom(place, now)
--- a/core/src/main/kotlin/gypsumcart/core/routing/Places.kt
+++ b/core/src/main/kotlin/gypsumcart/core/routing/Places.kt
@@ -5,6 +5,7 @@
 import gypsumcart.core.Outcome
 import gypsumcart.core.RefusalReason
 import gypsumcart.core.ServiceName
+import gypsumcart.core.StreamOrigin
 import kotlin.math.ceil
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.seconds
@@ -18,19 +19,40 @@
      *
      * A request beyond the share would wait for its first token longer than is allowed, and so would all requests
      * queued behind it. A request without a prompt needs no batch slot.
+     *
+     * The share of the engines of one version may be less than one slot, and new requests go to any version. So the
+     * requests that need that version share its slots among themselves, while the node's share of the service lasts.
+     *
+     * @param candidates the engines that may serve the request, all or some of its service
      */
-    fun areFull(admitted: AdmittedRequest, candidates: List<Candidate>, place: NodePlace, now: MonotonicTime): Boolean {
+    fun areFull(
+        admitted: AdmittedRequest,
+        candidates: List<Candidate>,
+        candidatesByService: Map<ServiceName, List<Candidate>>,
+        place: NodePlace,
+        now: MonotonicTime,
+    ): Boolean {
         if (admitted.submission.prompt == null) return false
-        val slots =
-            candidates.sumOf { if (it.backEnd.draining || it.limiter.isPaused(now)) 0 else it.backEnd.slots }
-        return candidates.sumOf { it.inFlightCalls } >= limit(admitted.service, slots, place.nodeCount)
+        val limit = limit(admitted.service, candidates, place, now)
+        if (candidates.sumOf { it.inFlightCalls } < limit) return false
+        return when (admitted.origin) {
+            StreamOrigin.Unwritten -> true
+
+            is StreamOrigin.WrittenBy -> {
+                val ofService = candidatesByService[admitted.service].orEmpty()
+                candidates.sumOf { it.boundCalls } >= limit ||
+                    ofService.sumOf { it.inFlightCalls } >= limit(admitted.service, ofService, place, now)
+            }
+        }
     }
 
-    private fun limit(service: ServiceName, slots: Int, nodeCount: Int): Int =
-        when (policy) {
-            RoomPolicy.Even -> ceil(slots * MAX_SLOT_UTILIZATION / nodeCount).toInt()
-            is RoomPolicy.ByDemand -> policy.roomOf(service).limit(slots, nodeCount)
+    private fun limit(service: ServiceName, engines: List<Candidate>, place: NodePlace, now: MonotonicTime): Int {
+        val slots = engines.sumOf { if (it.backEnd.draining || it.limiter.isPaused(now)) 0 else it.backEnd.slots }
+        return when (policy) {
+            RoomPolicy.Even -> ceil(slots * MAX_SLOT_UTILIZATION / place.nodeCount).toInt()
+            is RoomPolicy.ByDemand -> policy.roomOf(service).limit(slots, place.nodeCount)
         }
+    }
 
     /** Returns how long [admitted] may wait for a place if they are full, or otherwise for a back end. */
     fun maxWaitFor(admitted: AdmittedRequest, isFull: Boolean, now: MonotonicTime): Duration {
--- a/core/src/main/kotlin/gypsumcart/core/routing/Routing.kt
+++ b/core/src/main/kotlin/gypsumcart/core/routing/Routing.kt
@@ -120,11 +120,11 @@
         val limiters = ofService.limiters()
         // Requests that wait for a limit go before new ones.
         val earlier = if (waiting.isEmpty() || limiters.none { it.isLimited }) emptyList() else assignWaiting(now)
-        if (waiting.isEmpty() || !places.areFull(admitted, ofService, place, now)) {
+        if (waiting.isEmpty() || !places.areFull(admitted, ofService, candidatesByService, place, now)) {
             val assigned = assignOrNull(admitted, AttemptNumber.FIRST, excluded, now, isTrial)
             if (assigned != null) return earlier + assigned
         }
-        val isFull = limiters.isNotEmpty() && places.areFull(admitted, ofService, place, now)
+        val isFull = limiters.isNotEmpty() && places.areFull(admitted, ofService, candidatesByService, place, now)
         val isShort = ofService.areShortOfRoom(place, now)
         val maxWait = if (isShort) rooms.maxWaitFor(admitted) else places.maxWaitFor(admitted, isFull, now)
         val limit = admitted.submission.arrivedAt + maxWait
@@ -219,7 +219,8 @@
         val ofVersion = versions.select(admitted, candidatesByService, excluded, place, now)
         val available = ofVersion.filter { it.isAvailable(excluded, place, now) }
         val needsPlace = attempt == AttemptNumber.FIRST
-        if (available.isEmpty() || needsPlace && places.areFull(admitted, ofVersion, place, now)) return null
+        if (available.isEmpty()) return null
+        if (needsPlace && places.areFull(admitted, ofVersion, candidatesByService, place, now)) return null
         val eligible = available.filterNot { it.isEjected(now, admitted.ticket) }.ifEmpty { available }
         val cost = costOf(admitted)
         val chosen = if (isTrial) eligible.leastLoaded(admitted.ticket) else choice.choose(eligible, admitted, cost)
@@ -366,7 +367,7 @@
         return when {
             ofService.limiters().areUsedUp(place, now) -> refusals.outcomeOf(admitted, ofService, place, now)
             ofService.areShortOfRoom(place, now) -> rooms.refusalOf(admitted, ofService, waiting, place, now)
-            places.areFull(admitted, ofService, place, now) ->
+            places.areFull(admitted, ofService, candidatesByService, place, now) ->
                 places.refusalOf(admitted, waiting.count(admitted.service), now)
             else -> Outcome.NotRun(RefusalReason.NoBackEnd, RETRY_AFTER)
         }
--- a/core/src/test/kotlin/gypsumcart/core/routing/TakeUpRoutingTest.kt
+++ b/core/src/test/kotlin/gypsumcart/core/routing/TakeUpRoutingTest.kt
@@ -25,6 +25,7 @@
 import strikt.assertions.isA
 import strikt.assertions.isEmpty
 import strikt.assertions.isEqualTo
+import strikt.assertions.isGreaterThan
 import strikt.assertions.isNotNull
 import kotlin.time.Duration.Companion.seconds
 
@@ -41,6 +42,10 @@
         )
     }
 
+    private fun newStream(number: Long): AdmittedRequest =
+        takeUp(number, version = null, Prompt(10, 10, null, listOf(PromptPart(PromptPartId("own-$number"), 10))))
+            .copy(origin = StreamOrigin.Unwritten)
+
     /** A prompt that shares no part with others. */
     private fun ownPrompt(): Prompt = Prompt(10, 10, null, listOf(PromptPart(PromptPartId("own"), 10)))
 
@@ -115,6 +120,35 @@
         expectThat(loop.calls.keys).containsExactly(2)
     }
 
+    // Guards against refusing take-ups where a node's share of a version's back ends is less than one place (LOST).
+    @Test
+    fun `new requests at the back ends of its version do not take the place of a take-up`() {
+        loop.route(RoutingEvent.NodeCountUpdated(35))
+        loop.list(List(78) { versioned("e$it", if (it < 4) "v1" else "v2", slots = 12) })
+        var number = 0L
+        while (loop.made.none { it.backEnd.version?.text == "v1" }) {
+            loop.send(newStream(++number))
+            expectThat(loop.calls.keys).hasSize(number.toInt())
+        }
+        loop.send(takeUp(100, "v1", ownPrompt()))
+        expectThat(loop.made.last()).get { admitted.ticket.number to backEnd.version?.text }.isEqualTo(100L to "v1")
+        loop.send(takeUp(101, "v1", ownPrompt()))
+        expectThat(loop.calls.keys).hasSize(number.toInt() + 1)
+    }
+
+    // Guards against take-ups beyond what a node may use of all back ends of the service.
+    @Test
+    fun `a take-up waits while the node uses its whole share of the service and of the version`() {
+        loop.route(RoutingEvent.NodeCountUpdated(35))
+        loop.list(List(78) { versioned("e$it", if (it < 4) "v1" else "v2", slots = 12) })
+        var number = 0L
+        while (loop.calls.size.toLong() == number) loop.send(newStream(++number))
+        expectThat(loop.made.count { it.backEnd.version?.text == "v1" }).isGreaterThan(0)
+        loop.send(takeUp(100, "v1", ownPrompt()))
+        expectThat(loop.calls.keys).hasSize(number.toInt() - 1)
+        expectThat(loop.outcomes).isEmpty()
+    }
+
     // Guards against take-ups that wait in vain for paused back ends because those of other versions are open.
     @Test
     fun `a take-up is refused with a time to return if all back ends of its version pause`() {
