Tell the nodes which of them keep records of streams

Nodes can keep records for each other (StreamOrigins), but no node knew which others do.

A node's report says whether it keeps records (keepsStreamRecords), over the peer link as "m" and in its row of the store as "records". Both are left out when false, so that reports of the build before read as before and theirs read as "keeps none"; the version of the peer protocol stays. A relay of the build before drops the field from reports that it encodes anew, so a process that was once known to keep records counts as one that does: otherwise the choice of keepers would change with each report.

Membership emits UpdateStreamPeers beside UpdateMembers: live nodes that accept clients, keep records and have a peer address. FleetDuties puts changes into the ring of the streams.

--- a/core/src/main/kotlin/gypsumcart/core/membership/Membership.kt
+++ b/core/src/main/kotlin/gypsumcart/core/membership/Membership.kt
@@ -237,10 +237,11 @@
 
     private fun distributeMembers(now: MonotonicTime): List<MembershipEffect> {
         val live = liveness.livePeers(now).map { it.report }
-        val members = (live + own.report).filter { it.accepting }.distinctBy { it.node }.map(NodeReport::toMember)
+        val accepting = (live + own.report).filter { it.accepting }.distinctBy { it.node }.sortedBy { it.node }
         val others = live.map { it.node }.distinct()
         return listOf(
-            MembershipEffect.UpdateMembers(members.sortedBy { it.node }),
+            MembershipEffect.UpdateMembers(accepting.map(NodeReport::toMember)),
+            MembershipEffect.UpdateStreamPeers(accepting.mapNotNull(NodeReport::toStreamPeerOrNull)),
             MembershipEffect.UpdateNodeCount(others.size + 1, rank = others.count { it < settings.node }),
         )
     }
--- a/core/src/main/kotlin/gypsumcart/core/membership/MembershipEvents.kt
+++ b/core/src/main/kotlin/gypsumcart/core/membership/MembershipEvents.kt
@@ -15,6 +15,7 @@
 import gypsumcart.core.rollout.NodeRollouts
 import gypsumcart.core.rollout.RolloutReport
 import gypsumcart.core.routing.RoutingFindings
+import gypsumcart.core.streams.StreamPeer
 import kotlin.time.Duration
 
 /** Represents an input of the [Membership] decider. */
@@ -122,6 +123,9 @@
     /** Replaces the nodes from which clients choose one to connect to. */
     public data class UpdateMembers(public val members: List<Member>) : MembershipEffect()
 
+    /** Replaces the nodes that keep records of streams, this one included if it does. */
+    public data class UpdateStreamPeers(public val peers: List<StreamPeer>) : MembershipEffect()
+
     /** Updates the number of live nodes, this one included; [rank] of them have a lower id than this one. */
     public data class UpdateNodeCount(public val nodeCount: Int, public val rank: Int) : MembershipEffect()
 
--- a/core/src/main/kotlin/gypsumcart/core/membership/NodeReport.kt
+++ b/core/src/main/kotlin/gypsumcart/core/membership/NodeReport.kt
@@ -15,6 +15,7 @@
 import gypsumcart.core.rollout.RolloutReport
 import gypsumcart.core.routing.Carrier
 import gypsumcart.core.routing.RoutingFindings
+import gypsumcart.core.streams.StreamPeer
 
 /**
  * Describes the state that one node shares with the others, through the peer link and, less often, the store.
@@ -38,6 +39,8 @@
  * @property lease the lease row as last written by the node, or null if it has not written one
  * @property relayRank what the node's host can carry as the relay of its zone
  * @property reachesBackEnds whether the node reaches back ends by itself, and so can carry the connections of others
+ * @property keepsStreamRecords whether the process keeps records of streams for others; it never changes, and programs
+ * that don't know it leave it out of the reports that they pass on
  */
 public data class NodeReport(
     public val node: NodeId,
@@ -60,6 +63,7 @@
     public val arrivals: Map<ServiceName, Arrivals> = emptyMap(),
     public val rollouts: List<RolloutReport> = emptyList(),
     public val reachesBackEnds: Boolean = true,
+    public val keepsStreamRecords: Boolean = false,
 )
 
 /** Identifies one incarnation of a node. */
@@ -87,6 +91,10 @@
 
 internal fun NodeReport.toMember(): Member = Member(node, clientAddress, zone, peerAddress, reachesBackEnds)
 
+/** Returns how other nodes reach this one to have records of streams kept, or null if it keeps none. */
+internal fun NodeReport.toStreamPeerOrNull(): StreamPeer? =
+    peerAddress?.takeIf { keepsStreamRecords }?.let { StreamPeer(key, it, zone) }
+
 /** Returns the members with those in [zone] first, otherwise in their original order. */
 public fun List<Member>.nearestFirst(zone: ZoneName?): List<Member> = sortedBy { if (it.zone == zone) 0 else 1 }
 
--- a/core/src/main/kotlin/gypsumcart/core/membership/OwnReport.kt
+++ b/core/src/main/kotlin/gypsumcart/core/membership/OwnReport.kt
@@ -27,6 +27,7 @@
             latency = emptyMap(),
             lease = null,
             relayRank = settings.relayRank,
+            keepsStreamRecords = settings.peerAddress != null,
         )
         private set
 
--- a/core/src/main/kotlin/gypsumcart/core/membership/PeerTable.kt
+++ b/core/src/main/kotlin/gypsumcart/core/membership/PeerTable.kt
@@ -146,7 +146,10 @@
         previous?.let { entriesByPosition -= it.position }
         val fullUsagePosition = if (hasAllUsage) position else previous?.fullUsagePosition ?: TablePosition.START
         val usagePositions = report.usage.mapValues { (window, counts) -> changePosition(previous, window, counts) }
-        val entry = Entry(report, source, heardAt, linkedAt, position, fullUsagePosition, usagePositions)
+        // A relay of an earlier build drops what it does not know from the reports that it encodes anew.
+        val keepsRecords = report.keepsStreamRecords || previous?.report?.keepsStreamRecords ?: false
+        val complete = report.copy(keepsStreamRecords = keepsRecords)
+        val entry = Entry(complete, source, heardAt, linkedAt, position, fullUsagePosition, usagePositions)
         previous?.let { entry.confirm(it.aliveAt) }
         entries[report.key] = entry
         entriesByPosition[position] = entry
--- a/core/src/test/kotlin/gypsumcart/core/membership/MembershipTest.kt
+++ b/core/src/test/kotlin/gypsumcart/core/membership/MembershipTest.kt
@@ -10,11 +10,13 @@
 import gypsumcart.core.admission.QuotaPeers
 import gypsumcart.core.admission.QuotaUse
 import gypsumcart.core.at
+import gypsumcart.core.streams.StreamPeer
 import org.junit.jupiter.api.Test
 import strikt.api.expectThat
 import strikt.assertions.containsExactly
 import strikt.assertions.containsExactlyInAnyOrder
 import strikt.assertions.hasSize
+import strikt.assertions.isEmpty
 import strikt.assertions.isEqualTo
 import kotlin.time.Duration.Companion.seconds
 
@@ -64,6 +66,9 @@
             .members
             .map { it.node.text }
 
+    private fun streamPeers(effects: List<MembershipEffect>): List<StreamPeer> =
+        effects.filterIsInstance<MembershipEffect.UpdateStreamPeers>().single().peers
+
     private fun peers(effects: List<MembershipEffect>): QuotaPeers =
         effects.filterIsInstance<MembershipEffect.UpdateQuotaPeers>().single().peers
 
@@ -84,6 +89,35 @@
         expectThat(members(effects)).containsExactlyInAnyOrder("self", "n1")
     }
 
+    // Guards against records that are sent to a node that does not take them, as those of the build before don't.
+    @Test
+    fun `records of streams are kept by the nodes that accept clients, keep records and have a link`() {
+        membership.decide(MembershipEvent.AcceptingChanged(true), MonotonicTime(0))
+        val address = Address("10.0.0.1", 81)
+        val keeping = report("n3").copy(peerAddress = address, keepsStreamRecords = true)
+        val effects =
+            receive(
+                1.0,
+                report("n1").copy(peerAddress = address),
+                report("n2").copy(keepsStreamRecords = true),
+                keeping,
+                keeping.copy(node = NodeId("n4"), accepting = false),
+            )
+        expectThat(streamPeers(effects)).containsExactly(StreamPeer(keeping.key, address, ZoneName("b")))
+    }
+
+    // Guards against nodes that replace each other as keepers with each report that a relay of the build before alters.
+    @Test
+    fun `a process that keeps records does so in all its reports, whoever passes them on`() {
+        val keeping = report("n1").copy(peerAddress = Address("10.0.0.1", 81), keepsStreamRecords = true)
+        val peer = StreamPeer(keeping.key, Address("10.0.0.1", 81), ZoneName("b"))
+        expectThat(streamPeers(receive(1.0, keeping))).containsExactly(peer)
+        val altered = keeping.copy(heartbeat = 2, keepsStreamRecords = false)
+        expectThat(streamPeers(receive(1.5, altered))).containsExactly(peer)
+        val restarted = altered.copy(incarnation = Incarnation(2))
+        expectThat(streamPeers(receive(2.0, restarted))).isEmpty()
+    }
+
     @Test
     fun `a node without new reports while the store answers is removed`() {
         receive(1.0, report("n1"), report("n2"))
--- a/core/src/test/kotlin/gypsumcart/core/membership/PeerLinkTest.kt
+++ b/core/src/test/kotlin/gypsumcart/core/membership/PeerLinkTest.kt
@@ -39,6 +39,19 @@
         expectThat(fleet.nodes).all { get { members }.hasSize(38) }
     }
 
+    // Guards against records that nobody keeps because the nodes don't know which of them do.
+    @Test
+    fun `all nodes agree which ones keep records of streams, and leave out one that is lost or stops`() {
+        val fleet = startedFleet(3, 3)
+        val keys = fleet.nodes.map { it.key }
+        expectThat(fleet.nodes).all { get { streamPeers.map { it.key } }.isEqualTo(keys) }
+        fleet.node("z0-2").running = false
+        fleet.node("z1-3").decide(MembershipEvent.AcceptingChanged(false))
+        fleet.runUntil(16.seconds)
+        val left = listOf("z0-1", "z0-3", "z1-1", "z1-2").map { fleet.node(it).key }
+        expectThat(fleet.nodes.filter { it.running }).all { get { streamPeers.map { it.key } }.isEqualTo(left) }
+    }
+
     @Test
     fun `reports reach all nodes within one and a half seconds without the store`() {
         val fleet = startedFleet(8, 8, 7, 7, 8)
--- a/core/src/test/kotlin/gypsumcart/core/membership/SimulatedFleet.kt
+++ b/core/src/test/kotlin/gypsumcart/core/membership/SimulatedFleet.kt
@@ -7,6 +7,7 @@
 import gypsumcart.core.ZoneName
 import gypsumcart.core.admission.QuotaPeers
 import gypsumcart.core.at
+import gypsumcart.core.streams.StreamPeer
 import java.util.PriorityQueue
 import kotlin.random.Random
 import kotlin.time.Duration
@@ -79,6 +80,7 @@
         /** Whether another node follows the tables of the store for this one. */
         var relayed = false
         var members: List<NodeId> = emptyList()
+        var streamPeers: List<StreamPeer> = emptyList()
         var reports: Map<NodeKey, NodeReport> = emptyMap()
         var storeReads = 0
         var storeWrites = 0
@@ -148,6 +150,7 @@
 
                 is MembershipEffect.RemoveReports -> effect.nodes.forEach(storeRows::remove)
                 is MembershipEffect.UpdateMembers -> members = effect.members.map { it.node }
+                is MembershipEffect.UpdateStreamPeers -> streamPeers = effect.peers
                 is MembershipEffect.DistributeReports -> reports = effect.reports.associateBy { it.key }
                 is MembershipEffect.LinkChanged -> changeLink(effect.linked)
                 is MembershipEffect.RelaysChosen -> relayed = relaysTables && effect.relay != null
--- a/node/src/main/kotlin/gypsumcart/node/FleetDuties.kt
+++ b/node/src/main/kotlin/gypsumcart/node/FleetDuties.kt
@@ -29,6 +29,7 @@
 import gypsumcart.core.rollout.RolloutEvent
 import gypsumcart.core.routing.RoutingEvent
 import gypsumcart.core.streams.StreamEvent
+import gypsumcart.core.streams.StreamPeer
 import gypsumcart.core.usage.Usage
 import gypsumcart.core.usage.UsageEffect
 import gypsumcart.core.usage.UsageEvent
@@ -78,6 +79,9 @@
 
     private val storeHistory = StoreHistory(rows)
 
+    /** What the duty of the streams was last told; is used by the membership duty. */
+    private var streamPeers: List<StreamPeer> = emptyList()
+
     val all: List<Duty> =
         listOf(
             deciderDuty(rings.membership, Membership(identity), clock, ::execute),
@@ -91,6 +95,9 @@
             is MembershipEffect.Publish -> scope.launch { publishReport(effect) }
             is MembershipEffect.RemoveReports -> scope.launch { removeReports(effect) }
             is MembershipEffect.UpdateMembers -> updateMembers(effect)
+
+            is MembershipEffect.UpdateStreamPeers -> updateStreamPeers(effect)
+
             is MembershipEffect.UpdateNodeCount -> {
                 rings.routing.put(RoutingEvent.NodeCountUpdated(effect.nodeCount, effect.rank))
                 rings.streams.put(StreamEvent.RankUpdated(effect.nodeCount, effect.rank))
@@ -200,6 +207,12 @@
         log.info("event=members_changed members={}", effect.members.joinToString(",") { it.node.text })
     }
 
+    private fun updateStreamPeers(effect: MembershipEffect.UpdateStreamPeers) {
+        if (effect.peers == streamPeers) return
+        streamPeers = effect.peers
+        rings.streams.put(StreamEvent.PeersUpdated(effect.peers))
+    }
+
     private fun execute(effect: LeaseEffect) {
         when (effect) {
             is LeaseEffect.WriteRow ->
--- a/node/src/main/kotlin/gypsumcart/node/PeerCodec.kt
+++ b/node/src/main/kotlin/gypsumcart/node/PeerCodec.kt
@@ -68,6 +68,7 @@
     @SerialName("w") val arrivals: Map<String, WireArrivals> = emptyMap(),
     @SerialName("o") val rollouts: List<WireRollout> = emptyList(),
     @SerialName("x") val cutOff: Boolean = false,
+    @SerialName("m") val keepsStreamRecords: Boolean = false,
 )
 
 @Serializable
@@ -176,6 +177,7 @@
         arrivals = report.arrivals.toWire(),
         rollouts = report.rollouts.toWire(),
         cutOff = !report.reachesBackEnds,
+        keepsStreamRecords = report.keepsStreamRecords,
     )
 
 private fun Map<WindowNumber, Map<TeamName, Int>>.toWire(): Map<Long, Map<String, Int>> =
@@ -215,6 +217,7 @@
             arrivals = arrivals.toArrivals(),
             rollouts = rollouts.toReports(),
             reachesBackEnds = !cutOff,
+            keepsStreamRecords = keepsStreamRecords,
         )
     return PeerItem(report, ageMillis.milliseconds, hasUsage)
 }
--- a/node/src/main/kotlin/gypsumcart/node/RowCodecs.kt
+++ b/node/src/main/kotlin/gypsumcart/node/RowCodecs.kt
@@ -46,6 +46,9 @@
     @SerialName("rank") val relayRank: Int = 0,
     @EncodeDefault(EncodeDefault.Mode.NEVER) val arrivals: Map<String, WireArrivals> = emptyMap(),
     val rollouts: List<WireRollout> = emptyList(),
+    @SerialName("records")
+    @EncodeDefault(EncodeDefault.Mode.NEVER)
+    val keepsStreamRecords: Boolean = false,
 )
 
 @Serializable
@@ -127,6 +130,7 @@
             rollouts = rollouts.toWire(),
             heard = heard.entries.associate { (key, age) -> key.toRowKey().text to age.inWholeMilliseconds },
             relayRank = relayRank.level,
+            keepsStreamRecords = keepsStreamRecords,
         ),
     )
 
@@ -171,6 +175,7 @@
             capacity = row.capacity.toCapacity(),
             arrivals = row.arrivals.toArrivals(),
             rollouts = row.rollouts.toReports(),
+            keepsStreamRecords = row.keepsStreamRecords,
         )
     return StoredReport(report, row.writtenMillis, row.heard.toHeard())
 }
--- a/node/src/test/kotlin/gypsumcart/node/FleetMessagesTest.kt
+++ b/node/src/test/kotlin/gypsumcart/node/FleetMessagesTest.kt
@@ -16,6 +16,7 @@
 import strikt.api.expectThat
 import strikt.assertions.isA
 import strikt.assertions.isEqualTo
+import strikt.assertions.isFalse
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 
@@ -66,6 +67,24 @@
         expectThat(rings.membership.take()).isA<MembershipEvent.ReportsReceived>().get { heard }.isEqualTo(emptyMap())
     }
 
+    // Guards against a node known by the store alone that is sent no records, or is although it keeps none.
+    @Test
+    fun `a row says whether its node keeps records of streams, and one of an earlier build does not`() {
+        val stored = row("node", writtenMillis = 9_000, emptyMap())
+        val report = checkNotNull(stored.toReportOrNull()).report
+        expectThat(report.keepsStreamRecords).isFalse()
+        expectThat("records" in stored.value.decodeToString()).isFalse()
+        val keeping = report.copy(keepsStreamRecords = true)
+        val row = Row(stored.key, keeping.encode(writtenMillis = 9_000), RowVersion(1))
+        expectThat(row.toReportOrNull()?.report).isEqualTo(keeping)
+        val earlier =
+            """{"client":"10.0.0.1:80","peer":"10.0.0.1:81","zone":"a","accepting":true,"beat":1,"usage":{},""" +
+                """"until":0,"quotaUse":{},"load":{},"latency":{},"written":9000,"lost":{},"findings":null,""" +
+                """"capacity":{},"heard":{},"rank":0,"rollouts":[]}"""
+        expectThat(stored.value.decodeToString()).isEqualTo(earlier)
+        expectThat(Row(stored.key, earlier.toByteArray(), RowVersion(1)).toReportOrNull()?.report).isEqualTo(report)
+    }
+
     @Test
     fun `a message says whether its sender lacks reports`() {
         for (lacksReports in listOf(true, false)) {
--- a/node/src/test/kotlin/gypsumcart/node/PeerCodecTest.kt
+++ b/node/src/test/kotlin/gypsumcart/node/PeerCodecTest.kt
@@ -78,6 +78,28 @@
         }
     }
 
+    // Guards against nodes that send each other no records, or send them to a node that does not keep any.
+    @Test
+    fun `a report says whether its node keeps records of streams`() {
+        for (keepsRecords in listOf(true, false)) {
+            val sent = message(listOf(report(1).copy(keepsStreamRecords = keepsRecords)))
+            expectThat(PeerCodec().decode(PeerCodec().encode(sent)).get()).isEqualTo(sent)
+            expectThat("\"m\":true" in sent.encode()).isEqualTo(keepsRecords)
+        }
+    }
+
+    // Guards against nodes of two builds that can't read each other's reports, so that each counts the other as gone.
+    @Test
+    fun `a report of a build that knows nothing of records is read as that of a node that keeps none`() {
+        val text =
+            """{"protocol":2,"node":"node-1","incarnation":1,"position":1,"received":2,"linked":true}""" + "\n" +
+                """5 {"n":"node-1","i":1,"c":"10.0.0.1:80","p":"10.0.0.1:81","z":"a","a":true,"b":7,"f":true,""" +
+                """"u":{"1":{"t":2}},"v":3,"q":{"t":[15,2]},"l":{"s":10},"t":{"s":500},"r":2}"""
+        expectThat(message(listOf(report(1))).encode()).isEqualTo(text)
+        val read = decodePeerMessage(text.encodeToByteArray()).get()
+        expectThat(read).isEqualTo(message(listOf(report(1).copy(keepsStreamRecords = false))))
+    }
+
     @Test
     fun `a report that can't be read does not keep the others from being read`() {
         val lines = message(listOf(report(1), report(2), report(3))).encode().split('\n').toMutableList()
