Carry records of streams and questions for them between nodes

The decider that has two other nodes keep each record had no link to them: its messages were dropped.

StreamDuty gives the decider the key of the process if the node has a peer address.

--- a/node/src/main/kotlin/gypsumcart/node/Metrics.kt
+++ b/node/src/main/kotlin/gypsumcart/node/Metrics.kt
@@ -93,6 +93,10 @@
     fun countTakeUp(source: String, result: String): Unit =
         registry.counter("gypsumcart.stream.take.ups", "source", source, "result", result).increment()
 
+    /** Counts a message about streams by its [result]; [side] says whether this node `sent` or `received` it. */
+    fun countStreamMessage(side: String, result: String): Unit =
+        registry.counter("gypsumcart.stream.messages", "side", side, "result", result).increment()
+
     /** Counts [count] stored records of streams, the first of which had waited for [delay] before the write. */
     fun countStreamRecords(count: Int, delay: Duration) {
         registry.counter("gypsumcart.stream.records").increment(count.toDouble())
--- a/node/src/main/kotlin/gypsumcart/node/Node.kt
+++ b/node/src/main/kotlin/gypsumcart/node/Node.kt
@@ -88,6 +88,7 @@
             quotaWindow = settings.bounds.quotas.window,
             relayRank = if (features.relayedFeeds) settings.host.relayRank else RelayRank.LOWEST,
         )
+    private val self = NodeKey(identity.node, identity.incarnation)
     private val statedLimits =
         StatedLimits(state) { instance, statement ->
             rings.routing.offer(RoutingEvent.LimitStated(instance, statement))
@@ -133,7 +134,6 @@
     private val rollout =
         rings.rollout?.let { ring ->
             features.rollouts?.let { limits ->
-                val self = NodeKey(identity.node, identity.incarnation)
                 RolloutDuty(ring, rings, state, metrics, platform, runtime.scope, clock, self, limits)
             }
         }
@@ -146,8 +146,19 @@
             metrics,
             ::reportCallEnded,
         )
+    private val streamLink = StreamLink(rings.streams, client, runtime.scope, clock, metrics)
     private val streams =
-        StreamDuty(rings, edge, metrics, platform, runtime.scope, timers, clock)
+        StreamDuty(
+            rings,
+            edge,
+            metrics,
+            platform,
+            streamLink,
+            runtime.scope,
+            timers,
+            clock,
+            self.takeIf { identity.peerAddress != null },
+        )
     private val peerLink = PeerLink(rings.membership, client, runtime.scope, metrics)
     private val loanLink = QuotaLoanLink(identity.node, rings.admission, client, runtime.scope, clock, metrics)
     private val readPace = FleetReadPace()
@@ -183,6 +194,7 @@
                     request.method == CONNECT -> carriedConnections
                     relay != null -> relay.handler
                     request.path == LOAN_PATH -> loanLink
+                    request.path == STREAMS_PATH -> streamLink
                     else -> peerLink
                 }
             handler.handle(request, response)
--- a/node/src/main/kotlin/gypsumcart/node/StreamDuty.kt
+++ b/node/src/main/kotlin/gypsumcart/node/StreamDuty.kt
@@ -12,6 +12,7 @@
 import gypsumcart.core.admission.AdmissionEvent
 import gypsumcart.core.dispatch.CallResult
 import gypsumcart.core.dispatch.DispatchEffect
+import gypsumcart.core.membership.NodeKey
 import gypsumcart.core.routing.RoutingEvent
 import gypsumcart.core.streams.OriginSearch
 import gypsumcart.core.streams.OriginSource
@@ -31,18 +32,24 @@
 import org.slf4j.LoggerFactory
 import kotlin.time.Duration
 
-/** Runs the decider of stream origins, and reports the streams that begin and end at this node to it. */
+/**
+ * Runs the decider of stream origins, and reports the streams that begin and end at this node to it.
+ *
+ * @param self this process, or null if it has no link to other nodes
+ */
 internal class StreamDuty(
     private val rings: Rings,
     private val edge: ClientEdge,
     private val metrics: Metrics,
     private val platform: Platform,
+    private val link: StreamLink,
     private val scope: CoroutineScope,
     private val timers: Timers,
     private val clock: MonotonicClock,
+    self: NodeKey?,
 ) {
     private val rows: RowStore get() = platform.rowStore
-    val duty: Duty = deciderDuty(rings.streams, StreamOrigins(), clock, ::execute)
+    val duty: Duty = deciderDuty(rings.streams, StreamOrigins(self), clock, ::execute)
 
     /**
      * Records that the first event of a response arrived, before the client receives it.
@@ -89,7 +96,9 @@
             is StreamEffect.WriteRecords ->
                 scope.launch { rings.streams.reply(StreamEvent.RecordsWritten(write(effect))) }
 
-            is StreamEffect.Send, is StreamEffect.Respond -> Unit
+            is StreamEffect.Send -> link.send(effect)
+
+            is StreamEffect.Respond -> link.respond(effect)
 
             is StreamEffect.WriteVersions -> scope.launch { writeVersions(effect.service, effect.versions) }
 
