Choose the nodes that keep records in each zone by its size

Callers saw nothing yet. Cause: how many nodes of a zone keep records followed from the size of the whole fleet, so that one node less (81 to 80, 121 to 120) dropped one such node in every zone; those that take streams up then no longer ask nodes that run and know them.

Evidence: RecordersTest `the loss of a node changes the choice in its zone only, by one node at most` failed at 81 and 121 nodes in four zones, and passed at 12, 35, 41, 51 and 400.

Now each zone's number follows from its own size, and at least five nodes keep records as before. The test passes; 81 nodes have 9 instead of 12 that keep records, 35 have 8 and 400 have 40 as before.

--- a/core/src/main/kotlin/gypsumcart/core/streams/Recorders.kt
+++ b/core/src/main/kotlin/gypsumcart/core/streams/Recorders.kt
@@ -6,16 +6,16 @@
 /**
  * Returns the nodes among these that keep the records of all nodes.
  *
- * Nodes with the same view choose the same ones, evenly from all zones. When a node goes or comes, the choice changes
- * in its zone alone.
+ * Nodes with the same view choose the same ones, from each zone by its size. When a node goes or comes, the choice
+ * changes in its zone alone, unless it is the only one there.
  */
 internal fun List<StreamPeer>.chooseRecorders(): List<StreamPeer> {
     if (isEmpty()) return emptyList()
     val zones = groupBy { it.zone }.values
-    val count = maxOf(MIN_RECORDERS, ceilDiv(size, NODES_PER_RECORDER))
-    val countPerZone = ceilDiv(count, zones.size)
+    val minPerZone = ceilDiv(MIN_RECORDERS, zones.size)
     return zones.flatMap { zone ->
-        zone.sortedWith(compareBy({ finalizeHash(it.key.node.hashCode()) }, { it.key })).take(countPerZone)
+        val count = maxOf(minPerZone, ceilDiv(zone.size, NODES_PER_RECORDER))
+        zone.sortedWith(compareBy({ finalizeHash(it.key.node.hashCode()) }, { it.key })).take(count)
     }
 }
 
