--- /dev/null
+++ b/core/src/test/kotlin/gypsumcart/core/streams/TakeUpsInTroubleTest.kt
@@ -0,0 +1,60 @@
+package gypsumcart.core.streams
+
+import gypsumcart.core.ZoneName
+import org.junit.jupiter.params.ParameterizedTest
+import org.junit.jupiter.params.provider.CsvSource
+import strikt.api.expectThat
+import strikt.assertions.isEmpty
+import strikt.assertions.isGreaterThan
+import kotlin.random.Random
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+/** Takes streams up while two versions are in use and the store or the links between nodes are in trouble. */
+class TakeUpsInTroubleTest {
+    private fun breaksAfter(random: Random): Duration = random.nextInt(20, 2_000).milliseconds
+
+    private fun StreamFleet.expectAllWentOn() {
+        expectNoneJoined()
+        expectThat(takeUps.size).isGreaterThan(100)
+        expectThat(takeUps.filterNot { it.wentOn }).isEmpty()
+    }
+
+    // Guards against take-ups that depend on the store although the nodes that know the stream run (LOST).
+    @ParameterizedTest
+    @CsvSource("3, 1", "3, 2", "12, 1", "12, 2", "35, 1", "35, 2", "35, 3", "81, 1")
+    fun `streams go on while the store is slow`(nodeCount: Int, seed: Int) {
+        val fleet = StreamFleet(nodeCount, seed)
+        fleet.store.maxCallTime = 500.milliseconds
+        fleet.run(perSecond = 6, duration = 8.seconds, breaksAfter = ::breaksAfter)
+        fleet.expectAllWentOn()
+    }
+
+    // Guards against take-ups that depend on the store although the nodes that know the stream run (LOST).
+    @ParameterizedTest
+    @CsvSource("3, 1", "3, 2", "12, 1", "12, 2", "35, 1", "35, 2", "35, 3", "81, 1")
+    fun `streams go on while the store is away`(nodeCount: Int, seed: Int) {
+        val fleet = StreamFleet(nodeCount, seed)
+        fleet.schedule(2.seconds) { fleet.loseStore() }
+        fleet.schedule(6.seconds) { fleet.returnStore(isCopy = false) }
+        fleet.run(perSecond = 6, duration = 8.seconds, breaksAfter = ::breaksAfter)
+        fleet.expectAllWentOn()
+    }
+
+    // Guards against a copy of the store that lacks the records of the last seconds, or their version (LOST, ORDER).
+    @ParameterizedTest
+    @CsvSource("3, 1", "3, 2", "12, 1", "12, 2", "35, 1", "35, 2", "35, 3", "81, 1")
+    fun `streams go on when the store comes back from a copy that lacks the second version`(
+        nodeCount: Int,
+        seed: Int,
+    ) {
+        val fleet = StreamFleet(nodeCount, seed, versions = setOf(V1))
+        fleet.schedule(1.seconds) { fleet.store.takeCopy() }
+        fleet.schedule(2.seconds) { fleet.release(V2) }
+        fleet.schedule(5.seconds) { fleet.loseStore() }
+        fleet.schedule(5.2.seconds) { fleet.returnStore(isCopy = true) }
+        fleet.run(perSecond = 6, duration = 8.seconds, breaksAfter = ::breaksAfter)
+        fleet.expectAllWentOn()
+    }
+}
