Ask for the record of a stream also while one version is known

Callers could get a stream that another version went on with (ORDER), in tests in virtual time only: the store comes back from a copy from before a second version joined, and nodes of a killed zone start while neither the registry nor the stored versions name that version again. Such a node knew one version, read that there is no record, and the check confirmed the one version.

A take-up now asks these nodes first whatever the number of versions. It costs one question to each of them for a take-up while one version is in use, 8 at 35 nodes. A record that reached no other node before its own died is still not known; that no such stream was joined in 8 cases is no proof for it.

--- a/core/src/main/kotlin/gypsumcart/core/streams/TakeUps.kt
+++ b/core/src/main/kotlin/gypsumcart/core/streams/TakeUps.kt
@@ -126,10 +126,14 @@
         return lookup
     }
 
-    /** Asks the nodes that keep records if there are any for the service, or else reads the store. */
+    /**
+     * Asks the nodes that keep records, or else reads the store.
+     *
+     * They are asked too while one version is known, as both the registry and the store may lack the second one after a
+     * return from an older copy.
+     */
     private fun search(lookup: StreamLookup, beganAs: RequestId, now: MonotonicTime): StreamEffect? {
-        val areKept = versions.areSeveral(lookup.admitted.service) || lookup.rounds > 0
-        val asked = if (areKept) replication.ask(beganAs, now) else emptySet()
+        val asked = replication.ask(beganAs, now)
         if (asked.isEmpty()) return read(lookup, beganAs)
         lookup.state = LookupState.AskingPeers(asked, now + ANSWER_TIME)
         return null
--- a/core/src/test/kotlin/gypsumcart/core/streams/TakeUpsInTroubleTest.kt
+++ b/core/src/test/kotlin/gypsumcart/core/streams/TakeUpsInTroubleTest.kt
@@ -57,4 +57,34 @@
         fleet.run(perSecond = 6, duration = 8.seconds, breaksAfter = ::breaksAfter)
         fleet.expectAllWentOn()
     }
+
+    // Guards against nodes that start from a copy of the store, and know no second version by it (ORDER).
+    @ParameterizedTest
+    @CsvSource("3, 1", "3, 2", "12, 1", "12, 2", "35, 1", "35, 2", "35, 3", "81, 1")
+    fun `no stream is joined by nodes that start while the store is back from a copy`(nodeCount: Int, seed: Int) {
+        val fleet = StreamFleet(nodeCount, seed, versions = setOf(V1))
+        fleet.schedule(1.seconds) { fleet.store.takeCopy() }
+        fleet.schedule(2.seconds) { fleet.release(V2) }
+        fleet.schedule(5.seconds) { fleet.loseStore() }
+        fleet.schedule(5.2.seconds) { fleet.returnStore(isCopy = true) }
+        fleet.schedule(
+            5.1.seconds,
+        ) { fleet.kill(fleet.nodes.filter { it.zone == ZoneName("zone-1") }, 400.milliseconds) }
+        fleet.run(perSecond = 15, duration = 8.seconds, breaksAfter = ::breaksAfter)
+        fleet.expectNoneJoined()
+    }
+
+    // Guards against a cut between zones that keeps records from the nodes that are asked for them (LOST, ORDER).
+    @ParameterizedTest
+    @CsvSource("3, 1", "12, 1", "12, 2", "35, 1", "35, 2", "35, 3", "81, 1")
+    fun `streams go on through the store while nodes are cut off from each other`(nodeCount: Int, seed: Int) {
+        for (isOneWay in listOf(false, true)) {
+            val fleet = StreamFleet(nodeCount, seed)
+            val side = setOf(ZoneName("zone-0"), ZoneName("zone-1"))
+            fleet.schedule(2.seconds) { fleet.cut = StreamFleet.Cut(side, isOneWay) }
+            fleet.schedule(6.seconds) { fleet.cut = null }
+            fleet.run(perSecond = 6, duration = 8.seconds, breaksAfter = ::breaksAfter)
+            fleet.expectAllWentOn()
+        }
+    }
 }
