--- a/core/src/test/kotlin/gypsumcart/core/streams/TakeUpsCostTest.kt
+++ b/core/src/test/kotlin/gypsumcart/core/streams/TakeUpsCostTest.kt
@@ -37,7 +37,8 @@
                 "${perStream(recordMessages, fleet.streamCount)} messages with records a stream, " +
                 "${perStream(questions, fleet.takeUps.size)} questions a take-up, " +
                 "${fleet.sent.size / seconds} messages a second, " +
-                "${calls / (seconds - 1)} calls to the store a second, ${fleet.maxWritesPerSecond()} writes in a second at most",
+                "${calls / (seconds - 1)} calls to the store a second, " +
+                "${fleet.maxWritesPerSecond()} writes in a second at most",
         )
     }
 
