--- a/core/src/main/kotlin/gypsumcart/core/streams/TakeUps.kt
+++ b/core/src/main/kotlin/gypsumcart/core/streams/TakeUps.kt
@@ -10,7 +10,6 @@
 import gypsumcart.core.membership.NodeKey
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
-import kotlin.time.Duration.Companion.seconds
 
 /**
  * Determines the origins of the requests that take streams up.
@@ -210,8 +209,8 @@
         /** Reaches [MAX_PAUSE]. */
         const val MAX_DOUBLINGS = 2
 
-        /** Less than clients wait for a first event. */
-        val MAX_SEARCH: Duration = 1.seconds
+        /** Less than clients wait for a first event, so that they have time left for another node. */
+        val MAX_SEARCH: Duration = 900.milliseconds
 
         /** Short, because another node can know the origin. */
         val RETRY_AFTER: Duration = 300.milliseconds
