Show take-ups refused for lack of waiting time and of what a roll-out may expose

Callers can see streams that they take up refused while new ones begin (LOST).

Routing counts the time for which a request may wait for a place from its arrival, an eighth of its target. While a roll-out sends more requests to the new version than may be exposed, new ones use that up as soon as it is there, and take-ups of the new version's streams, which can go nowhere else, are refused.

Not mended here.

--- a/core/src/test/kotlin/gypsumcart/core/routing/TakeUpRoutingTest.kt
+++ b/core/src/test/kotlin/gypsumcart/core/routing/TakeUpRoutingTest.kt
@@ -20,13 +20,16 @@
 import org.junit.jupiter.api.Test
 import strikt.api.expectThat
 import strikt.assertions.all
+import strikt.assertions.contains
 import strikt.assertions.containsExactly
 import strikt.assertions.hasSize
 import strikt.assertions.isA
 import strikt.assertions.isEmpty
 import strikt.assertions.isEqualTo
 import strikt.assertions.isGreaterThan
+import strikt.assertions.isGreaterThanOrEqualTo
 import strikt.assertions.isNotNull
+import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 
 class TakeUpRoutingTest {
@@ -209,4 +212,43 @@
             get { retryAfter }.isNotNull()
         }
     }
+
+    // Guards against take-ups that get no time for a place because the search for their record has used it up (LOST).
+    @Test
+    fun `a take-up whose record was looked for waits for a place as long as a new stream does`() {
+        loop.list(versioned("a", "v1", slots = 2), versioned("b", "v2", slots = 2))
+        loop.send(takeUp(1, "v1", ownPrompt()))
+        loop.send(takeUp(2, "v2", ownPrompt()))
+        // A round of the search that finds nothing, and the pause before the next one.
+        val searched = takeUp(3, "v1", ownPrompt())
+        val arrivedAt = loop.now - 160.milliseconds
+        loop.send(searched.copy(submission = searched.submission.copy(arrivedAt = arrivedAt)))
+        loop.send(newStream(4))
+        loop.now += 20.milliseconds
+        loop.route(RoutingEvent.Sweep)
+        expectThat(loop.outcomes).isEmpty()
+        loop.end(1, CallResult.Answered(200))
+        expectThat(loop.calls.values.map { it.admitted.ticket.number }).contains(3)
+    }
+
+    // Guards against new requests that use up what a roll-out may expose, so that its streams are refused (LOST).
+    @Test
+    fun `streams of the version that is rolled out can be taken up while as much as allowed goes to it`() {
+        loop.route(RoutingEvent.NodeCountUpdated(35))
+        loop.list(List(78) { versioned("e$it", if (it < 2) "v2" else "v1", slots = 12) })
+        rule(VersionMode.Divided(share = 0.5, exposedShare = 0.09, exposedExtra = 20))
+        val (takeUps, others) = (1L..2_400L).partition { it % 50 == 0L }
+        for (number in 1L..2_400L) {
+            loop.send(if (number in takeUps) takeUp(number, "v2", ownPrompt()) else newStream(number))
+            loop.now += 60.milliseconds
+            loop.route(RoutingEvent.Sweep)
+            loop.now += 40.milliseconds
+            loop.calls.keys
+                .toList()
+                .forEach { loop.end(it, CallResult.Answered(200)) }
+        }
+        val called = loop.made.map { it.admitted.ticket.number }.toSet()
+        expectThat(others.filterNot { it in called }).isEmpty()
+        expectThat(takeUps.filter { it in called }).get { size }.isGreaterThanOrEqualTo(takeUps.size / 2)
+    }
 }
