Have half as many nodes of a large fleet keep records

Cause: the writes that all nodes may make are divided among the nodes that keep records, a tenth of the fleet, so that each of 40 wrote every 0.8 s, while streams of the stated mix last 0.2 to 2 s.

A take-up at 400 nodes asks 20 nodes instead of 40; each of them gets the records of twice as many.

--- a/core/src/main/kotlin/gypsumcart/core/streams/Recorders.kt
+++ b/core/src/main/kotlin/gypsumcart/core/streams/Recorders.kt
@@ -31,7 +31,12 @@
 /** With this many writers, each of them may write ten times a second within the writes that all may make together. */
 private const val MIN_RECORDERS = 5
 
-/** Bounds how many nodes send their records to the same one, and how many are asked for a record. */
-private const val NODES_PER_RECORDER = 10
+/**
+ * Bounds how many nodes send their records to the same one, and how many are asked for a record.
+ *
+ * At 400 nodes, 20 keep records and write them every 0.4 s; with 40, which write every 0.8 s, most of the streams that
+ * a loss of all nodes breaks off have no stored record yet.
+ */
+private const val NODES_PER_RECORDER = 20
 
 private const val HASH_MULTIPLIER = 31
