Let a take-up wait for a place although its origin had to be looked for

Cause: the time for which a request may wait for a place, an eighth of its target, counts from its arrival, and the search for the stream's record has used it up. It counts from the arrival at routing now for requests that are bound to a version, within their deadline.

TakeUpRoutingTest `a take-up whose record was looked for waits for a place as long as a new stream does` failed and passes.

--- a/core/src/main/kotlin/gypsumcart/core/routing/Routing.kt
+++ b/core/src/main/kotlin/gypsumcart/core/routing/Routing.kt
@@ -9,6 +9,7 @@
 import gypsumcart.core.Outcome
 import gypsumcart.core.RefusalReason
 import gypsumcart.core.ServiceName
+import gypsumcart.core.StreamOrigin
 import gypsumcart.core.capacity.CapacityLearner
 import gypsumcart.core.rollout.VersionSplit
 import kotlin.time.Duration
@@ -127,8 +128,7 @@
         val isFull = limiters.isNotEmpty() && places.areFull(admitted, ofService, candidatesByService, place, now)
         val isShort = ofService.areShortOfRoom(place, now)
         val maxWait = if (isShort) rooms.maxWaitFor(admitted) else places.maxWaitFor(admitted, isFull, now)
-        val limit = admitted.submission.arrivedAt + maxWait
-        val request = WaitingRequest(admitted, excluded, minOf(limit, admitted.deadline))
+        val request = WaitingRequest(admitted, excluded, minOf(admitted.waitsFrom(now) + maxWait, admitted.deadline))
         if (limiters.areUsedUp(place, now)) return earlier + awaitLimit(request, limiters, now)
         if (isShort) return earlier + rooms.await(request, ofService, waiting, place, now)
         return earlier + awaitPlace(request, isFull, now)
@@ -397,6 +397,13 @@
     return emptyList()
 }
 
+/** Returns from when on the request may wait; one whose origin had to be looked for has not waited for a place yet. */
+private fun AdmittedRequest.waitsFrom(now: MonotonicTime): MonotonicTime =
+    when (origin) {
+        StreamOrigin.Unwritten -> submission.arrivedAt
+        is StreamOrigin.WrittenBy -> now
+    }
+
 private fun QuarantineVerdict.Refused.toOutcome(): Outcome =
     Outcome.NotRun(RefusalReason.Quarantined(part), retryAfter)
 
