--- a/core/src/main/kotlin/gypsumcart/core/streams/RecordReplication.kt
+++ b/core/src/main/kotlin/gypsumcart/core/streams/RecordReplication.kt
@@ -18,9 +18,14 @@
  * @param self this process, or null if it has no link to other nodes
  */
 internal class RecordReplication(private val self: NodeKey?) {
+    /** Holds records in the order in which they came; the eldest yield. */
+    private class RecordQueue : LinkedHashMap<RequestId, StreamRecord>() {
+        override fun removeEldestEntry(eldest: Map.Entry<RequestId, StreamRecord>): Boolean = size > MAX_WAITING
+    }
+
     private class Link(val peer: StreamPeer) {
-        val toStore = LinkedHashMap<RequestId, StreamRecord>()
-        val toKeep = LinkedHashMap<RequestId, StreamRecord>()
+        val toStore = RecordQueue()
+        val toKeep = RecordQueue()
         val asked = LinkedHashSet<RequestId>()
         var sent: StreamMessage? = null
 
@@ -174,6 +179,9 @@
         /** Several round trips to a node of another zone; later answers still count. */
         val ANSWER_TIME: Duration = 100.milliseconds
 
+        /** More than the streams that a node begins at its share of the peak while clients wait for them. */
+        private const val MAX_WAITING = 4_096
+
         /** The number of rows that the store accepts in one transaction. */
         private const val MAX_RECORDS = 100
 
