Tell the asker which versions are in use

Callers could get a stream that another version went on with (ORDER), in tests in virtual time: two of four zones are killed and start again while the store is back from a copy from before the second version joined. Cause: an answer without a record said nothing of what the other node knew.

An answer now names the versions in use of services with several, and they count in the check of this request. TakeUpsInTroubleTest `no stream is joined by half of the nodes that start while the store is back from a copy` failed in 4 of 4 cases with 3, 1, 6 and 2 streams joined and passes. If all nodes start from such a copy, nobody knows: that stays open.

--- a/core/src/main/kotlin/gypsumcart/core/streams/StreamEvents.kt
+++ b/core/src/main/kotlin/gypsumcart/core/streams/StreamEvents.kt
@@ -181,10 +181,15 @@
     /** Sends [message] to [peer]; ends with [StreamEvent.MessageEnded] before the next message to that node. */
     public data class Send(public val peer: StreamPeer, public val message: StreamMessage) : StreamEffect()
 
-    /** Answers the message of [exchange] with those of the records it asked for that this node knows. */
+    /**
+     * Answers the message of [exchange] with those of the records it asked for that this node knows.
+     *
+     * @property versions the versions in use of the services of which this node knows several
+     */
     public data class Respond(
         public val exchange: ExchangeId,
         public val records: List<StreamRecord>,
+        public val versions: Map<ServiceName, Set<BackEndVersion?>> = emptyMap(),
     ) : StreamEffect()
 
     /** Writes the [versions] of [service] that are in use. */
--- a/core/src/main/kotlin/gypsumcart/core/streams/StreamLookups.kt
+++ b/core/src/main/kotlin/gypsumcart/core/streams/StreamLookups.kt
@@ -1,6 +1,7 @@
 package gypsumcart.core.streams
 
 import gypsumcart.core.AdmittedRequest
+import gypsumcart.core.BackEndVersion
 import gypsumcart.core.MonotonicTime
 import gypsumcart.core.RequestId
 import gypsumcart.core.ServiceName
@@ -36,6 +37,9 @@
     /** The number of times that the record was looked for and not found. */
     var rounds = 0
 
+    /** The versions of the service that other nodes said are in use. */
+    var toldVersions: Set<BackEndVersion?> = emptySet()
+
     var reads = 0
         private set
     var lastRead: RecordReadResult? = null
--- a/core/src/main/kotlin/gypsumcart/core/streams/StreamOrigins.kt
+++ b/core/src/main/kotlin/gypsumcart/core/streams/StreamOrigins.kt
@@ -133,14 +133,18 @@
         records.forEach { memory.add(it, isOwn = false, now) }
         message.toStore.forEach(memory::store)
         val known = message.asked.mapNotNull(memory::recordOrNull)
-        return takeUps.continueWith(records, OriginSource.Peer, now) + StreamEffect.Respond(event.exchange, known)
+        val several = if (message.asked.isEmpty()) emptyMap() else versions.several
+        return takeUps.continueWith(records, OriginSource.Peer, now) +
+            StreamEffect.Respond(event.exchange, known, several)
     }
 
     private fun endMessage(event: StreamEvent.MessageEnded, now: MonotonicTime): List<StreamEffect> {
         val ended = replication.end(event.peer, event.result, now)
         ended.toStore.forEach(memory::store)
-        val found = (event.result as? StreamMessageResult.Answered)?.records.orEmpty()
-        return takeUps.continueWith(found, OriginSource.Peer, now) + takeUps.endQuestion(event.peer, ended.asked)
+        val answer = event.result as? StreamMessageResult.Answered
+        takeUps.learnVersions(ended.asked, answer?.versions.orEmpty())
+        return takeUps.continueWith(answer?.records.orEmpty(), OriginSource.Peer, now) +
+            takeUps.endQuestion(event.peer, ended.asked)
     }
 
     /** Requests a tick for the next due time, unless one has been requested that comes no later. */
--- a/core/src/main/kotlin/gypsumcart/core/streams/StreamPeers.kt
+++ b/core/src/main/kotlin/gypsumcart/core/streams/StreamPeers.kt
@@ -1,7 +1,9 @@
 package gypsumcart.core.streams
 
 import gypsumcart.core.Address
+import gypsumcart.core.BackEndVersion
 import gypsumcart.core.RequestId
+import gypsumcart.core.ServiceName
 import gypsumcart.core.ZoneName
 import gypsumcart.core.membership.NodeKey
 
@@ -30,8 +32,16 @@
 
 /** Describes the result of a [StreamMessage]. */
 public sealed class StreamMessageResult {
-    /** The recipient has taken the records, and knows [records] of those that it was asked for. */
-    public data class Answered(public val records: List<StreamRecord>) : StreamMessageResult()
+    /**
+     * The recipient has taken the records.
+     *
+     * @property records those it knows of the records that it was asked for
+     * @property versions the versions in use of the services of which it knows several
+     */
+    public data class Answered(
+        public val records: List<StreamRecord>,
+        public val versions: Map<ServiceName, Set<BackEndVersion?>> = emptyMap(),
+    ) : StreamMessageResult()
 
     /** There was no answer; the recipient may have taken the records. */
     public data object Failed : StreamMessageResult()
--- a/core/src/main/kotlin/gypsumcart/core/streams/TakeUps.kt
+++ b/core/src/main/kotlin/gypsumcart/core/streams/TakeUps.kt
@@ -6,6 +6,7 @@
 import gypsumcart.core.Outcome
 import gypsumcart.core.RefusalReason
 import gypsumcart.core.RequestId
+import gypsumcart.core.ServiceName
 import gypsumcart.core.StreamOrigin
 import gypsumcart.core.membership.NodeKey
 import kotlin.time.Duration
@@ -59,6 +60,14 @@
         }
     }
 
+    /** Notes the versions that another node knows, for the requests that take up streams that [asked] began. */
+    fun learnVersions(asked: List<RequestId>, told: Map<ServiceName, Set<BackEndVersion?>>) {
+        if (told.isEmpty()) return
+        for (lookup in lookups.takingUp(asked.toSet())) {
+            lookup.toldVersions += told[lookup.admitted.service].orEmpty()
+        }
+    }
+
     /** Ends the question to [peer] for the streams that [asked] began, whose records were not among its answers. */
     fun endQuestion(peer: NodeKey, asked: List<RequestId>): List<StreamEffect> =
         lookups.takingUp(asked.toSet()).mapNotNull { lookup ->
@@ -94,7 +103,9 @@
         val service = lookup.admitted.service
         val inUse =
             when (result) {
-                is VersionCheck.Confirmed -> versions[service] + result.versions[service].orEmpty()
+                is VersionCheck.Confirmed ->
+                    versions[service] + result.versions[service].orEmpty() + lookup.toldVersions
+
                 VersionCheck.Failed -> emptySet()
             }
         return when {
--- a/core/src/main/kotlin/gypsumcart/core/streams/VersionsInUse.kt
+++ b/core/src/main/kotlin/gypsumcart/core/streams/VersionsInUse.kt
@@ -25,8 +25,11 @@
     /** Whether this node has the lowest id of all live ones, which writes the rows of the versions. */
     var isWriter = false
 
+    /** The versions of the services of which several are in use. */
+    val several: Map<ServiceName, Set<BackEndVersion?>> get() = inUse.filterValues { it.size > 1 }
+
     /** The services of which several versions are in use. */
-    val servicesWithSeveral: Set<ServiceName> get() = inUse.filterValues { it.size > 1 }.keys
+    val servicesWithSeveral: Set<ServiceName> get() = several.keys
 
     operator fun get(service: ServiceName): Set<BackEndVersion?> = inUse[service].orEmpty()
 
--- a/core/src/test/kotlin/gypsumcart/core/streams/StreamFleet.kt
+++ b/core/src/test/kotlin/gypsumcart/core/streams/StreamFleet.kt
@@ -207,7 +207,7 @@
 
                 is StreamEffect.Send -> send(effect)
 
-                is StreamEffect.Respond -> exchanges.remove(effect.exchange)?.invoke(effect.records)
+                is StreamEffect.Respond -> exchanges.remove(effect.exchange)?.invoke(effect)
 
                 is StreamEffect.WriteVersions ->
                     callStore({ store.versions = effect.versions }) {
@@ -220,11 +220,11 @@
             val target = nodesById.getValue(effect.peer.key.node)
             sent += Sent(this, target, effect.message)
             val exchange = ExchangeId(sent.size.toLong())
-            exchanges[exchange] = { records ->
+            exchanges[exchange] = { answer ->
                 if (cut?.blocks(target, this) == true) {
                     endMessage(effect.peer.key, StreamMessageResult.Failed, FAILURE_TIME)
                 } else {
-                    endMessage(effect.peer.key, StreamMessageResult.Answered(records), upTo(HALF_TRIP))
+                    endMessage(effect.peer.key, StreamMessageResult.Answered(answer.records, answer.versions), upTo(HALF_TRIP))
                 }
             }
             schedule(upTo(HALF_TRIP)) {
@@ -264,7 +264,7 @@
     private var actionCount = 0
     private val open = LinkedHashMap<Ticket, TakeUp>()
     private val live = LinkedHashSet<Stream>()
-    private val exchanges = HashMap<ExchangeId, (List<StreamRecord>) -> Unit>()
+    private val exchanges = HashMap<ExchangeId, (StreamEffect.Respond) -> Unit>()
 
     /** The nodes that count as live, which those are for a while that were killed. */
     private val members = LinkedHashSet<Node>()
--- a/node/src/main/kotlin/gypsumcart/node/StreamLink.kt
+++ b/node/src/main/kotlin/gypsumcart/node/StreamLink.kt
@@ -6,7 +6,6 @@
 import gypsumcart.core.streams.StreamEvent
 import gypsumcart.core.streams.StreamMessage
 import gypsumcart.core.streams.StreamMessageResult
-import gypsumcart.core.streams.StreamRecord
 import gypsumcart.http.Endpoint
 import gypsumcart.http.HeaderField
 import gypsumcart.http.Headers
@@ -39,7 +38,7 @@
     private val metrics: Metrics,
 ) : RequestHandler {
     private val received = AtomicLong()
-    private val answers = ConcurrentHashMap<ExchangeId, CompletableDeferred<List<StreamRecord>>>()
+    private val answers = ConcurrentHashMap<ExchangeId, CompletableDeferred<StreamEffect.Respond>>()
 
     /** Sends the message, and always reports its end to the stream duty, which sends no other one before. */
     fun send(effect: StreamEffect.Send) {
@@ -53,9 +52,9 @@
         }
     }
 
-    /** Passes the known records to the message for which they were looked up. */
+    /** Passes the answer to the message for which it was decided. */
     fun respond(effect: StreamEffect.Respond) {
-        answers[effect.exchange]?.complete(effect.records)
+        answers[effect.exchange]?.complete(effect)
     }
 
     override suspend fun handle(request: HttpRequest, response: ResponseWriter) {
@@ -66,19 +65,19 @@
                 response.send(ResponseHead(BAD_REQUEST, Headers.EMPTY), EMPTY)
                 return
             }
-        val known = lookUp(message)
-        metrics.countStreamMessage("received", if (known == null) "no_answer" else "answered")
-        if (known == null) {
+        val answer = decide(message)
+        metrics.countStreamMessage("received", if (answer == null) "no_answer" else "answered")
+        if (answer == null) {
             response.send(ResponseHead(UNAVAILABLE, Headers.EMPTY), EMPTY)
         } else {
-            response.send(ResponseHead(OK, JSON), encodeStreamAnswer(known))
+            response.send(ResponseHead(OK, JSON), answer.encode())
         }
     }
 
-    /** Returns those records asked for that the stream duty knows, or null if it does not respond in time. */
-    private suspend fun lookUp(message: StreamMessage): List<StreamRecord>? {
+    /** Returns the answer of the stream duty, or null if it gives none in time. */
+    private suspend fun decide(message: StreamMessage): StreamEffect.Respond? {
         val id = ExchangeId(received.incrementAndGet())
-        val pending = CompletableDeferred<List<StreamRecord>>()
+        val pending = CompletableDeferred<StreamEffect.Respond>()
         answers[id] = pending
         return try {
             val accepted = streams.offer(StreamEvent.MessageReceived(id, message))
@@ -106,11 +105,11 @@
             return failed(effect, "no_answer", elapsed)
         }
         val (status, bytes) = exchange.getOrElse { return failed(effect, it.toString(), elapsed) }
-        val records = bytes?.takeIf { status == OK }?.let(::decodeStreamAnswerOrNull)
+        val answer = bytes?.takeIf { status == OK }?.let(::decodeStreamAnswerOrNull)
         return when {
             status != OK -> failed(effect, "status_$status", elapsed)
-            records == null -> failed(effect, "unreadable", elapsed)
-            else -> StreamMessageResult.Answered(records).also { metrics.countStreamMessage("sent", "answered") }
+            answer == null -> failed(effect, "unreadable", elapsed)
+            else -> answer.also { metrics.countStreamMessage("sent", "answered") }
         }
     }
 
--- a/node/src/main/kotlin/gypsumcart/node/StreamMessageCodec.kt
+++ b/node/src/main/kotlin/gypsumcart/node/StreamMessageCodec.kt
@@ -8,7 +8,9 @@
 import gypsumcart.core.BackEndVersion
 import gypsumcart.core.RequestId
 import gypsumcart.core.ServiceName
+import gypsumcart.core.streams.StreamEffect
 import gypsumcart.core.streams.StreamMessage
+import gypsumcart.core.streams.StreamMessageResult
 import gypsumcart.core.streams.StreamRecord
 import kotlinx.serialization.Serializable
 
@@ -25,9 +27,13 @@
     val asked: List<String> = emptyList(),
 )
 
-/** Represents the answer: those of the records asked for that are known. */
+/** Represents the answer: those of the records asked for that are known, and the versions of services with several. */
 @Serializable
-private class WireStreamAnswer(val form: Int, val records: List<WireRecord> = emptyList())
+private class WireStreamAnswer(
+    val form: Int,
+    val records: List<WireRecord> = emptyList(),
+    val versions: Map<String, List<String?>> = emptyMap(),
+)
 
 /** Describes why a message about streams was not accepted. */
 internal sealed class StreamMessageError {
@@ -79,20 +85,23 @@
     }
 }
 
-/** Returns the text of the answer with the known [records]. */
-internal fun encodeStreamAnswer(records: List<StreamRecord>): ByteArray =
-    JsonBodies
-        .encodeCompact(WireStreamAnswer.serializer(), WireStreamAnswer(FORM, records.map { it.toWire() }))
-        .encodeToByteArray()
-
-/** Returns the records in an answer, or null if this version of the node can't decode it. */
-internal fun decodeStreamAnswerOrNull(bytes: ByteArray): List<StreamRecord>? =
-    JsonBodies
-        .decode(WireStreamAnswer.serializer(), bytes.decodeToString())
-        .get()
-        ?.takeIf { it.form == FORM }
-        ?.records
-        ?.toRecords()
+/** Returns the text of the answer. */
+internal fun StreamEffect.Respond.encode(): ByteArray {
+    val versions = versions.entries.associate { (service, of) -> service.text to of.map { it?.text } }
+    val wire = WireStreamAnswer(FORM, records.map { it.toWire() }, versions)
+    return JsonBodies.encodeCompact(WireStreamAnswer.serializer(), wire).encodeToByteArray()
+}
+
+/** Returns the answer in [bytes], or null if this version of the node can't decode it. */
+internal fun decodeStreamAnswerOrNull(bytes: ByteArray): StreamMessageResult.Answered? {
+    val wire = JsonBodies.decode(WireStreamAnswer.serializer(), bytes.decodeToString()).get()
+    if (wire?.form != FORM) return null
+    val versions =
+        wire.versions.entries.associate { (service, of) ->
+            ServiceName(service) to of.mapTo(HashSet()) { it?.let(::BackEndVersion) }
+        }
+    return StreamMessageResult.Answered(wire.records.toRecords(), versions)
+}
 
 private fun StreamRecord.toWire(): WireRecord = WireRecord(beganAs.text, service.text, version?.text)
 
