Test a second version that joins amid a cut, a kill and a slow store

The test joins a second version while a zone is cut off, another is killed and starts again, calls to the store take up to 0.5 s and some nodes hear of the version up to 4 s later. No stream was joined in 9 cases of 3, 12 and 35 nodes.

--- a/core/src/test/kotlin/gypsumcart/core/streams/TakeUpsInTroubleTest.kt
+++ b/core/src/test/kotlin/gypsumcart/core/streams/TakeUpsInTroubleTest.kt
@@ -87,4 +87,22 @@
             fleet.expectAllWentOn()
         }
     }
+
+    // Guards against proofs of a single version that hold only while nodes and the store are in touch (ORDER).
+    @ParameterizedTest
+    @CsvSource("3, 1", "3, 2", "12, 1", "12, 2", "12, 3", "35, 1", "35, 2", "35, 3", "35, 4")
+    fun `no stream is joined when a second version joins amid a cut, a kill and a slow store`(
+        nodeCount: Int,
+        seed: Int,
+    ) {
+        val fleet = StreamFleet(nodeCount, seed, versions = setOf(V1))
+        fleet.nodes.filter { it.rank % 5 == 2 }.forEach { it.maxFeedTime = 4.seconds }
+        fleet.store.maxCallTime = 500.milliseconds
+        fleet.schedule(2.seconds) { fleet.cut = StreamFleet.Cut(setOf(ZoneName("zone-0")), isOneWay = false) }
+        fleet.schedule(3.seconds) { fleet.release(V2) }
+        fleet.schedule(3.2.seconds) { fleet.kill(fleet.nodes.filter { it.zone == ZoneName("zone-1") }, 1.seconds) }
+        fleet.run(perSecond = 15, duration = 6.seconds, breaksAfter = ::breaksAfter)
+        fleet.expectNoneJoined()
+        expectThat(fleet.takeUps.count { it.stream.version == V2 && it.wentOn }).isGreaterThan(10)
+    }
 }
