--- a/core/src/test/kotlin/gypsumcart/core/streams/StreamFleet.kt
+++ b/core/src/test/kotlin/gypsumcart/core/streams/StreamFleet.kt
@@ -224,7 +224,8 @@
                 if (cut?.blocks(target, this) == true) {
                     endMessage(effect.peer.key, StreamMessageResult.Failed, FAILURE_TIME)
                 } else {
-                    endMessage(effect.peer.key, StreamMessageResult.Answered(answer.records, answer.versions), upTo(HALF_TRIP))
+                    val result = StreamMessageResult.Answered(answer.records, answer.versions)
+                    endMessage(effect.peer.key, result, upTo(HALF_TRIP))
                 }
             }
             schedule(upTo(HALF_TRIP)) {
