--- a/core/src/test/kotlin/gypsumcart/core/streams/RecordersTest.kt
+++ b/core/src/test/kotlin/gypsumcart/core/streams/RecordersTest.kt
@@ -55,6 +55,17 @@
         expectThat(sizes.sum()).isLessThanOrEqualTo(maxOf(2 * ZONES, count / 20 + ZONES))
     }
 
+    // Guards against a small zone that keeps the records of all, or none, and with it against one copy of each (LOST).
+    @Test
+    fun `a zone of one node keeps records beside large ones`() {
+        val peers = peers(90).map { if (it.zone == ZoneName("zone-3")) it.copy(zone = ZoneName("zone-0")) else it }
+        val small = StreamPeer(NodeKey(NodeId("small"), Incarnation(1)), Address("10.0.1.1", 1), ZoneName("zone-3"))
+        val chosen = (peers + small).chosenByZone()
+        expectThat(chosen.getValue(small.zone)).isEqualTo(setOf(small.key))
+        expectThat(chosen.getValue(ZoneName("zone-0"))).hasSize(3)
+        expectThat(chosen.getValue(ZoneName("zone-1"))).hasSize(2)
+    }
+
     // Guards against records that nobody asks for any more since a node of another zone was lost (LOST).
     @ParameterizedTest
     @ValueSource(ints = [12, 35, 41, 51, 81, 121, 400])
