Record that the store is intact since a node first heard of its era

Cause: builds before the eras store no row `era`, so the first holder of the new build recorded that the store is intact from its own question on, and left windows that had ended before to a report that might have been lost.

A response that names an era shows that nothing acknowledged since has been lost as long as no later era is named. The node now records the first reading of the store's clock in the era.

--- a/node/src/main/kotlin/gypsumcart/node/Ports.kt
+++ b/node/src/main/kotlin/gypsumcart/node/Ports.kt
@@ -172,6 +172,9 @@
 
     /** Returns the latest era that the store has named, or null if it has named none. */
     public fun eraOrNull(): StoreEra? = null
+
+    /** Returns the first reading of the store's clock in that era, or null if there is none. */
+    public fun eraClockOrNull(): StoreClock? = null
 }
 
 /**
--- a/node/src/main/kotlin/gypsumcart/node/StoreHistory.kt
+++ b/node/src/main/kotlin/gypsumcart/node/StoreHistory.kt
@@ -20,8 +20,8 @@
 /**
  * Knows since when the store holds all that it has acknowledged.
  *
- * The first node that asks in an era stores its number and the time. A process that starts later learns from this row
- * that the store has come back from an older copy: the copy can't contain it.
+ * The first node that asks in an era stores its number and since when it has known of the era. A process that starts
+ * later learns from this row that the store has come back from an older copy: the copy can't contain it.
  */
 internal class StoreHistory(private val rows: RowStore) {
     /** Returns since when the store is intact, or null if that can't be found out now. */
@@ -30,7 +30,7 @@
 
     private suspend fun readOrNull(row: Row?): UsageEvent.StoreHistoryRead? {
         val era = rows.eraOrNull() ?: return UsageEvent.StoreHistoryRead(intactSince = null)
-        val clock = rows.clockOrNull() ?: return null
+        val clock = rows.eraClockOrNull() ?: rows.clockOrNull() ?: return null
         val since = row.sinceMillisOrNull(era) ?: startEraOrNull(era, row, clock)
         return since?.let { UsageEvent.StoreHistoryRead(clock.at - (clock.millis - it).milliseconds, era) }
     }
--- a/node/src/test/kotlin/gypsumcart/node/StoreHistoryTest.kt
+++ b/node/src/test/kotlin/gypsumcart/node/StoreHistoryTest.kt
@@ -21,6 +21,7 @@
         var row: Row? = null
         var millis = 1_000L
         var isAway = false
+        var eraMillis: Long? = null
 
         override suspend fun get(table: TableName, key: RowKey): Result<Row?, StoreFailure> =
             if (isAway) Err(StoreFailure.NoAnswer) else Ok(row)
@@ -53,6 +54,8 @@
         override fun clockOrNull() = StoreClock(millis, time(millis))
 
         override fun eraOrNull(): StoreEra? = era?.let(::StoreEra)
+
+        override fun eraClockOrNull(): StoreClock? = eraMillis?.let { StoreClock(it, time(it)) }
     }
 
     private fun readOrNull(store: RowStore) = runBlocking { StoreHistory(store).readOrNull() }
@@ -86,6 +89,17 @@
         expectThat(readOrNull(store)).isEqualTo(intactSince(9_000, era = 2))
     }
 
+    /** Guards against windows of usage that nobody reports after a holder of a build that does not store the era. */
+    @Test
+    fun `a node that asks first states since when it has known of the era, not when it asked`() {
+        val store = CopiedStore(era = 1)
+        store.eraMillis = 2_000
+        store.millis = 9_000
+        expectThat(readOrNull(store)).isEqualTo(intactSince(2_000, era = 1))
+        store.eraMillis = 5_000
+        expectThat(readOrNull(store)).isEqualTo(intactSince(2_000, era = 1))
+    }
+
     @Test
     fun `nothing is known while the store is away, and a store that names no era loses nothing`() {
         val store = CopiedStore(era = null)
