Number the lease so that nodes of the build before the eras order it alike

Cause: the new build sends the version of the lease row as a position, whose era stands above bit 44, in the field that the build before takes for the store's own version. It then holds all that the store shows for outdated. Tokens have the same fault: that of an old holder after a new one would be 2^44 lower, and the platform refuses it.

Messages have the store's version again, with the era beside it. A token without era is followed by the next number as long as the store has not come back, which the row now shows by the era in which it was written; otherwise it is a position as before, also in fleets that began with this build or with the eras. Roll-outs take the era of the lease from the lease. A row that an old node reported is not taken for one of an earlier era of the store.

LeaseTest, RestoredRolloutTest, RestoredOrderTest, OddMessagesTest, PeerCodecTest and FleetMessagesTest pass unchanged.

--- a/core/src/main/kotlin/gypsumcart/core/leases/Lease.kt
+++ b/core/src/main/kotlin/gypsumcart/core/leases/Lease.kt
@@ -11,23 +11,6 @@
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 
-/**
- * Represents the lease row in the store.
- *
- * @property version the store's version of the row, which every write increases
- * @property storedToken the version of the write that acquired the lease; null in the row of that write itself, because
- * the store assigns its version only as it writes the row
- */
-public data class LeaseRow(
-    public val holder: NodeId,
-    public val incarnation: Incarnation,
-    public val version: Long,
-    public val storedToken: FencingToken?,
-)
-
-/** The fencing token of the row's holder: the version of the write that acquired the lease. */
-public val LeaseRow.fencingToken: FencingToken get() = storedToken ?: FencingToken(version)
-
 /** Describes how a write of the lease row ended. */
 public sealed class LeaseWriteResult {
     /** The store accepted the write and assigned [version] to the row. */
@@ -86,7 +69,7 @@
      * Writes the lease row with this node as the holder, provided that the stored version is [expectedVersion].
      *
      * @property expectedVersion the version to replace, or 0 if there must be no row
-     * @property fencingToken the token to store, or null for a write that acquires the lease
+     * @property fencingToken the token to store, or null if it is the version of this write, which acquires the lease
      */
     public data class WriteRow(
         public val expectedVersion: Long,
@@ -106,8 +89,15 @@
     /** Reports that this node wrote the lease row, which is now [row]. */
     public data class RowWritten(public val row: LeaseRow) : LeaseEffect()
 
-    /** Reports that this node now holds the lease with [fencingToken], or no longer holds it if null. */
-    public data class HoldingChanged(public val fencingToken: FencingToken?) : LeaseEffect()
+    /**
+     * Reports that this node now holds the lease with [fencingToken], or no longer holds it if null.
+     *
+     * @property acquiredIn the era of the store in which the lease was acquired
+     */
+    public data class HoldingChanged(
+        public val fencingToken: FencingToken?,
+        public val acquiredIn: StoreEra = fencingToken?.era ?: StoreEra.UNNAMED,
+    ) : LeaseEffect()
 }
 
 /**
@@ -129,7 +119,7 @@
     private val term: Duration,
     private val maxClockJump: Duration,
 ) : Decider<LeaseEvent, LeaseEffect> {
-    private class Held(val token: FencingToken, val until: MonotonicTime)
+    private class Held(val token: FencingToken, val acquiredIn: StoreEra, val until: MonotonicTime)
 
     /** @property isVoid whether what the write was based on has ceased to hold, so that its success starts no term */
     private class PendingWrite(val sentAt: MonotonicTime, val token: FencingToken?, var isVoid: Boolean = false)
@@ -195,9 +185,9 @@
         if (row == null && known != null && isRowKnown) return observeAbsence(now)
         isAbsenceDoubtful = false
         if (isRowKnown && (row?.version ?: 0) <= (known?.version ?: 0)) return emptyList()
-        if (row != null && known != null && row.era > known.era) isRowOutdated = true
+        if (row != null && known != null && row.isAfterReturnSince(known)) isRowOutdated = true
         isRowKnown = true
-        this.row = row
+        this.row = row?.numberedAfter(known)
         rowChangedAt = now
         if (row?.supersedes(held) == true) held = null
         return emptyList()
@@ -230,11 +220,12 @@
         if (write.isVoid) return readRow()
         return when (result) {
             is LeaseWriteResult.Written -> {
-                val written = LeaseRow(node, incarnation, result.version, write.token)
+                val era = StorePosition(result.version).era
+                val written = LeaseRow(node, incarnation, result.version, write.token, writtenIn = era)
                 row = written
                 rowChangedAt = now
                 isRowOutdated = false
-                held = Held(written.fencingToken, write.sentAt + term)
+                held = Held(written.fencingToken, era, write.sentAt + term)
                 listOf(LeaseEffect.RowWritten(written))
             }
 
@@ -266,14 +257,14 @@
         if (stopping || pendingWrite != null || isReading) return emptyList()
         val row = this.row
         return when {
-            isRowOutdated && heldOrNull(now) != null -> writeRow(now, fencingToken = null)
+            isRowOutdated && heldOrNull(now) != null -> acquire(now)
 
-            row == null && !isRowOutdated -> writeRow(now, fencingToken = null)
+            row == null && !isRowOutdated -> acquire(now)
 
             row != null && isHeldByThisNode(row) && !isRowOutdated ->
                 if (isRenewalDue(now)) writeRow(now, row.fencingToken) else emptyList()
 
-            now - rowChangedAt > term + TAKEOVER_MARGIN -> writeRow(now, fencingToken = null)
+            now - rowChangedAt > term + TAKEOVER_MARGIN -> acquire(now)
 
             else -> emptyList()
         }
@@ -284,6 +275,9 @@
         return now >= end - term * (1 - RENEWAL_FRACTION)
     }
 
+    private fun acquire(now: MonotonicTime): List<LeaseEffect> =
+        writeRow(now, if (isRowOutdated) null else row?.nextTokenOrNull())
+
     private fun writeRow(now: MonotonicTime, fencingToken: FencingToken?): List<LeaseEffect> {
         pendingWrite = PendingWrite(now, fencingToken)
         return listOf(LeaseEffect.WriteRow(row?.version ?: 0, fencingToken))
@@ -296,15 +290,12 @@
     }
 
     private fun announceHolding(now: MonotonicTime): List<LeaseEffect> {
-        val token = heldOrNull(now)?.token
-        if (token == announcedToken) return emptyList()
-        announcedToken = token
-        return listOf(LeaseEffect.HoldingChanged(token))
+        val held = heldOrNull(now)
+        if (held?.token == announcedToken) return emptyList()
+        announcedToken = held?.token
+        return listOf(if (held == null) HOLDING_ENDED else LeaseEffect.HoldingChanged(held.token, held.acquiredIn))
     }
 
-    /** The era of the store in which the row was read; the row itself may have been written in an earlier one. */
-    private val LeaseRow.era: StoreEra get() = StorePosition(version).era
-
     private fun heldOrNull(now: MonotonicTime): Held? = held?.takeIf { now < it.until }
 
     private fun LeaseRow.supersedes(held: Held?): Boolean =
@@ -313,6 +304,8 @@
     private fun isHeldByThisNode(row: LeaseRow): Boolean = row.holder == node && row.incarnation == incarnation
 
     private companion object {
+        val HOLDING_ENDED = LeaseEffect.HoldingChanged(null)
+
         /** The holder renews after this fraction of its term, so that one lost renewal does not end the term. */
         const val RENEWAL_FRACTION = 0.4
 
--- a/core/src/main/kotlin/gypsumcart/core/rollout/Rollout.kt
+++ b/core/src/main/kotlin/gypsumcart/core/rollout/Rollout.kt
@@ -5,6 +5,7 @@
 import gypsumcart.core.MonotonicTime
 import gypsumcart.core.RolloutLimits
 import gypsumcart.core.ServiceName
+import gypsumcart.core.leases.era
 import gypsumcart.core.membership.NodeKey
 
 /**
@@ -25,7 +26,7 @@
     private val trackers = LinkedHashMap<ServiceName, RolloutTracker>()
     private var services: Set<ServiceName> = emptySet()
     private var backEnds = RolloutEvent.BackEndsListed(emptyList())
-    private var token: FencingToken? = null
+    private var holding = RolloutEvent.HoldingChanged(null)
 
     /** The services whose row is being written or read. */
     private val busy = HashSet<ServiceName>()
@@ -57,7 +58,7 @@
             }
             RolloutEvent.RowsConfirmed -> noEffects { trackers.values.forEach { it.confirm(now) } }
             is RolloutEvent.WriteEnded -> endWrite(event, now)
-            is RolloutEvent.HoldingChanged -> noEffects { token = event.token }
+            is RolloutEvent.HoldingChanged -> noEffects { holding = event }
             is RolloutEvent.ReportsReceived -> merge(event, now)
             is RolloutEvent.VersionsUsed ->
                 noEffects {
@@ -126,7 +127,7 @@
 
     /** Moves roll-outs on, if this node holds the lease. */
     private fun advance(now: MonotonicTime): List<RolloutEffect> {
-        val held = token ?: return emptyList()
+        val held = holding.token ?: return emptyList()
         return trackers.mapNotNull { (service, tracker) ->
             tracker.row?.let { if (it.token <= held) tracker.confirm(now) }
             if (service in busy) null else nextRowOrNull(tracker, held, now)?.let { write(tracker, it, now) }
@@ -135,7 +136,7 @@
 
     private fun nextRowOrNull(tracker: RolloutTracker, held: FencingToken, now: MonotonicTime): RolloutRow? {
         val row = tracker.row
-        if (row != null && row.token > held || tracker.stored.isAfter(held)) return null
+        if (row != null && row.token > held || tracker.stored.isAfter(holding.acquiredIn)) return null
         return tracker.firstRowOrNull(services, held) ?: row?.let { nextRowOrNull(it, tracker, held, now) }
     }
 
@@ -154,7 +155,7 @@
 
     private fun write(tracker: RolloutTracker, row: RolloutRow, now: MonotonicTime): RolloutEffect {
         busy += row.service
-        val expected = tracker.stored.expectedVersion(row.token)
+        val expected = tracker.stored.expectedVersion(holding.acquiredIn)
         return RolloutEffect.Write(row.copy(elapsed = tracker.elapsed(row.order, now), version = 0), expected)
     }
 
--- a/core/src/main/kotlin/gypsumcart/core/rollout/RolloutEras.kt
+++ b/core/src/main/kotlin/gypsumcart/core/rollout/RolloutEras.kt
@@ -1,12 +1,9 @@
 package gypsumcart.core.rollout
 
-import gypsumcart.core.FencingToken
+import gypsumcart.core.leases.era
 import gypsumcart.core.membership.StoreEra
 import gypsumcart.core.membership.StorePosition
 
-/** The era of the store in which the lease was acquired. */
-internal val FencingToken.era: StoreEra get() = StorePosition(number).era
-
 /**
  * When the row was written; a copy keeps the counter of its version.
  *
@@ -37,9 +34,9 @@
         version = StorePosition(0)
     }
 
-    /** Returns the version that a write with [token] replaces, or 0 if no row of its era is known. */
-    fun expectedVersion(token: FencingToken): Long = if (version.era < token.era) 0 else version.number
+    /** Returns the version that a write in [era] replaces, or 0 if no row of that era is known. */
+    fun expectedVersion(era: StoreEra): Long = if (version.era < era) 0 else version.number
 
-    /** Whether the store has come back since the lease was acquired with [token], which must not be used then. */
-    fun isAfter(token: FencingToken): Boolean = version.era > token.era
+    /** Whether the store has come back since the lease was acquired in [era]; its token must not be used then. */
+    fun isAfter(era: StoreEra): Boolean = version.era > era
 }
--- a/core/src/main/kotlin/gypsumcart/core/rollout/RolloutEvents.kt
+++ b/core/src/main/kotlin/gypsumcart/core/rollout/RolloutEvents.kt
@@ -3,7 +3,9 @@
 import gypsumcart.core.BackEnd
 import gypsumcart.core.FencingToken
 import gypsumcart.core.ServiceName
+import gypsumcart.core.leases.era
 import gypsumcart.core.membership.NodeKey
+import gypsumcart.core.membership.StoreEra
 import kotlin.time.Duration
 
 /** Represents an input of the [Rollout] decider. */
@@ -32,8 +34,15 @@
         public val result: RolloutWriteResult,
     ) : RolloutEvent()
 
-    /** This node acquired the lease with [token], or lost it if null. */
-    public data class HoldingChanged(public val token: FencingToken?) : RolloutEvent()
+    /**
+     * This node acquired the lease with [token], or lost it if null.
+     *
+     * @property acquiredIn the era of the store in which it did
+     */
+    public data class HoldingChanged(
+        public val token: FencingToken?,
+        public val acquiredIn: StoreEra = token?.era ?: StoreEra.UNNAMED,
+    ) : RolloutEvent()
 
     /** The reports of all other nodes that are known; those that run, this node included, are in [live]. */
     public data class ReportsReceived(
--- a/node/src/main/kotlin/gypsumcart/node/FleetDuties.kt
+++ b/node/src/main/kotlin/gypsumcart/node/FleetDuties.kt
@@ -5,7 +5,6 @@
 import com.github.michaelbull.result.mapBoth
 import com.github.michaelbull.result.mapError
 import gypsumcart.core.Features
-import gypsumcart.core.FencingToken
 import gypsumcart.core.Incarnation
 import gypsumcart.core.NodeId
 import gypsumcart.core.UnixMillis
@@ -207,12 +206,14 @@
             LeaseEffect.ReadRow -> scope.launch { rings.lease.put(readLease()) }
             is LeaseEffect.Execute -> scope.launch { executeCommand(effect) }
             is LeaseEffect.RowWritten -> rings.membership.offer(MembershipEvent.LeaseWritten(effect.row))
-            is LeaseEffect.HoldingChanged -> changeHolding(effect.fencingToken)
+            is LeaseEffect.HoldingChanged -> changeHolding(effect)
         }
     }
 
     private suspend fun writeLease(effect: LeaseEffect.WriteRow): LeaseWriteResult {
-        val value = encodeLease(node, incarnation, effect.fencingToken)
+        // The condition holds in the era of the expected version only.
+        val era = StorePosition(effect.expectedVersion).era
+        val value = encodeLease(node, incarnation, effect.fencingToken, era)
         return rows.put(Tables.FLEET, LEASE_KEY, value, RowVersion(effect.expectedVersion)).fold(
             { LeaseWriteResult.Written(it.number) },
             { failure ->
@@ -252,12 +253,13 @@
         }
     }
 
-    private fun changeHolding(token: FencingToken?) {
+    private fun changeHolding(effect: LeaseEffect.HoldingChanged) {
+        val token = effect.fencingToken
         state.leaseHeld = token != null
         log.info("event=lease_{} fence={}", if (token != null) "held" else "not_held", token)
         rings.usage.put(UsageEvent.HoldingChanged(token != null))
         rings.orders.put(AutoscalerEvent.HoldingChanged(token != null))
-        rings.rollout?.put(RolloutEvent.HoldingChanged(token))
+        rings.rollout?.put(RolloutEvent.HoldingChanged(token, effect.acquiredIn))
     }
 
     private fun execute(effect: UsageEffect) {
--- a/node/src/main/kotlin/gypsumcart/node/PeerCodec.kt
+++ b/node/src/main/kotlin/gypsumcart/node/PeerCodec.kt
@@ -20,6 +20,8 @@
 import gypsumcart.core.membership.PeerItem
 import gypsumcart.core.membership.PeerMessage
 import gypsumcart.core.membership.RelayRank
+import gypsumcart.core.membership.StoreEra
+import gypsumcart.core.membership.StorePosition
 import gypsumcart.core.membership.TablePosition
 import kotlinx.serialization.SerialName
 import kotlinx.serialization.Serializable
@@ -70,8 +72,28 @@
     @SerialName("x") val cutOff: Boolean = false,
 )
 
+/**
+ * Represents the lease row that the sender wrote.
+ *
+ * @property version the version as the store numbers it, which builds before the store's eras order by; some later ones
+ * send the number of its position
+ * @property era the era in which the store assigned the version, or 0 if it names none
+ */
 @Serializable
-private class WireLease(val version: Long, val fence: Long?)
+private class WireLease(val version: Long, val fence: Long?, val era: Long = 0) {
+    fun toRowOrNull(holder: NodeKey): LeaseRow? {
+        val position = if (era == 0L) StorePosition(version) else StorePosition.ofOrNull(StoreEra(era), version)
+        val writtenIn = if (era == 0L) null else StoreEra(era)
+        return position?.let {
+            LeaseRow(holder.node, holder.incarnation, it.number, fence?.let(::FencingToken), writtenIn)
+        }
+    }
+}
+
+private fun LeaseRow.toWire(): WireLease {
+    val position = StorePosition(version)
+    return WireLease(position.counter, storedToken?.number, position.era.number)
+}
 
 /** Describes why a message of the peer protocol was not accepted. */
 internal sealed class PeerMessageError {
@@ -168,7 +190,7 @@
                 .filterValues { it != UNUSED },
         load = report.load.entries.associate { (service, load) -> service.text to load.inUnits(TENTHS) },
         latency = report.latency.entries.associate { (service, share) -> service.text to share.inUnits(THOUSANDTHS) },
-        lease = report.lease?.let { WireLease(it.version, it.storedToken?.number) },
+        lease = report.lease?.toWire(),
         lost = report.lostCapacity.entries.associate { (service, lost) -> service.text to lost.inUnits(TENTHS) },
         findings = report.findings.toWireOrNull(),
         relayRank = report.relayRank.level,
@@ -207,7 +229,7 @@
             quotaUse = quota.entries.associate { (team, use) -> TeamName(team) to use.toQuotaUse() },
             load = load.entries.associate { (service, load) -> ServiceName(service) to load / TENTHS },
             latency = latency.entries.associate { (service, share) -> ServiceName(service) to share / THOUSANDTHS },
-            lease = lease?.let { LeaseRow(key.node, key.incarnation, it.version, it.fence?.let(::FencingToken)) },
+            lease = lease?.toRowOrNull(key),
             lostCapacity = lost.entries.associate { (service, lost) -> ServiceName(service) to lost / TENTHS },
             findings = findings.toFindings(),
             relayRank = RelayRank(relayRank),
--- a/node/src/main/kotlin/gypsumcart/node/RowCodecs.kt
+++ b/node/src/main/kotlin/gypsumcart/node/RowCodecs.kt
@@ -16,6 +16,7 @@
 import gypsumcart.core.membership.NodeKey
 import gypsumcart.core.membership.NodeReport
 import gypsumcart.core.membership.RelayRank
+import gypsumcart.core.membership.StoreEra
 import gypsumcart.core.membership.key
 import kotlinx.serialization.EncodeDefault
 import kotlinx.serialization.ExperimentalSerializationApi
@@ -54,11 +55,14 @@
     val spent: Double,
 )
 
+/** @property era the era of the store in which the row was written; earlier builds don't state it */
+@OptIn(ExperimentalSerializationApi::class)
 @Serializable
 private class LeaseHolderRow(
     val holder: String,
     val incarnation: Long,
     @SerialName("fence") val fencingToken: Long? = null,
+    @EncodeDefault(EncodeDefault.Mode.NEVER) val era: Long? = null,
 )
 
 @Serializable
@@ -181,13 +185,25 @@
         .filter { (_, age) -> age >= Duration.ZERO }
         .toMap()
 
-internal fun encodeLease(holder: NodeId, incarnation: Incarnation, token: FencingToken?): ByteArray =
-    encode(LeaseHolderRow.serializer(), LeaseHolderRow(holder.text, incarnation.number, token?.number))
+/** Returns the value of the lease row, written in [era] of the store, which the row states if the store names it. */
+internal fun encodeLease(
+    holder: NodeId,
+    incarnation: Incarnation,
+    token: FencingToken?,
+    era: StoreEra = StoreEra.UNNAMED,
+): ByteArray {
+    val stated = era.takeIf { it != StoreEra.UNNAMED }
+    return encode(
+        LeaseHolderRow.serializer(),
+        LeaseHolderRow(holder.text, incarnation.number, token?.number, stated?.number),
+    )
+}
 
 internal fun Row.toLeaseOrNull(): LeaseRow? {
     val row = decodeOrNull(LeaseHolderRow.serializer(), value) ?: return null
     val token = row.fencingToken?.let(::FencingToken)
-    return LeaseRow(NodeId(row.holder), Incarnation(row.incarnation), version.number, token)
+    val era = row.era?.let(::StoreEra)
+    return LeaseRow(NodeId(row.holder), Incarnation(row.incarnation), version.number, token, era)
 }
 
 internal fun encodeUsageCounts(counts: Map<TeamName, Int>): ByteArray =
