--- a/core/src/test/kotlin/gypsumcart/core/streams/TakeUpsInFleetTest.kt
+++ b/core/src/test/kotlin/gypsumcart/core/streams/TakeUpsInFleetTest.kt
@@ -46,8 +46,7 @@
     }
 
     // Guards against a release of this build during which most take-ups are refused, or some joined (LOST, ORDER).
-
-    /** Models the pace at which nodes of the build before write their records, but not how they search for others'. */
+    // Models the pace at which nodes of the build before write their records, but not how they search for others'.
     @ParameterizedTest
     @CsvSource("17, 1", "17, 2", "17, 3", "34, 1", "34, 2", "34, 3")
     fun `at least half of the take-ups go on beside nodes of the build before`(oldCount: Int, seed: Int) {
