Give each process of the tests ports of its own

Cause: both processes look for free ports one after the other from a random place in one range, close the port that they find and bind it later; when they come upon the same place, each takes what the other has found. The tests run in two processes since, and twelve nodes ask for 60 ports at once. The cause follows from the code and from the two failures coming together; the moment itself was not recorded.

A process now listens on the first port of a block of 1,000 as long as it runs, and gives out the others.

--- a/standins/src/main/kotlin/gypsumcart/standins/StandInFleet.kt
+++ b/standins/src/main/kotlin/gypsumcart/standins/StandInFleet.kt
@@ -17,7 +17,6 @@
 import java.net.BindException
 import java.net.ServerSocket
 import java.util.concurrent.atomic.AtomicInteger
-import kotlin.random.Random
 import kotlin.time.Duration.Companion.seconds
 
 /** Runs nodes on the loopback interface in one process, with test doubles for the store and the back ends. */
@@ -130,13 +129,10 @@
 
     /** Returns an address that nothing listens on and that no outgoing connection can take before it is used. */
     public fun freeAddress(): String {
-        val port = generateSequence { nextPort() }.take(LISTENING_PORTS.count()).first(::isFree)
+        val port = generateSequence { ListeningPorts.next() }.take(ListeningPorts.COUNT).first(::isFree)
         return "127.0.0.1:$port"
     }
 
-    private fun nextPort(): Int =
-        LISTENING_PORTS.first + Math.floorMod(portCounter.getAndIncrement(), LISTENING_PORTS.count())
-
     private fun isFree(port: Int): Boolean =
         try {
             ServerSocket(port).close()
@@ -148,11 +144,6 @@
     private companion object {
         const val MAX_BYTES = 1_000_000
 
-        /** Below the ports that the system gives to outgoing connections. */
-        val LISTENING_PORTS = 12_000..31_999
-
-        /** Starts anywhere, so that several processes seldom look at the same ports. */
-        val portCounter = AtomicInteger(Random.nextInt(LISTENING_PORTS.count()))
         val BOUNDS =
             Bounds(
                 graceSeconds = 8.0,
@@ -170,6 +161,28 @@
     }
 }
 
+/** Gives out the ports of a block that no other process gives out while this one runs. */
+private object ListeningPorts {
+    /** The number of ports that are given out before the first one comes again. */
+    const val COUNT = 999
+
+    /** Below the ports that the system gives to outgoing connections. */
+    private val ALL = 12_000..31_999
+
+    /** Listens on the first port of the block, which keeps other processes from taking it. */
+    private val guard = (ALL step COUNT + 1).shuffled().firstNotNullOf(::listenOrNull)
+    private val counter = AtomicInteger()
+
+    fun next(): Int = guard.localPort + 1 + Math.floorMod(counter.getAndIncrement(), COUNT)
+
+    private fun listenOrNull(port: Int): ServerSocket? =
+        try {
+            ServerSocket(port)
+        } catch (_: BindException) {
+            null
+        }
+}
+
 /** Represents a started node; [settings] has the addresses that it listens on. */
 public class RunningNode(
     public val node: Node,
