--- a/standins/src/main/kotlin/gypsumcart/standins/StandInFleet.kt
+++ b/standins/src/main/kotlin/gypsumcart/standins/StandInFleet.kt
@@ -16,7 +16,6 @@
 import kotlinx.coroutines.runBlocking
 import java.net.BindException
 import java.net.ServerSocket
-import java.util.concurrent.atomic.AtomicInteger
 import kotlin.time.Duration.Companion.seconds
 
 /** Runs nodes on the loopback interface in one process, with test doubles for the store and the back ends. */
@@ -161,19 +160,29 @@
     }
 }
 
-/** Gives out the ports of a block that no other process gives out while this one runs. */
+/** Gives out ports of blocks that no other process gives out while this one runs. */
 private object ListeningPorts {
-    /** The number of ports that are given out before the first one comes again. */
-    const val COUNT = 999
+    private const val BLOCK_SIZE = 500
+
+    /** The number of ports in a block that are given out, all but the first one. */
+    const val COUNT = BLOCK_SIZE - 1
 
     /** Below the ports that the system gives to outgoing connections. */
     private val ALL = 12_000..31_999
 
-    /** Listens on the first port of the block, which keeps other processes from taking it. */
-    private val guard = (ALL step COUNT + 1).shuffled().firstNotNullOf(::listenOrNull)
-    private val counter = AtomicInteger()
+    /** Listen on the first port of each block that this process has taken, which keeps other processes from it. */
+    private val guards = ArrayList<ServerSocket>()
+    private var given = COUNT
 
-    fun next(): Int = guard.localPort + 1 + Math.floorMod(counter.getAndIncrement(), COUNT)
+    /** Returns the next port; a process that has given out all ports of a block takes another one. */
+    @Synchronized
+    fun next(): Int {
+        if (given == COUNT) {
+            guards += (ALL step BLOCK_SIZE).shuffled().firstNotNullOf(::listenOrNull)
+            given = 0
+        }
+        return guards.last().localPort + ++given
+    }
 
     private fun listenOrNull(port: Int): ServerSocket? =
         try {
